--- /dev/null
+++ b/crates/board/src/lib.rs
@@ -0,0 +1,13 @@
+//! The blackboard of a process's control thread.
+//!
+//! Observations go in, controllers step over the board with the time passed in, and an immutable
+//! [`View`] comes out for the traffic thread. Nothing here does I/O. Membership is never relied on
+//! for safety: that is the log's part.
+
+mod board;
+mod config;
+mod membership;
+mod view;
+
+pub use board::{Board, Observation};
+pub use view::{Endpoint, Environment, Peer, View};
--- /dev/null
+++ b/crates/board/src/view.rs
@@ -0,0 +1,67 @@
+//! What traffic sees of the board.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use platform::api::HostInfo;
+use settings::Document;
+use units::{Host, Incarnation, Region, Target, Version, Zone};
+use wire::Load;
+
+/// An immutable state of the board.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The environment document in force.
+    pub environment: Option<Arc<Environment>>,
+    /// The listed hosts that are to be connected to.
+    pub hosts: Vec<HostInfo>,
+    /// The endpoints that may be given new work.
+    pub endpoints: Vec<Endpoint>,
+    /// The other entries that are connected.
+    pub entries: Vec<Peer>,
+    /// Whether this process is leaving.
+    pub leaving: bool,
+}
+
+/// An environment document in force.
+#[derive(Clone, Debug)]
+pub struct Environment {
+    /// Its version.
+    pub version: Version,
+    /// Its text.
+    pub text: String,
+    /// Its contents.
+    pub document: Document,
+}
+
+/// An endpoint and its sidecar.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its name.
+    pub name: units::Endpoint,
+    /// The sidecar's host.
+    pub host: Host,
+    /// The sidecar's incarnation.
+    pub incarnation: Incarnation,
+    /// The host's region.
+    pub region: Region,
+    /// The host's availability zone.
+    pub zone: Zone,
+    /// What it serves.
+    pub serves: Vec<Target>,
+    /// Calls that it runs at a time.
+    pub slots: u32,
+    /// Its last load report.
+    pub load: Load,
+}
+
+/// Another entry.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its host.
+    pub host: Host,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its address for balsamhold's own processes.
+    pub address: SocketAddr,
+}
--- /dev/null
+++ b/crates/entry/src/api.rs
@@ -0,0 +1,276 @@
+//! The callers' interface.
+
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use http_types::{Method, Response};
+use log::{Budget, Token};
+use serde::Deserialize;
+use serde_json::json;
+use units::{Account, Calls, Class, Digest, Program, Seq, Span, Target, Tokens};
+use wire::Forward;
+
+use crate::calls;
+use crate::forward;
+use crate::refusal::{Refusal, Result};
+use crate::reply::{Reply, respond};
+use crate::traffic::{Owner, Traffic};
+
+const HOPS_MAX: u8 = 3;
+
+/// A request of an authenticated caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) account: Account,
+    pub(crate) program: Option<Program>,
+    pub(crate) method: Method,
+    pub(crate) path: CompactString,
+    pub(crate) seq: Option<Seq>,
+    pub(crate) offset: u64,
+    pub(crate) body: Vec<u8>,
+    pub(crate) trace: CompactString,
+    pub(crate) hops: u8,
+}
+
+impl Request {
+    /// The request as it is passed on.
+    pub(crate) fn forward(&self) -> Forward {
+        Forward {
+            account: self.account.clone(),
+            program: self.program.unwrap_or_default(),
+            method: self.method.as_ref().into(),
+            path: self.path.clone(),
+            offset: self.offset,
+            seq: self.seq,
+            body: self.body.clone(),
+            trace: self.trace.clone(),
+            hops: self.hops + 1,
+        }
+    }
+
+    /// The request that another entry passed on.
+    pub(crate) fn from_forward(forward: Forward) -> Result<Self> {
+        let method = forward.method.parse();
+        Ok(Request {
+            account: forward.account,
+            program: Some(forward.program),
+            method: method.map_err(|_| Refusal::UnknownPath)?,
+            path: forward.path,
+            seq: forward.seq,
+            offset: forward.offset,
+            body: forward.body,
+            trace: forward.trace,
+            hops: forward.hops,
+        })
+    }
+}
+
+/// The body that creates a program.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CreateBody {
+    class: Class,
+    tokens: Tokens,
+    calls: Calls,
+    deadline_ms: Option<u64>,
+}
+
+/// The body of a call; exactly one of `model`, `service` and `program` is there.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CallBody {
+    seq: Seq,
+    after: Option<String>,
+    model: Option<Target>,
+    service: Option<Target>,
+    program: Option<ChildBody>,
+    #[serde(default)]
+    input: String,
+    max_tokens: Option<Tokens>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChildBody {
+    tokens: Tokens,
+    calls: Calls,
+}
+
+/// Answers one HTTP request of a caller.
+pub(crate) async fn answer(traffic: Rc<Traffic>, mut request: http_types::Request) -> Response {
+    let start = traffic.shared.clock.now();
+    let result = async {
+        let request = read(&traffic, &mut request).await?;
+        serve(&traffic, &request).await
+    };
+    let result = result.await;
+    let kind = result.as_ref().map_or_else(Refusal::code, |_| "answered");
+    traffic.shared.metrics.count(kind);
+    let length = traffic.shared.clock.now().since(start);
+    traffic.shared.metrics.time("request", length.as_secs_f64());
+    respond(&traffic.executor, result)
+}
+
+/// Reads and authenticates a request.
+async fn read(traffic: &Traffic, request: &mut http_types::Request) -> Result<Request> {
+    let header = |name: &str| {
+        request
+            .header(name)
+            .map(|values| values.as_str().to_owned())
+    };
+    let trace = header("traceparent").unwrap_or_default();
+    let authorization = header("authorization").ok_or(Refusal::Unauthorized)?;
+    let token = authorization
+        .strip_prefix("Bearer ")
+        .ok_or(Refusal::Unauthorized)?;
+    let environment = traffic.environment()?;
+    let account = environment.document.account(&Digest::of(token.as_bytes()));
+    let account = account.ok_or(Refusal::Unauthorized)?.clone();
+    let url = request.url().clone();
+    let offset = url.query_pairs().find(|(key, _)| key == "offset");
+    let offset = offset.map_or(Ok(0), |(_, value)| value.parse());
+    let offset = offset.map_err(|_| Refusal::Malformed("offset is not a number".into()))?;
+    let (program, path, seq) = parse_path(url.path())?;
+    let limit = traffic.shared.settings.body_max.0;
+    let body = http_io::read_body(request, limit)
+        .await
+        .map_err(|error| match error {
+            http_io::Error::TooLarge(limit) => Refusal::TooLarge(limit),
+            error => Refusal::Malformed(error.to_string()),
+        })?;
+    let (method, trace) = (request.method(), trace.into());
+    Ok(Request {
+        account,
+        program,
+        method,
+        path,
+        seq,
+        offset,
+        body,
+        trace,
+        hops: 0,
+    })
+}
+
+fn parse_path(path: &str) -> Result<(Option<Program>, CompactString, Option<Seq>)> {
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let (id, rest) = match parts.as_slice() {
+        ["v1", "programs"] => return Ok((None, CompactString::default(), None)),
+        ["v1", "programs", id, rest @ ..] => (*id, rest),
+        _ => return Err(Refusal::UnknownPath),
+    };
+    let program = id.parse().map_err(|_| Refusal::UnknownProgram)?;
+    match rest {
+        [name] => Ok((Some(program), (*name).into(), None)),
+        [name, seq] => {
+            let seq = seq.parse().map_err(|_| Refusal::UnknownCall)?;
+            Ok((Some(program), (*name).into(), Some(seq)))
+        }
+        _ => Err(Refusal::UnknownPath),
+    }
+}
+
+/// Serves a request here or passes it on to the program's owner.
+pub(crate) async fn serve(traffic: &Rc<Traffic>, request: &Request) -> Result<Reply> {
+    let Some(id) = request.program else {
+        return create(traffic, request).await;
+    };
+    let after = read_after(traffic, request)?;
+    let live = match traffic.owner(id, after.as_ref()).await? {
+        Owner::Here(live) => live,
+        Owner::There(_) if request.hops >= HOPS_MAX => return Err(Refusal::Unavailable),
+        Owner::There(link) => return forward::send(traffic, &link, request).await,
+    };
+    if live.program.borrow().created().account != request.account {
+        return Err(Refusal::UnknownProgram);
+    }
+    live.program.borrow_mut().touch(traffic.shared.clock.now());
+    match (request.method, request.path.as_str(), request.seq) {
+        (Method::Post, "calls", None) => {
+            let call = parse_call(request)?;
+            calls::check_after(&live, after.as_ref())?;
+            calls::call(traffic, &live, call, request).await
+        }
+        (Method::Get, "calls", Some(seq)) => calls::read(traffic, &live, seq, request.offset).await,
+        (Method::Get, "history", None) => Ok(calls::history(traffic, &live)),
+        (Method::Post, "end", None) => {
+            traffic.end(&live, log::Cause::Caller).await?;
+            Ok(Reply::Whole(
+                200,
+                json!({"program": id.to_string(), "ended": true}),
+            ))
+        }
+        _ => Err(Refusal::UnknownPath),
+    }
+}
+
+/// The `after` token of a call, if the body has one.
+fn read_after(traffic: &Traffic, request: &Request) -> Result<Option<Token>> {
+    #[derive(Deserialize)]
+    struct After {
+        after: Option<String>,
+    }
+    if request.path != "calls" || request.method != Method::Post {
+        return Ok(None);
+    }
+    let after: After = decode(&request.body)?;
+    let Some(text) = after.after else {
+        return Ok(None);
+    };
+    let key = traffic.shared.settings.process.key;
+    let token = Token::open(&text, key.bytes()).map_err(|_| Refusal::Token)?;
+    if Some(token.program) == request.program {
+        Ok(Some(token))
+    } else {
+        Err(Refusal::Token)
+    }
+}
+
+fn decode<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| Refusal::Malformed(error.to_string()))
+}
+
+async fn create(traffic: &Rc<Traffic>, request: &Request) -> Result<Reply> {
+    if request.method != Method::Post {
+        return Err(Refusal::UnknownPath);
+    }
+    let body: CreateBody = decode(&request.body)?;
+    let budget = Budget {
+        tokens: body.tokens,
+        calls: body.calls,
+    };
+    let deadline = body.deadline_ms.map(Span::from_ms);
+    let live = traffic
+        .create(&request.account, body.class, budget, deadline)
+        .await?;
+    let after = traffic.seal(&live.token(traffic.writer()?));
+    Ok(Reply::Whole(
+        201,
+        json!({"program": live.id.to_string(), "after": after}),
+    ))
+}
+
+fn parse_call(request: &Request) -> Result<program::Request> {
+    let body: CallBody = decode(&request.body)?;
+    // It was checked before the owner was sought.
+    drop(body.after);
+    let budget = |tokens, calls| Budget { tokens, calls };
+    let (target, budget) = match (body.model, body.service, body.program) {
+        (Some(model), None, None) => {
+            let max_tokens = body.max_tokens.unwrap_or(Tokens(256));
+            (Some(model), budget(max_tokens, Calls(0)))
+        }
+        (None, Some(service), None) => (Some(service), Budget::default()),
+        (None, None, Some(child)) => (None, budget(child.tokens, child.calls)),
+        _ => {
+            let why = "exactly one of model, service and program is needed";
+            return Err(Refusal::Malformed(why.into()));
+        }
+    };
+    Ok(program::Request {
+        seq: body.seq,
+        target,
+        input: body.input.into_bytes(),
+        budget,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,114 @@
+//! The process before the callers: it owns programs and runs their calls at endpoints.
+//!
+//! A control thread keeps the board, the log and the administration API; a traffic thread owns the
+//! programs, which therefore need no lock. Invariants:
+//! - A non-idempotent call is dispatched once, after its intent is durable.
+//! - A refusal says that a call did not run only if that is proved.
+//! - A final answer carries a token and goes out after its record is durable.
+
+mod account;
+mod api;
+mod calls;
+mod control;
+mod error;
+mod forward;
+mod links;
+mod live;
+mod refusal;
+mod reply;
+mod traffic;
+
+pub use error::{Error, Result};
+
+use std::sync::Arc;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use board::View;
+use platform::Client;
+use settings::Entry;
+use slog::{Logger, o};
+use telemetry::Metrics;
+use units::{Clock, Incarnation};
+use wire::{Identity, Role};
+
+/// What both threads of an entry share.
+#[derive(Clone, Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Arc<Entry>,
+    pub(crate) identity: Identity,
+    pub(crate) view: Arc<ArcSwap<View>>,
+    pub(crate) log_handle: Arc<ArcSwapOption<log::Handle>>,
+    pub(crate) client: Client,
+    pub(crate) metrics: Metrics,
+    pub(crate) logger: Logger,
+    pub(crate) clock: Clock,
+}
+
+/// Runs an entry until it is told to stop; `stop` resolves then.
+///
+/// # Errors
+/// If an address cannot be listened on; nothing has been started then.
+pub fn run(settings: Entry, logger: &Logger, stop: impl Future<Output = ()>) -> Result<()> {
+    let callers = bind(settings.callers)?;
+    let peers = bind(settings.peers)?;
+    let admin = bind(settings.admin.address)?;
+    let shared = share(settings, logger)?;
+    let (observations, observed) = async_channel::bounded(1_024);
+    let (asks, asked) = async_channel::bounded(64);
+    let (drain, drained) = async_channel::bounded::<()>(1);
+    let control = {
+        let shared = shared.clone();
+        let run = move || control::run(shared, admin, observed, asks);
+        std::thread::Builder::new()
+            .name("control".into())
+            .spawn(run)
+            .map_err(Error::Thread)?
+    };
+    let inputs = traffic::Inputs {
+        callers,
+        peers,
+        observations,
+        asked,
+        drained,
+    };
+    let traffic = {
+        let run = move || traffic::run(shared, inputs);
+        std::thread::Builder::new()
+            .name("traffic".into())
+            .spawn(run)
+            .map_err(Error::Thread)?
+    };
+    smol::block_on(stop);
+    drop(drain);
+    traffic.join().map_err(|_| Error::Panicked)?;
+    control.join().map_err(|_| Error::Panicked)?;
+    Ok(())
+}
+
+fn bind(address: std::net::SocketAddr) -> Result<std::net::TcpListener> {
+    std::net::TcpListener::bind(address).map_err(|error| Error::Listen(address, error))
+}
+
+fn share(settings: Entry, logger: &Logger) -> Result<Shared> {
+    let process = &settings.process;
+    let identity = Identity {
+        host: process.host.clone(),
+        incarnation: Incarnation::random(&mut rand::rng()),
+        address: settings.peers,
+        region: process.region.clone(),
+        zone: process.zone.clone(),
+        role: Role::Entry,
+    };
+    let logger = logger.new(o!("host" => identity.host.to_string(),
+        "incarnation" => identity.incarnation.to_string()));
+    Ok(Shared {
+        client: Client::new(process.platform.address, process.platform.timeout),
+        view: Arc::new(ArcSwap::from_pointee(View::default())),
+        log_handle: Arc::new(ArcSwapOption::empty()),
+        metrics: Metrics::new("entry").map_err(Error::Metrics)?,
+        settings: Arc::new(settings),
+        clock: Clock::new(),
+        identity,
+        logger,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/live.rs
@@ -0,0 +1,82 @@
+//! Programs owned by this entry.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use log::{Event, Record, Token, Turn};
+use program::Program;
+use units::{Incarnation, Seq};
+use wire::Answer;
+
+use crate::refusal::Refusal;
+
+/// How a call ended for its callers.
+#[derive(Clone, Debug)]
+pub(crate) enum Ending {
+    /// It has its answer, which is durable.
+    Turn(Rc<Turn>, Token),
+    /// It was refused.
+    Refused(Refusal),
+}
+
+/// A program owned by this entry.
+#[derive(Debug)]
+pub(crate) struct Live {
+    pub(crate) id: units::Program,
+    pub(crate) program: RefCell<Program>,
+    running: RefCell<Option<(Seq, Rc<Answer<Ending>>)>>,
+    pub(crate) ending: Cell<bool>,
+}
+
+impl Live {
+    pub(crate) fn new(id: units::Program, program: Program) -> Rc<Self> {
+        Rc::new(Live {
+            id,
+            program: RefCell::new(program),
+            running: RefCell::default(),
+            ending: Cell::new(false),
+        })
+    }
+
+    /// Begins the answer of a call.
+    pub(crate) fn begin(&self, seq: Seq) -> Rc<Answer<Ending>> {
+        let answer = Rc::new(Answer::new());
+        *self.running.borrow_mut() = Some((seq, answer.clone()));
+        answer
+    }
+
+    /// The growing answer of a running call.
+    pub(crate) fn answer(&self, seq: Seq) -> Option<Rc<Answer<Ending>>> {
+        let running = self.running.borrow();
+        running
+            .as_ref()
+            .filter(|(at, _)| *at == seq)
+            .map(|(_, answer)| answer.clone())
+    }
+
+    /// Ends the answer of a call.
+    pub(crate) fn finish(&self, answer: &Answer<Ending>, ending: Ending) {
+        self.running.borrow_mut().take();
+        answer.finish(ending);
+    }
+
+    /// A record of this program.
+    pub(crate) fn record(&self, event: Event) -> Record {
+        Record {
+            program: self.id,
+            event,
+        }
+    }
+
+    /// The token for the head of the history.
+    pub(crate) fn token(&self, writer: Incarnation) -> Token {
+        let program = self.program.borrow();
+        let seq = Seq(program.turns().len() as u64);
+        Token {
+            program: self.id,
+            seq,
+            head: program.head(),
+            writer,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/refusal.rs
@@ -0,0 +1,165 @@
+//! Why a caller's request is refused.
+
+use std::fmt;
+
+use http_types::Response;
+use program::Refusal as Admission;
+use serde_json::{Value, json};
+use units::Target;
+use wire::{Ran, Reason};
+
+const RETRY_AFTER_MS: u64 = 500;
+
+/// Why a caller's request is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// The body is not what the request needs.
+    Malformed(String),
+    /// The body is longer than the limit in bytes.
+    TooLarge(u64),
+    /// The token is missing or unknown.
+    Unauthorized,
+    /// The account may not use the class.
+    Class,
+    /// There is no such program of this account.
+    UnknownProgram,
+    /// There is no such call.
+    UnknownCall,
+    /// There is no such path.
+    UnknownPath,
+    /// The document defines no such model or service.
+    UnknownTarget(Target),
+    /// The `after` token was not issued here or is for another program.
+    Token,
+    /// The program's rules do not allow the call.
+    Admission(Admission),
+    /// This entry is leaving or not ready.
+    Unready,
+    /// The program's owner or a part of its history cannot be reached now.
+    Unavailable,
+    /// No endpoint serves the target now.
+    NoEndpoint,
+    /// The endpoint gave no whole answer.
+    Endpoint(Ran, Reason),
+    /// The call may or may not have run; it is never dispatched again.
+    Indeterminate,
+}
+
+impl Refusal {
+    /// The HTTP status.
+    pub(crate) fn status(&self) -> u16 {
+        match self {
+            Refusal::Malformed(_) => 400,
+            Refusal::TooLarge(_) => 413,
+            Refusal::Unauthorized => 401,
+            Refusal::Class => 403,
+            Refusal::UnknownProgram | Refusal::UnknownCall | Refusal::UnknownPath => 404,
+            Refusal::UnknownTarget(_) => 422,
+            Refusal::Token => 400,
+            Refusal::Admission(admission) => match admission {
+                Admission::Gap(_) | Admission::Mismatch(_) | Admission::Busy(_) => 409,
+                Admission::Ended => 410,
+                Admission::Budget => 402,
+                Admission::Loop => 429,
+                Admission::Deadline => 408,
+            },
+            Refusal::Unready | Refusal::Unavailable | Refusal::NoEndpoint => 503,
+            Refusal::Endpoint(..) | Refusal::Indeterminate => 502,
+        }
+    }
+
+    /// The stable name of the refusal.
+    pub(crate) fn code(&self) -> &'static str {
+        match self {
+            Refusal::Malformed(_) => "malformed",
+            Refusal::TooLarge(_) => "too-large",
+            Refusal::Unauthorized => "unauthorized",
+            Refusal::Class => "class-not-allowed",
+            Refusal::UnknownProgram => "unknown-program",
+            Refusal::UnknownCall => "unknown-call",
+            Refusal::UnknownPath => "unknown-path",
+            Refusal::UnknownTarget(_) => "unknown-target",
+            Refusal::Token => "invalid-after",
+            Refusal::Admission(admission) => match admission {
+                Admission::Gap(_) => "gap",
+                Admission::Mismatch(_) => "mismatch",
+                Admission::Busy(_) => "busy",
+                Admission::Ended => "ended",
+                Admission::Budget => "budget",
+                Admission::Loop => "loop",
+                Admission::Deadline => "deadline",
+            },
+            Refusal::Unready => "unready",
+            Refusal::Unavailable => "history-unavailable",
+            Refusal::NoEndpoint => "no-endpoint",
+            Refusal::Endpoint(..) => "endpoint",
+            Refusal::Indeterminate => "indeterminate",
+        }
+    }
+
+    /// Whether the request ran.
+    pub(crate) fn ran(&self) -> Ran {
+        match self {
+            Refusal::Endpoint(ran, _) => *ran,
+            Refusal::Indeterminate => Ran::Unknown,
+            _ => Ran::No,
+        }
+    }
+
+    /// Milliseconds after which a repeat makes sense, if it does.
+    pub(crate) fn retry_after_ms(&self) -> Option<u64> {
+        (self.status() == 503).then_some(RETRY_AFTER_MS)
+    }
+
+    /// The refusal as JSON.
+    pub(crate) fn json(&self) -> Value {
+        json!({
+            "type": "error", "code": self.code(), "ran": self.ran(),
+            "retry_after_ms": self.retry_after_ms(), "message": self.to_string(),
+        })
+    }
+
+    /// The refusal as an HTTP response.
+    pub(crate) fn response(&self) -> Response {
+        let mut response = Response::new(self.status());
+        response.set_body(self.json().to_string());
+        response.insert_header("content-type", "application/json");
+        if let Some(ms) = self.retry_after_ms() {
+            response.insert_header("retry-after", ms.div_ceil(1_000).to_string());
+        }
+        response
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refusal::Malformed(why) => write!(f, "the request is malformed: {why}"),
+            Refusal::TooLarge(limit) => write!(f, "the body is longer than {limit} bytes"),
+            Refusal::Unauthorized => f.write_str("the token is missing or unknown"),
+            Refusal::Class => f.write_str("the account may not use this class"),
+            Refusal::UnknownProgram => f.write_str("there is no such program"),
+            Refusal::UnknownCall => f.write_str("there is no such call"),
+            Refusal::UnknownPath => f.write_str("there is no such path"),
+            Refusal::UnknownTarget(target) => write!(f, "{target} is no model or service"),
+            Refusal::Token => f.write_str("`after` was not issued for this program"),
+            Refusal::Admission(admission) => admission.fmt(f),
+            Refusal::Unready => f.write_str("this entry accepts no work now"),
+            Refusal::Unavailable => f.write_str("the program's history is not yet available"),
+            Refusal::NoEndpoint => f.write_str("no endpoint serves the target now"),
+            Refusal::Endpoint(_, reason) => reason.fmt(f),
+            Refusal::Indeterminate => {
+                f.write_str("the call may or may not have run and is not dispatched again")
+            }
+        }
+    }
+}
+
+impl From<Admission> for Refusal {
+    fn from(admission: Admission) -> Self {
+        Refusal::Admission(admission)
+    }
+}
+
+/// Result of a caller's request.
+pub(crate) type Result<T> = std::result::Result<T, Refusal>;
--- /dev/null
+++ b/crates/entry/src/reply.rs
@@ -0,0 +1,67 @@
+//! The answer to a caller's request, whichever way it travels.
+
+use async_channel::{Receiver, Sender};
+use http_types::Response;
+use serde_json::Value;
+
+use crate::refusal::{Refusal, Result};
+
+const LINES_MAX: usize = 64;
+
+/// An answer: a status and a body.
+pub(crate) enum Reply {
+    /// A JSON value.
+    Whole(u16, Value),
+    /// JSON lines that are still being written, with the status of their beginning.
+    Lines(u16, Receiver<Vec<u8>>),
+}
+
+/// Writes the lines of a reply.
+#[derive(Clone)]
+pub(crate) struct Lines(Sender<Vec<u8>>);
+
+impl Lines {
+    /// A writer and its reply.
+    pub(crate) fn new() -> (Self, Reply) {
+        let (sender, receiver) = async_channel::bounded(LINES_MAX);
+        (Lines(sender), Reply::Lines(200, receiver))
+    }
+
+    /// Writes one line; false if the caller has gone away.
+    pub(crate) async fn send(&self, line: &Value) -> bool {
+        self.send_bytes(format!("{line}\n").into_bytes()).await
+    }
+
+    /// Writes bytes that are whole lines; false if the caller has gone away.
+    pub(crate) async fn send_bytes(&self, bytes: Vec<u8>) -> bool {
+        self.0.send(bytes).await.is_ok()
+    }
+}
+
+/// The HTTP response for a result.
+pub(crate) fn respond(executor: &smol::LocalExecutor<'static>, result: Result<Reply>) -> Response {
+    match result {
+        Ok(Reply::Whole(status, value)) => {
+            let mut response = Response::new(status);
+            response.set_body(value.to_string());
+            response.insert_header("content-type", "application/json");
+            response
+        }
+        Ok(Reply::Lines(status, lines)) => {
+            let (chunks, body) = http_io::chunked();
+            let copy = async move {
+                while let Ok(line) = lines.recv().await {
+                    if !chunks.send(line).await {
+                        return;
+                    }
+                }
+            };
+            executor.spawn(copy).detach();
+            let mut response = Response::new(status);
+            response.set_body(body);
+            response.insert_header("content-type", "application/x-ndjson");
+            response
+        }
+        Err(refusal) => Refusal::response(&refusal),
+    }
+}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,145 @@
+//! The client.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http_types::{Body, Method, Request, Response, Url};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol::future::FutureExt;
+use smol::net::TcpStream;
+
+use crate::error::{Error, Result};
+
+const IDLE_MAX: usize = 32;
+
+/// A client of one HTTP server, with a pool of idle connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    address: SocketAddr,
+    timeout: Duration,
+    bearer: Option<String>,
+    idle: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Client {
+    /// A client of the server at `address`; each exchange is bounded by `timeout`.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Client {
+            address,
+            timeout,
+            bearer: None,
+            idle: Arc::default(),
+        }
+    }
+
+    /// Sends `Authorization: Bearer <token>` with each request.
+    pub fn with_bearer(mut self, token: impl Into<String>) -> Self {
+        self.bearer = Some(token.into());
+        self
+    }
+
+    /// The server's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Builds a request for `path`.
+    pub fn request(&self, method: Method, path: &str) -> Result<Request> {
+        let url = Url::parse(&format!("http://{}{path}", self.address))
+            .map_err(|error| Error::Exchange(error.into()))?;
+        let mut request = Request::new(method, url);
+        if let Some(token) = &self.bearer {
+            request.insert_header("authorization", format!("Bearer {token}"));
+        }
+        Ok(request)
+    }
+
+    /// Sends `request` on a connection of its own and returns the response with its body unread.
+    ///
+    /// Suited to streamed bodies and to requests that must not be sent twice: a pooled connection
+    /// may have been closed by the peer, which would leave it unknown whether the request ran.
+    pub async fn send(&self, request: Request) -> Result<Response> {
+        let stream = self.connect().await?;
+        self.exchange(stream, request).await
+    }
+
+    /// Sends a JSON body and decodes a JSON answer, on a pooled connection where there is one.
+    ///
+    /// # Errors
+    /// [`Error::Status`] for any status outside 200–299.
+    pub async fn json<I: Serialize, O: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        input: Option<&I>,
+    ) -> Result<O> {
+        let mut request = self.request(method, path)?;
+        if let Some(input) = input {
+            let body = serde_json::to_vec(input).map_err(Error::Decode)?;
+            request.set_body(Body::from_bytes(body));
+            request.insert_header("content-type", "application/json");
+        }
+        let bytes = self.whole(request).await?;
+        serde_json::from_slice(&bytes).map_err(Error::Decode)
+    }
+
+    /// Sends `request` and reads the whole body of a successful response.
+    ///
+    /// # Errors
+    /// [`Error::Status`] for any status outside 200–299.
+    pub async fn whole(&self, request: Request) -> Result<Vec<u8>> {
+        let pooled = self.idle.lock().ok().and_then(|mut idle| idle.pop());
+        let stream = match pooled {
+            Some(stream) => stream,
+            None => self.connect().await?,
+        };
+        let mut response = self.exchange(stream.clone(), request).await?;
+        let read = async { response.body_bytes().await.map_err(Error::Exchange) };
+        let bytes = read.or(self.expire()).await?;
+        self.put_back(stream);
+        if response.status().is_success() {
+            Ok(bytes)
+        } else {
+            Err(Error::Status(response.status().into(), bytes))
+        }
+    }
+
+    async fn exchange(&self, stream: TcpStream, request: Request) -> Result<Response> {
+        let exchange = async {
+            async_h1::connect(stream, request)
+                .await
+                .map_err(Error::Exchange)
+        };
+        exchange.or(self.expire()).await
+    }
+
+    async fn connect(&self) -> Result<TcpStream> {
+        let connect = async {
+            TcpStream::connect(self.address)
+                .await
+                .map_err(Error::Connect)
+        };
+        let expire = async {
+            smol::Timer::after(self.timeout).await;
+            Err(Error::Connect(std::io::ErrorKind::TimedOut.into()))
+        };
+        let stream = connect.or(expire).await?;
+        stream.set_nodelay(true).map_err(Error::Connect)?;
+        Ok(stream)
+    }
+
+    async fn expire<T>(&self) -> Result<T> {
+        smol::Timer::after(self.timeout).await;
+        Err(Error::Timeout)
+    }
+
+    fn put_back(&self, stream: TcpStream) {
+        if let Ok(mut idle) = self.idle.lock()
+            && idle.len() < IDLE_MAX
+        {
+            idle.push(stream);
+        }
+    }
+}
--- /dev/null
+++ b/crates/log/src/batch.rs
@@ -0,0 +1,83 @@
+//! The rows of a log and their encoding.
+
+use std::net::SocketAddr;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use units::{Digest, Host, Incarnation, Slot};
+
+use crate::error::{Error, Result};
+use crate::event::Record;
+
+const ROW_MAX_BYTES: usize = 16 << 20;
+const CHECKSUM_BYTES: usize = 32;
+
+/// The writer row of a log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Writer {
+    /// Whether the log may grow.
+    pub state: State,
+    /// The next slot.
+    pub next: Slot,
+    /// The writer's host.
+    pub host: Host,
+    /// Its address for balsamhold's own processes.
+    pub address: SocketAddr,
+}
+
+/// Whether a log may grow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// Its writer may append.
+    Open,
+    /// Nobody may append; only this writer may adopt its programs.
+    Sealed(Incarnation),
+}
+
+/// One batch of a log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Batch {
+    /// The batch's own number, random: it tells a lost answer from another's write.
+    pub id: u64,
+    /// The writer.
+    pub writer: Incarnation,
+    /// The batch's slot.
+    pub slot: Slot,
+    /// The events of many programs, in order.
+    pub records: Vec<Record>,
+}
+
+/// Key of a log's writer row.
+pub fn writer_key(writer: Incarnation) -> String {
+    format!("writer.{writer}")
+}
+
+/// Key of a batch; keys sort by slot.
+pub fn batch_key(writer: Incarnation, slot: Slot) -> String {
+    format!("log.{writer}.{:016x}", slot.0)
+}
+
+fn config() -> impl bincode::config::Config {
+    bincode::config::standard().with_limit::<ROW_MAX_BYTES>()
+}
+
+/// Encodes a row: checksum (32 bytes), then bincode.
+pub(crate) fn encode<T: Serialize>(row: &T) -> Result<Vec<u8>> {
+    let payload = bincode::serde::encode_to_vec(row, config()).map_err(Error::Encode)?;
+    let mut bytes = Digest::of(&payload).bytes().to_vec();
+    bytes.extend_from_slice(&payload);
+    Ok(bytes)
+}
+
+/// Decodes a row; `slot` names it in errors.
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8], slot: Slot) -> Result<T> {
+    let (checksum, payload) = bytes
+        .split_at_checked(CHECKSUM_BYTES)
+        .ok_or(Error::Corrupt(slot))?;
+    if Digest::of(payload).bytes() != checksum {
+        return Err(Error::Corrupt(slot));
+    }
+    let (row, _) =
+        bincode::serde::decode_from_slice(payload, config()).map_err(|_| Error::Corrupt(slot))?;
+    Ok(row)
+}
--- /dev/null
+++ b/crates/log/src/token.rs
@@ -0,0 +1,78 @@
+//! The token that every final answer carries: where a program's history is and what its head was.
+
+use std::fmt;
+
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use serde::{Deserialize, Serialize};
+use units::{Digest, Incarnation, Program, Seq};
+
+use crate::error::{Error, Result};
+
+const AUTHENTICATOR_BYTES: usize = 32;
+
+/// The head of a program's history at some answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Token {
+    /// The program.
+    pub program: Program,
+    /// The last call that has an answer.
+    pub seq: Seq,
+    /// Digest of the chain of turns up to it.
+    pub head: Digest,
+    /// The log that holds it.
+    pub writer: Incarnation,
+}
+
+impl Token {
+    /// The token as text, authenticated by `key`.
+    pub fn seal(&self, key: &[u8; 32]) -> String {
+        let payload = self.payload();
+        let mut bytes = Digest::keyed(key, &payload).bytes().to_vec();
+        bytes.extend_from_slice(&payload);
+        URL_SAFE_NO_PAD.encode(bytes)
+    }
+
+    /// Reads a token that was sealed with `key`.
+    ///
+    /// # Errors
+    /// [`Error::Token`] if it was not.
+    pub fn open(text: &str, key: &[u8; 32]) -> Result<Self> {
+        let bytes = URL_SAFE_NO_PAD.decode(text).map_err(|_| Error::Token)?;
+        let (authenticator, payload) = bytes
+            .split_at_checked(AUTHENTICATOR_BYTES)
+            .ok_or(Error::Token)?;
+        let mut expected = Digest::keyed(key, payload).bytes().to_vec();
+        expected.truncate(AUTHENTICATOR_BYTES);
+        if !Digest::of(&expected).matches(&Digest::of(authenticator)) {
+            return Err(Error::Token);
+        }
+        let fields = std::str::from_utf8(payload).map_err(|_| Error::Token)?;
+        Self::parse(fields).ok_or(Error::Token)
+    }
+
+    fn payload(&self) -> Vec<u8> {
+        format!("{self}").into_bytes()
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        let mut fields = text.split(' ');
+        let token = Token {
+            program: fields.next()?.parse().ok()?,
+            seq: fields.next()?.parse().ok()?,
+            head: fields.next()?.parse().ok()?,
+            writer: fields.next()?.parse().ok()?,
+        };
+        fields.next().is_none().then_some(token)
+    }
+}
+
+impl fmt::Display for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} {} {} {}",
+            self.program, self.seq, self.head, self.writer
+        )
+    }
+}
--- /dev/null
+++ b/crates/program/src/budget.rs
@@ -0,0 +1,93 @@
+//! The account of a program's tokens.
+
+use units::Tokens;
+
+/// Tokens of one program: budget ≥ granted ≥ spent + reserved, always.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ledger {
+    budget: Tokens,
+    granted: Tokens,
+    spent: Tokens,
+    reserved: Tokens,
+}
+
+/// Answer to a reservation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reserve {
+    /// Reserved.
+    Granted,
+    /// So many more tokens must be granted durably first.
+    Tranche(Tokens),
+    /// The budget does not cover it.
+    Exhausted,
+}
+
+impl Ledger {
+    /// The ledger of a new program; nothing is granted yet.
+    pub fn new(budget: Tokens) -> Self {
+        Ledger {
+            budget,
+            ..Ledger::default()
+        }
+    }
+
+    /// Tokens not yet spent or reserved.
+    pub fn left(&self) -> Tokens {
+        self.budget.minus(self.spent).minus(self.reserved)
+    }
+
+    /// Tokens spent.
+    pub fn spent(&self) -> Tokens {
+        self.spent
+    }
+
+    /// Tokens granted durably.
+    pub fn granted(&self) -> Tokens {
+        self.granted
+    }
+
+    /// Tokens reserved for running calls.
+    pub fn reserved(&self) -> Tokens {
+        self.reserved
+    }
+
+    /// Records a durable grant, at most up to the budget.
+    pub fn grant(&mut self, tokens: Tokens) {
+        self.granted = self.granted.plus(tokens).min(self.budget);
+    }
+
+    /// Reserves `tokens`; asks for tranches of at least `tranche`.
+    pub fn reserve(&mut self, tokens: Tokens, tranche: Tokens) -> Reserve {
+        let needed = self.spent.plus(self.reserved).plus(tokens);
+        if needed > self.budget {
+            return Reserve::Exhausted;
+        }
+        if needed > self.granted {
+            let missing = needed.minus(self.granted).max(tranche);
+            return Reserve::Tranche(missing.min(self.budget.minus(self.granted)));
+        }
+        self.reserved = self.reserved.plus(tokens);
+        Reserve::Granted
+    }
+
+    /// Gives up a reservation of which nothing was used.
+    pub fn release(&mut self, tokens: Tokens) {
+        self.reserved = self.reserved.minus(tokens);
+    }
+
+    /// Records durable use.
+    pub fn spend(&mut self, tokens: Tokens) {
+        self.spent = self.spent.plus(tokens);
+    }
+
+    /// Records durable use that was returned.
+    pub fn refund(&mut self, tokens: Tokens) {
+        self.spent = self.spent.minus(tokens);
+    }
+
+    /// Counts all that was granted as spent: after a takeover nobody knows better.
+    pub fn forfeit(&mut self) {
+        self.spent = self.granted;
+        self.reserved = Tokens(0);
+    }
+}
--- /dev/null
+++ b/crates/program/src/program.rs
@@ -0,0 +1,274 @@
+//! The state of one program.
+
+use log::{Answer, Call, Cause, Created, Event, Intent, Turn};
+use units::{Calls, Digest, Seq, Span, Time, Tokens};
+
+use crate::admission::{Admission, Refusal, Request};
+use crate::budget::{Ledger, Reserve};
+
+/// A call under way.
+#[derive(Clone, Debug, PartialEq)]
+struct Running {
+    seq: Seq,
+    digest: Digest,
+    reserved: Tokens,
+}
+
+/// The state of one program: what its durable events say and what is running.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Program {
+    created: Created,
+    ledger: Ledger,
+    calls_left: Calls,
+    turns: Vec<Turn>,
+    head: Digest,
+    intents: Vec<Intent>,
+    running: Option<Running>,
+    ended: Option<(Cause, Time)>,
+    seen: Time,
+}
+
+impl Program {
+    /// A program that was just created.
+    pub fn new(created: Created) -> Self {
+        Program {
+            ledger: Ledger::new(created.budget.tokens),
+            calls_left: created.budget.calls,
+            turns: Vec::new(),
+            head: Digest::default(),
+            intents: Vec::new(),
+            running: None,
+            ended: None,
+            seen: created.at,
+            created,
+        }
+    }
+
+    /// Applies a durable event; events come in the order of the log.
+    pub fn apply(&mut self, event: &Event) {
+        match event {
+            Event::Created(_) | Event::HandedOver { .. } => {}
+            Event::Tranche(tokens) => self.ledger.grant(*tokens),
+            Event::Intent(intent) => self.intents.push(intent.clone()),
+            Event::Withdrawn(seq) => self.intents.retain(|intent| intent.call.seq != *seq),
+            Event::Turn(turn) => self.apply_turn(turn),
+            Event::Returned { tokens, .. } => self.ledger.refund(*tokens),
+            Event::Ended { cause, at } => self.ended = Some((*cause, *at)),
+            Event::Adopted { .. } => self.ledger.forfeit(),
+        }
+    }
+
+    fn apply_turn(&mut self, turn: &Turn) {
+        let seq = turn.call.seq;
+        self.release(seq);
+        self.intents.retain(|intent| intent.call.seq != seq);
+        let spent = match &turn.answer {
+            Answer::Child(_, budget) => {
+                self.calls_left = self.calls_left.minus(budget.calls);
+                budget.tokens
+            }
+            Answer::Whole(_) | Answer::Indeterminate => turn.usage.tokens,
+        };
+        self.ledger.spend(spent);
+        self.calls_left = self.calls_left.minus(Calls(1));
+        self.head = chain(self.head, turn);
+        self.turns.push(turn.clone());
+    }
+
+    /// What to do with `request` at `now`; `loop_limit` bounds repeats of the same call in a row.
+    pub fn admit(&self, request: &Request, loop_limit: u32, now: Time) -> Admission {
+        let digest = request.digest();
+        if let Some(turn) = self.turn(request.seq) {
+            return if turn.call.digest == digest {
+                Admission::Replay(Box::new(turn.clone()))
+            } else {
+                Admission::Refuse(Refusal::Mismatch(request.seq))
+            };
+        }
+        if let Some(running) = &self.running {
+            return match (running.seq == request.seq, running.digest == digest) {
+                (true, true) => Admission::Attach,
+                (true, false) => Admission::Refuse(Refusal::Mismatch(request.seq)),
+                (false, _) => Admission::Refuse(Refusal::Busy(running.seq)),
+            };
+        }
+        let refusal = if self.ended.is_some() {
+            Refusal::Ended
+        } else if request.seq != self.next() {
+            Refusal::Gap(self.next())
+        } else if now > self.created.deadline {
+            Refusal::Deadline
+        } else if self.calls_left == Calls(0) {
+            Refusal::Budget
+        } else if self.repeats(digest) >= loop_limit {
+            Refusal::Loop
+        } else {
+            return Admission::Run;
+        };
+        Admission::Refuse(refusal)
+    }
+
+    /// Marks a call that may run as running, with nothing reserved yet.
+    pub fn begin(&mut self, request: &Request) {
+        let (seq, digest) = (request.seq, request.digest());
+        self.running = Some(Running {
+            seq,
+            digest,
+            reserved: Tokens(0),
+        });
+    }
+
+    /// Reserves the worst case of a dispatch of the running call; asks for tranches of at least
+    /// `tranche`. Each hedge or retry reserves anew.
+    pub fn reserve(&mut self, worst: Tokens, tranche: Tokens) -> Reserve {
+        let Some(running) = &mut self.running else {
+            return Reserve::Exhausted;
+        };
+        let answer = self.ledger.reserve(worst, tranche);
+        if answer == Reserve::Granted {
+            running.reserved = running.reserved.plus(worst);
+        }
+        answer
+    }
+
+    /// Marks a call as no longer running: it did not run and used nothing.
+    pub fn release(&mut self, seq: Seq) {
+        if let Some(running) = self.running.take_if(|running| running.seq == seq) {
+            self.ledger.release(running.reserved);
+        }
+    }
+
+    /// The most tokens that a model call can use: what the engine counted for the history, a token
+    /// for each new byte, and the answer.
+    pub fn worst_case(&self, suffix_bytes: u64, max_tokens: Tokens) -> Tokens {
+        self.context().plus(Tokens(suffix_bytes)).plus(max_tokens)
+    }
+
+    /// Tokens of the history as the engine last counted them, plus the bytes added since.
+    pub fn context(&self) -> Tokens {
+        let mut context = Tokens(0);
+        for turn in &self.turns {
+            context = match &turn.answer {
+                Answer::Whole(_) if turn.usage.context > Tokens(0) => turn.usage.context,
+                Answer::Whole(answer) => {
+                    context.plus(Tokens((turn.call.input.len() + answer.len()) as u64))
+                }
+                Answer::Indeterminate | Answer::Child(..) => {
+                    context.plus(Tokens(turn.call.input.len() as u64))
+                }
+            };
+        }
+        context
+    }
+
+    /// The prompt of the next model call without its own input: inputs and answers in order.
+    pub fn prompt(&self) -> Vec<u8> {
+        let mut prompt = Vec::new();
+        for turn in &self.turns {
+            prompt.extend_from_slice(&turn.call.input);
+            if let Answer::Whole(answer) = &turn.answer {
+                prompt.extend_from_slice(answer);
+            }
+        }
+        prompt
+    }
+
+    /// Times that the last calls in a row had this digest.
+    fn repeats(&self, digest: Digest) -> u32 {
+        self.turns
+            .iter()
+            .rev()
+            .take_while(|turn| turn.call.digest == digest)
+            .count() as u32
+    }
+
+    /// The position of the next call.
+    pub fn next(&self) -> Seq {
+        Seq(self.turns.len() as u64 + 1)
+    }
+
+    /// The answered call at `seq`.
+    pub fn turn(&self, seq: Seq) -> Option<&Turn> {
+        let index = seq.0.checked_sub(1)?;
+        self.turns.get(usize::try_from(index).ok()?)
+    }
+
+    /// All answered calls in order.
+    pub fn turns(&self) -> &[Turn] {
+        &self.turns
+    }
+
+    /// Announced dispatches without an outcome.
+    pub fn intents(&self) -> &[Intent] {
+        &self.intents
+    }
+
+    /// Digest of the chain of turns.
+    pub fn head(&self) -> Digest {
+        self.head
+    }
+
+    /// How the program began.
+    pub fn created(&self) -> &Created {
+        &self.created
+    }
+
+    /// The account of its tokens.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Calls that it may still make.
+    pub fn calls_left(&self) -> Calls {
+        self.calls_left
+    }
+
+    /// How and when it ended.
+    pub fn ended(&self) -> Option<(Cause, Time)> {
+        self.ended
+    }
+
+    /// Whether a call is running.
+    pub fn is_running(&self) -> bool {
+        self.running.is_some()
+    }
+
+    /// Notes a request of its caller.
+    pub fn touch(&mut self, now: Time) {
+        self.seen = self.seen.max(now);
+    }
+
+    /// Why the program should end at `now` by itself, if it should.
+    pub fn expired(&self, idle_timeout: Span, now: Time) -> Option<Cause> {
+        if self.ended.is_some() || self.running.is_some() {
+            return None;
+        }
+        if now > self.created.deadline {
+            return Some(Cause::Deadline);
+        }
+        (now.since(self.seen) > idle_timeout).then_some(Cause::Idle)
+    }
+}
+
+/// Adds a turn to the chain of digests.
+fn chain(head: Digest, turn: &Turn) -> Digest {
+    let answer = match &turn.answer {
+        Answer::Whole(bytes) => Digest::of(bytes),
+        Answer::Indeterminate => Digest::default(),
+        Answer::Child(child, _) => Digest::of(child.to_string().as_bytes()),
+    };
+    let link = Digest::chain(turn.call.digest, answer.bytes());
+    Digest::chain(head, link.bytes())
+}
+
+/// The call of a request, as it is logged.
+impl From<&Request> for Call {
+    fn from(request: &Request) -> Self {
+        Call {
+            seq: request.seq,
+            digest: request.digest(),
+            target: request.target.clone(),
+            input: request.input.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/document.rs
@@ -0,0 +1,234 @@
+//! The environment document: what operators change while processes run.
+
+use std::collections::BTreeMap;
+
+use compact_str::{CompactString, ToCompactString};
+use units::{Bytes, Calls, Digest, Rate, Span, Target, Tokens};
+
+use crate::error::{Problem, Result};
+use crate::reader::{Reader, Section};
+
+const NAME: &str = "a-z, 0-9, '-', '_', '.', at most 64 characters";
+const SPAN: &str = "a whole number with us, ms, s, m or h";
+const NUMBER: &str = "a whole number";
+const RATE: &str = "a number, 0 or more";
+const HEX: &str = "64 hexadecimal digits";
+
+/// A checked environment document.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Document {
+    /// The environment's name.
+    pub name: CompactString,
+    /// The classes by name.
+    pub classes: BTreeMap<units::Class, Class>,
+    /// The accounts by name.
+    pub accounts: BTreeMap<units::Account, Account>,
+    /// The models by name.
+    pub models: BTreeMap<Target, Model>,
+    /// The plain services by name.
+    pub services: BTreeMap<Target, Service>,
+    /// Limits of programs.
+    pub limits: Limits,
+    /// Settings of the policy.
+    pub policy: Policy,
+}
+
+/// A class of programs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Rank among classes: higher goes first.
+    pub precedence: u32,
+    /// Default time from a program's start to its deadline.
+    pub deadline: Span,
+}
+
+/// A caller's account.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Account {
+    /// Digest of its token.
+    pub token: Digest,
+    /// The classes that it may use.
+    pub classes: Vec<units::Class>,
+    /// Its share under overload, relative to others.
+    pub share: u32,
+    /// Programs that it may have under way.
+    pub programs_max: u64,
+}
+
+/// A model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// Longest prompt and answer together.
+    pub context: Tokens,
+}
+
+/// A plain service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Whether its calls may be repeated.
+    pub idempotent: bool,
+}
+
+/// Limits of programs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Largest token budget.
+    pub tokens_max: Tokens,
+    /// Largest number of calls.
+    pub calls_max: Calls,
+    /// A program without a request for this long is ended.
+    pub idle_timeout: Span,
+    /// Times that the same call may be repeated in a row of a program.
+    pub loop_limit: u32,
+    /// Tokens granted durably at a time.
+    pub tranche: Tokens,
+    /// How long an answer waits for its durable record before it is released without.
+    pub commit_wait: Span,
+}
+
+/// Settings of the policy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Policy {
+    /// Share of extra work that hedges may cause.
+    pub hedge_budget: Rate,
+    /// Share of retries among successes.
+    pub retry_budget: Rate,
+    /// Bytes a second that spill-over may use of a region link.
+    pub link_rate: Bytes,
+}
+
+impl Document {
+    /// Reads and checks the document in `text`; `file` names it in errors.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let reader = Reader::new(file, text)?;
+        let section = reader.required("environment")?;
+        let name = section
+            .get::<units::Host>("name", NAME)?
+            .to_compact_string();
+        section.close()?;
+        let document = Document {
+            name,
+            classes: collect(&reader, "class", class)?,
+            accounts: collect(&reader, "account", account)?,
+            models: collect(&reader, "model", model)?,
+            services: collect(&reader, "service", service)?,
+            limits: limits(reader.optional("limits"))?,
+            policy: policy(reader.optional("policy"))?,
+        };
+        reader.close()?;
+        document.check_references(&reader)?;
+        Ok(document)
+    }
+
+    fn check_references(&self, reader: &Reader<'_>) -> Result<()> {
+        for (name, account) in &self.accounts {
+            for class in &account.classes {
+                if !self.classes.contains_key(class) {
+                    let problem = Problem::Undefined(class.to_compact_string(), "class".into());
+                    return Err(reader.error(&format!("account {name}"), "classes", problem));
+                }
+            }
+        }
+        for name in self.services.keys() {
+            if self.models.contains_key(name) {
+                return Err(reader.error(&format!("service {name}"), "", Problem::Duplicate));
+            }
+        }
+        Ok(())
+    }
+
+    /// The account whose token has this digest.
+    pub fn account(&self, token: &Digest) -> Option<&units::Account> {
+        let mut accounts = self.accounts.iter();
+        accounts
+            .find(|(_, account)| account.token.matches(token))
+            .map(|(name, _)| name)
+    }
+}
+
+fn collect<'a, K, V>(
+    reader: &'a Reader<'a>,
+    kind: &str,
+    read: impl Fn(&Section<'_>) -> Result<V>,
+) -> Result<BTreeMap<K, V>>
+where
+    K: std::str::FromStr + Ord,
+    K::Err: std::fmt::Display,
+{
+    let mut all = BTreeMap::new();
+    for (name, section) in reader.named(kind, NAME)? {
+        let value = read(&section)?;
+        section.close()?;
+        all.insert(name, value);
+    }
+    Ok(all)
+}
+
+fn class(section: &Section<'_>) -> Result<Class> {
+    Ok(Class {
+        precedence: section.get("precedence", NUMBER)?,
+        deadline: section.get_or("deadline", SPAN, Span::from_ms(600_000))?,
+    })
+}
+
+fn account(section: &Section<'_>) -> Result<Account> {
+    Ok(Account {
+        token: section.get("token-digest", HEX)?,
+        classes: section.list("classes", NAME)?,
+        share: section.get_or("share", NUMBER, 1)?,
+        programs_max: section.get_or("programs-max", NUMBER, 10_000)?,
+    })
+}
+
+fn model(section: &Section<'_>) -> Result<Model> {
+    Ok(Model {
+        context: section.get_or("context", NUMBER, Tokens(240_000))?,
+    })
+}
+
+fn service(section: &Section<'_>) -> Result<Service> {
+    let words = [("yes", true), ("no", false)];
+    let idempotent = section.choice("idempotent", &words)?;
+    let missing = || section.error("idempotent", Problem::MissingKey);
+    Ok(Service {
+        idempotent: idempotent.ok_or_else(missing)?,
+    })
+}
+
+fn limits(section: Option<Section<'_>>) -> Result<Limits> {
+    let mut limits = Limits {
+        tokens_max: Tokens(1_000_000),
+        calls_max: Calls(1_000),
+        idle_timeout: Span::from_ms(600_000),
+        loop_limit: 8,
+        tranche: Tokens(20_000),
+        commit_wait: Span::from_ms(1_000),
+    };
+    let Some(section) = section else {
+        return Ok(limits);
+    };
+    limits.tokens_max = section.get_or("tokens-max", NUMBER, limits.tokens_max)?;
+    limits.calls_max = section.get_or("calls-max", NUMBER, limits.calls_max)?;
+    limits.idle_timeout = section.get_or("idle-timeout", SPAN, limits.idle_timeout)?;
+    limits.loop_limit = section.get_or("loop-limit", NUMBER, limits.loop_limit)?;
+    limits.tranche = section.get_or("tranche", NUMBER, limits.tranche)?;
+    limits.commit_wait = section.get_or("commit-wait", SPAN, limits.commit_wait)?;
+    section.close()?;
+    Ok(limits)
+}
+
+fn policy(section: Option<Section<'_>>) -> Result<Policy> {
+    let mut policy = Policy {
+        hedge_budget: Rate(0.05),
+        retry_budget: Rate(0.1),
+        link_rate: Bytes(3_000_000),
+    };
+    let Some(section) = section else {
+        return Ok(policy);
+    };
+    policy.hedge_budget = section.get_or("hedge-budget", RATE, policy.hedge_budget)?;
+    policy.retry_budget = section.get_or("retry-budget", RATE, policy.retry_budget)?;
+    policy.link_rate = section.get_or("link-rate", "bytes a second", policy.link_rate)?;
+    section.close()?;
+    Ok(policy)
+}
--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,288 @@
+//! Checked access to the sections and keys of an INI text.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::fmt::Display;
+use std::str::FromStr;
+
+use compact_str::{CompactString, ToCompactString, format_compact};
+use ini::{Ini, ParseOption};
+
+use crate::error::{Error, Problem, Result};
+
+/// An INI text of which every section and key must be asked for.
+pub(crate) struct Reader<'a> {
+    file: &'a str,
+    text: &'a str,
+    ini: Ini,
+    sections: RefCell<BTreeSet<CompactString>>,
+}
+
+/// One section of a [`Reader`].
+pub(crate) struct Section<'a> {
+    reader: &'a Reader<'a>,
+    name: CompactString,
+    keys: RefCell<BTreeSet<CompactString>>,
+}
+
+impl<'a> Reader<'a> {
+    pub(crate) fn new(file: &'a str, text: &'a str) -> Result<Self> {
+        let options = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let ini = Ini::load_from_str_opt(text, options).map_err(|error| Error {
+            file: file.into(),
+            line: error.line,
+            section: CompactString::default(),
+            key: CompactString::default(),
+            problem: Box::new(Problem::Syntax(error.msg.to_compact_string())),
+        })?;
+        let reader = Reader {
+            file,
+            text,
+            ini,
+            sections: RefCell::default(),
+        };
+        reader.check_duplicates()?;
+        Ok(reader)
+    }
+
+    fn check_duplicates(&self) -> Result<()> {
+        let mut sections = BTreeSet::new();
+        for (name, properties) in self.ini.iter() {
+            let name = name.unwrap_or("");
+            if name.is_empty() {
+                if let Some((key, _)) = properties.iter().next() {
+                    return Err(self.error("", key, Problem::MissingSection));
+                }
+                continue;
+            }
+            if !sections.insert(name) {
+                return Err(self.error(name, "", Problem::Duplicate));
+            }
+            let mut keys = BTreeSet::new();
+            for (key, _) in properties.iter() {
+                if !keys.insert(key) {
+                    return Err(self.error(name, key, Problem::Duplicate));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) fn error(&self, section: &str, key: &str, problem: Problem) -> Error {
+        Error {
+            file: self.file.into(),
+            line: self.line(section, key),
+            section: section.into(),
+            key: key.into(),
+            problem: Box::new(problem),
+        }
+    }
+
+    /// The line of a key, else of its section, else 0; the last one where there are two.
+    fn line(&self, section: &str, key: &str) -> usize {
+        let mut current = "";
+        let mut found = 0;
+        for (index, line) in self.text.lines().enumerate() {
+            let line = line.trim();
+            if let Some(name) = line
+                .strip_prefix('[')
+                .and_then(|rest| rest.strip_suffix(']'))
+            {
+                current = name.trim();
+                if current == section {
+                    found = index + 1;
+                }
+            } else if current == section && !key.is_empty() {
+                let name = line.split(['=', ':']).next().unwrap_or("").trim();
+                if name == key {
+                    found = index + 1;
+                }
+            }
+        }
+        found
+    }
+
+    pub(crate) fn optional(&'a self, name: &str) -> Option<Section<'a>> {
+        self.sections.borrow_mut().insert(name.into());
+        self.ini.section(Some(name))?;
+        Some(Section {
+            reader: self,
+            name: name.into(),
+            keys: RefCell::default(),
+        })
+    }
+
+    pub(crate) fn required(&'a self, name: &str) -> Result<Section<'a>> {
+        self.optional(name)
+            .ok_or_else(|| self.error(name, "", Problem::MissingSection))
+    }
+
+    /// The sections called `<kind> <name>`, with their names.
+    pub(crate) fn named<T>(&'a self, kind: &str, allowed: &str) -> Result<Vec<(T, Section<'a>)>>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.sections
+            .borrow_mut()
+            .insert(format_compact!("{kind} NAME"));
+        let mut found = Vec::new();
+        for section in self.ini.sections().flatten() {
+            let Some(name) = section
+                .strip_prefix(kind)
+                .and_then(|rest| rest.strip_prefix(' '))
+            else {
+                continue;
+            };
+            let parsed = name.trim().parse().map_err(|error: T::Err| {
+                let problem =
+                    Problem::Value(name.into(), error.to_compact_string(), allowed.into());
+                self.error(section, "", problem)
+            })?;
+            self.sections.borrow_mut().insert(section.into());
+            let keys = RefCell::default();
+            found.push((
+                parsed,
+                Section {
+                    reader: self,
+                    name: section.into(),
+                    keys,
+                },
+            ));
+        }
+        Ok(found)
+    }
+
+    /// Fails if a section was never asked for.
+    pub(crate) fn close(&self) -> Result<()> {
+        let known = self.sections.borrow();
+        for section in self.ini.sections().flatten() {
+            if !known.contains(section) {
+                let near = nearest(section, &known);
+                return Err(self.error(section, "", Problem::UnknownSection(near)));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Section<'_> {
+    /// The value of a key that may be missing.
+    pub(crate) fn maybe<T>(&self, key: &str, allowed: &str) -> Result<Option<T>>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.keys.borrow_mut().insert(key.into());
+        let properties = self.reader.ini.section(Some(self.name.as_str()));
+        let Some(value) = properties.and_then(|properties| properties.get(key)) else {
+            return Ok(None);
+        };
+        value
+            .trim()
+            .parse()
+            .map(Some)
+            .map_err(|error: T::Err| self.invalid(key, value, &error.to_compact_string(), allowed))
+    }
+
+    /// The value of a required key.
+    pub(crate) fn get<T>(&self, key: &str, allowed: &str) -> Result<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.maybe(key, allowed)?
+            .ok_or_else(|| self.error(key, Problem::MissingKey))
+    }
+
+    /// The value of a key with a default.
+    pub(crate) fn get_or<T>(&self, key: &str, allowed: &str, default: T) -> Result<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        Ok(self.maybe(key, allowed)?.unwrap_or(default))
+    }
+
+    /// The values of a key that holds a list separated by spaces; empty if the key is missing.
+    pub(crate) fn list<T>(&self, key: &str, allowed: &str) -> Result<Vec<T>>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let text: Option<CompactString> = self.maybe(key, allowed)?;
+        let text = text.unwrap_or_default();
+        let parse = |word: &str| {
+            word.parse().map_err(|error: T::Err| {
+                self.invalid(key, word, &error.to_compact_string(), allowed)
+            })
+        };
+        text.split_whitespace().map(parse).collect()
+    }
+
+    /// A key whose value is one of a few words.
+    pub(crate) fn choice<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Result<Option<T>> {
+        let Some(value): Option<CompactString> = self.maybe(key, "a word")? else {
+            return Ok(None);
+        };
+        if let Some((_, choice)) = words.iter().find(|(word, _)| *word == value) {
+            return Ok(Some(*choice));
+        }
+        let allowed: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+        Err(self.invalid(key, &value, "is unknown", &allowed.join(", ")))
+    }
+
+    pub(crate) fn invalid(&self, key: &str, value: &str, why: &str, allowed: &str) -> Error {
+        self.error(
+            key,
+            Problem::Value(value.into(), why.into(), allowed.into()),
+        )
+    }
+
+    pub(crate) fn error(&self, key: &str, problem: Problem) -> Error {
+        self.reader.error(&self.name, key, problem)
+    }
+
+    /// Fails if the section has a key that was never asked for.
+    pub(crate) fn close(self) -> Result<()> {
+        let known = self.keys.borrow();
+        let Some(properties) = self.reader.ini.section(Some(self.name.as_str())) else {
+            return Ok(());
+        };
+        for (key, _) in properties.iter() {
+            if !known.contains(key) {
+                let near = nearest(key, &known);
+                return Err(self.error(key, Problem::UnknownKey(near)));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn nearest(word: &str, known: &BTreeSet<CompactString>) -> CompactString {
+    known
+        .iter()
+        .min_by_key(|candidate| edit_distance(word, candidate))
+        .cloned()
+        .unwrap_or_default()
+}
+
+/// The Levenshtein distance of two words.
+fn edit_distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (i, a) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, b) in right.iter().enumerate() {
+            let substitute = diagonal + usize::from(a != *b);
+            diagonal = row[j + 1];
+            row[j + 1] = substitute.min(diagonal + 1).min(row[j] + 1);
+        }
+    }
+    row[right.len()]
+}
--- /dev/null
+++ b/crates/sidecar/src/status.rs
@@ -0,0 +1,41 @@
+//! `/metrics`, `/live` and `/ready`.
+
+use std::rc::Rc;
+
+use http_types::{Request, Response, StatusCode};
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+
+use crate::calls::Calls;
+
+/// Serves the status of a sidecar.
+pub(crate) async fn serve(
+    executor: Rc<LocalExecutor<'static>>,
+    listener: TcpListener,
+    calls: Rc<Calls>,
+) {
+    let handler = move |request: Request| {
+        let calls = calls.clone();
+        async move { answer(&calls, request.url().path()) }
+    };
+    // Without its listener a sidecar still serves calls; the failure shows at the scraper.
+    let _ = http_io::serve(executor, listener, handler).await;
+}
+
+fn answer(calls: &Calls, path: &str) -> Response {
+    let load = calls.load();
+    match path {
+        "/live" => Response::new(StatusCode::Ok),
+        "/ready" if load.leaving => Response::new(StatusCode::ServiceUnavailable),
+        "/ready" => Response::new(StatusCode::Ok),
+        "/metrics" => {
+            calls.metrics.set("running", i64::from(load.running));
+            calls.metrics.set("queued", i64::from(load.queued));
+            let mut response = Response::new(StatusCode::Ok);
+            response.set_body(calls.metrics.render());
+            response.insert_header("content-type", "text/plain; version=0.0.4");
+            response
+        }
+        _ => Response::new(StatusCode::NotFound),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,52 @@
+//! A plain service that counts each execution by its key.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http_types::{Request, Response, StatusCode};
+
+use crate::host::{self, Handle, lock, read};
+
+/// The service's state.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Executions by idempotency key.
+    pub executions: BTreeMap<String, u32>,
+    /// Inputs in the order of execution.
+    pub inputs: Vec<String>,
+    /// Time that a call takes, in milliseconds.
+    pub delay_ms: u64,
+    /// Calls never answer.
+    pub hangs: bool,
+}
+
+/// Starts the service; its answer to an input is `done: ` and the input.
+pub fn start(address: SocketAddr, delay_ms: u64) -> std::io::Result<Handle<State>> {
+    let state = State {
+        delay_ms,
+        ..State::default()
+    };
+    host::start(address, state, |_, state, request| answer(state, request))
+}
+
+async fn answer(state: Arc<Mutex<State>>, mut request: Request) -> Response {
+    let key = request
+        .header("idempotency-key")
+        .map(|values| values.as_str().to_owned());
+    let input = String::from_utf8_lossy(&read(&mut request).await).into_owned();
+    let (delay_ms, hangs) = {
+        let mut state = lock(&state);
+        *state.executions.entry(key.unwrap_or_default()).or_default() += 1;
+        state.inputs.push(input.clone());
+        (state.delay_ms, state.hangs)
+    };
+    smol::Timer::after(Duration::from_millis(delay_ms)).await;
+    if hangs {
+        smol::Timer::after(Duration::from_secs(3_600)).await;
+    }
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(format!("done: {input}"));
+    response
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,12 @@
+//! Logs, counters and spans.
+//!
+//! Counters come first; a log line is written only when something changes state. Every hop of a call
+//! is a span of the caller's trace, which travels as a W3C `traceparent`.
+
+mod logs;
+mod metrics;
+mod trace;
+
+pub use logs::{Output, root};
+pub use metrics::Metrics;
+pub use trace::Trace;
--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,56 @@
+//! Failures of an exchange.
+
+use std::fmt;
+
+/// Why an exchange with a peer failed.
+#[derive(Debug)]
+pub enum Error {
+    /// No connection could be opened: nothing was sent.
+    Connect(std::io::Error),
+    /// The connection or the stream broke.
+    Http2(h2::Error),
+    /// The peer does not hold the shared key.
+    Authentication,
+    /// The frame cannot be decoded.
+    Decode(bincode::error::DecodeError),
+    /// The frame cannot be encoded.
+    Encode(bincode::error::EncodeError),
+    /// The frame is longer than the limit.
+    TooLarge(usize),
+    /// The peer speaks another version of the protocol.
+    Version(u8),
+    /// The stream ended within an exchange.
+    Ended,
+    /// A frame came that does not belong here.
+    Unexpected(&'static str),
+    /// The peer did not answer in time.
+    Timeout,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Connect(error) => write!(f, "cannot connect: {error}"),
+            Error::Http2(error) => write!(f, "connection failed: {error}"),
+            Error::Authentication => f.write_str("peer does not hold the shared key"),
+            Error::Decode(error) => write!(f, "cannot decode frame: {error}"),
+            Error::Encode(error) => write!(f, "cannot encode frame: {error}"),
+            Error::TooLarge(size) => write!(f, "frame of {size} bytes is too large"),
+            Error::Version(version) => write!(f, "unknown protocol version {version}"),
+            Error::Ended => f.write_str("stream ended early"),
+            Error::Unexpected(kind) => write!(f, "unexpected frame {kind}"),
+            Error::Timeout => f.write_str("timed out"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<h2::Error> for Error {
+    fn from(error: h2::Error) -> Self {
+        Error::Http2(error)
+    }
+}
+
+/// Result of an exchange with a peer.
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/tests/all/caller.rs
@@ -0,0 +1,179 @@
+//! A caller as a user's program would be: it numbers its calls, keeps its token and checks answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_types::{Body, Method};
+use serde_json::{Value, json};
+use smol::future::FutureExt;
+use units::Digest;
+
+const ANSWER_MAX: Duration = Duration::from_secs(60);
+
+/// A caller of one entry.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    address: SocketAddr,
+    token: String,
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// The HTTP status; 0 if the connection broke.
+    pub status: u16,
+    /// The text of the answer so far.
+    pub text: String,
+    /// The last line: `done` or an error.
+    pub end: Value,
+}
+
+impl Answer {
+    /// Whether the whole answer came; its digest has been checked.
+    pub fn is_whole(&self) -> bool {
+        self.status == 200 && self.end["type"] == "done"
+    }
+
+    /// What a refusal says about whether the call ran.
+    pub fn ran(&self) -> &str {
+        self.end["ran"].as_str().unwrap_or_default()
+    }
+
+    /// The refusal's code.
+    pub fn code(&self) -> &str {
+        self.end["code"].as_str().unwrap_or_default()
+    }
+}
+
+/// Sends one request; the status and the JSON body, or `None` if no connection can be had.
+pub fn request(
+    address: SocketAddr,
+    token: &str,
+    method: &str,
+    path: &str,
+    body: Option<&str>,
+) -> Option<(u16, Value)> {
+    let (status, bytes) = send(address, token, method, path, body)?;
+    Some((
+        status,
+        serde_json::from_slice(&bytes).unwrap_or(Value::Null),
+    ))
+}
+
+fn send(
+    address: SocketAddr,
+    token: &str,
+    method: &str,
+    path: &str,
+    body: Option<&str>,
+) -> Option<(u16, Vec<u8>)> {
+    let client = http_io::Client::new(address, ANSWER_MAX).with_bearer(token);
+    let method: Method = method.parse().unwrap();
+    let mut request = client.request(method, path).unwrap();
+    if let Some(body) = body {
+        request.set_body(Body::from_string(body.to_owned()));
+    }
+    let exchange = async {
+        let mut response = client.send(request).await.ok()?;
+        let bytes = response.body_bytes().await.unwrap_or_default();
+        Some((response.status().into(), bytes))
+    };
+    let expire = async {
+        smol::Timer::after(ANSWER_MAX).await;
+        None
+    };
+    smol::block_on(exchange.or(expire))
+}
+
+impl Caller {
+    /// A caller with this token.
+    pub fn new(address: SocketAddr, token: &str) -> Self {
+        Caller {
+            address,
+            token: token.to_owned(),
+        }
+    }
+
+    /// Sends any request.
+    pub fn request(&self, method: &str, path: &str, body: Option<&str>) -> Option<(u16, Value)> {
+        request(self.address, &self.token, method, path, body)
+    }
+
+    /// Creates a program and returns its id.
+    pub fn create(&self, class: &str, tokens: u64, calls: u64) -> String {
+        let body = json!({"class": class, "tokens": tokens, "calls": calls}).to_string();
+        let (status, answer) = self.request("POST", "/v1/programs", Some(&body)).unwrap();
+        assert_eq!(status, 201, "{answer}");
+        answer["program"].as_str().unwrap().to_owned()
+    }
+
+    /// Makes a call and reads its whole answer.
+    pub fn call(&self, program: &str, call: &Value) -> Answer {
+        let path = format!("/v1/programs/{program}/calls");
+        let sent = send(
+            self.address,
+            &self.token,
+            "POST",
+            &path,
+            Some(&call.to_string()),
+        );
+        match sent {
+            Some((status, bytes)) => parse(status, &bytes),
+            None => Answer {
+                status: 0,
+                text: String::new(),
+                end: Value::Null,
+            },
+        }
+    }
+
+    /// Makes a model call.
+    pub fn model(&self, program: &str, seq: u64, input: &str, max_tokens: u64) -> Answer {
+        let call =
+            json!({"seq": seq, "model": "advisor", "input": input, "max_tokens": max_tokens});
+        self.call(program, &call)
+    }
+
+    /// Makes a call to a plain service.
+    pub fn service(&self, program: &str, seq: u64, service: &str, input: &str) -> Answer {
+        self.call(
+            program,
+            &json!({"seq": seq, "service": service, "input": input}),
+        )
+    }
+
+    /// Reads a program's history.
+    pub fn history(&self, program: &str) -> Option<(u16, Value)> {
+        self.request("GET", &format!("/v1/programs/{program}/history"), None)
+    }
+
+    /// Ends a program.
+    pub fn end(&self, program: &str) -> Option<(u16, Value)> {
+        self.request("POST", &format!("/v1/programs/{program}/end"), None)
+    }
+}
+
+/// Reads the lines of an answer and checks offsets, length and digest.
+fn parse(status: u16, bytes: &[u8]) -> Answer {
+    let mut text = String::new();
+    let mut end = Value::Null;
+    for line in String::from_utf8_lossy(bytes).lines() {
+        // A line cut off by a broken connection is no line.
+        let Ok(line) = serde_json::from_str::<Value>(line) else {
+            break;
+        };
+        match line["type"].as_str() {
+            Some("delta") => {
+                assert_eq!(line["offset"], text.len(), "gap in the answer");
+                text.push_str(line["text"].as_str().unwrap());
+            }
+            Some("restart") => text.clear(),
+            _ => end = line,
+        }
+    }
+    if end["type"] == "done" && end["digest"].is_string() {
+        assert_eq!(end["length"], text.len());
+        assert_eq!(end["digest"], Digest::of(text.as_bytes()).to_string());
+    }
+    Answer { status, text, end }
+}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,22 @@
+//! Integration tests over separate processes.
+
+#![allow(clippy::unwrap_used, clippy::panic, reason = "a failed step fails the test")]
+
+mod bad_input;
+mod caller;
+mod cluster;
+mod failures;
+mod whole_path;
+
+/// Defines one test for each named case of a function: `cases!(check; name: argument, ...)`.
+#[macro_export]
+macro_rules! cases {
+    ($check:path; $($name:ident: $argument:expr),+ $(,)?) => {
+        $(
+            #[test]
+            fn $name() {
+                $check($argument);
+            }
+        )+
+    };
+}
