--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -1,6 +1,10 @@
 //! Connections between peers over loopback.
 
-#![allow(clippy::unwrap_used, clippy::panic, reason = "a failed step fails the test")]
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "a failed step fails the test"
+)]
 
 use std::rc::Rc;
 
--- a/tests/all/failures.rs
+++ b/tests/all/failures.rs
@@ -62,3 +62,56 @@
         cluster.ended("sidecar-engine-0").is_some()
     });
 }
+
+/// Bound for engine memory to be freed after a program's end.
+const RELEASE_MAX: Duration = Duration::from_secs(5);
+
+#[test]
+fn idle_program_is_ended_and_holds_no_engine_memory() {
+    let cluster = Config::new()
+        .with_document("[limits]\nidle-timeout = 1s\n")
+        .start();
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("advisor", 5_000, 20);
+    assert!(caller.model(&program, 1, "Which wax?", 8).is_whole());
+    let cause = || {
+        cluster
+            .explain(&program)
+            .map(|account| account["ended"]["cause"].clone())
+    };
+    eventually(RELEASE_MAX, "the program ends", || {
+        cause().is_some_and(|cause| cause == "idle")
+    });
+    let held = || {
+        cluster
+            .engines
+            .iter()
+            .map(|engine| engine.state().cache.len())
+            .sum::<usize>()
+    };
+    eventually(RELEASE_MAX, "engine memory is freed", || held() == 0);
+}
+
+#[test]
+fn one_entry_serves_while_another_is_frozen_or_restarted() {
+    let mut cluster = Config::new().start();
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("advisor", 5_000, 20);
+    cluster.pause("entry-1");
+    assert!(caller.model(&program, 1, "Which wax?", 8).is_whole());
+    cluster.resume("entry-1");
+    cluster.kill("entry-1");
+    assert!(caller.model(&program, 2, "And which braid?", 8).is_whole());
+    cluster.restart("entry-1");
+    cluster.eventually_sees(1, 3);
+    let elsewhere = cluster.caller(1, "meche");
+    assert_eq!(
+        elsewhere.history(&program).map(|(status, _)| status),
+        Some(200)
+    );
+    for name in ["entry-0", "entry-1", "sidecar-engine-0"] {
+        let log = cluster.log(name);
+        assert!(log.contains("ready"));
+        assert!(!log.contains("meche-token") && !log.contains("operator-token"));
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,10 @@
 //! Integration tests over separate processes.
 
-#![allow(clippy::unwrap_used, clippy::panic, reason = "a failed step fails the test")]
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "a failed step fails the test"
+)]
 
 mod bad_input;
 mod caller;
