--- /dev/null
+++ b/crates/entry/src/answers.rs
@@ -0,0 +1,156 @@
+//! Answers on their way to callers: growing, or replayed from the history.
+
+use std::rc::Rc;
+
+use log::{Answer, Turn};
+use serde_json::{Value, json};
+use units::{Digest, Seq};
+use wire::Next;
+
+use crate::live::{Ending, Live};
+use crate::refusal::{Refusal, Result};
+use crate::reply::{Lines, Reply};
+use crate::traffic::Traffic;
+
+/// Reads the answer of a call from `offset` on.
+pub(crate) async fn read(
+    traffic: &Rc<Traffic>,
+    live: &Rc<Live>,
+    seq: Seq,
+    offset: u64,
+) -> Result<Reply> {
+    if let Some(answer) = live.answer(seq) {
+        return follow(traffic, answer, offset as usize).await;
+    }
+    let turn = live
+        .program
+        .borrow()
+        .turn(seq)
+        .cloned()
+        .ok_or(Refusal::UnknownCall)?;
+    replay(traffic, live, &turn, offset as usize)
+}
+
+/// The whole history of a program.
+pub(crate) fn history(traffic: &Traffic, live: &Live) -> Reply {
+    let program = live.program.borrow();
+    let turns: Vec<Value> = program.turns().iter().map(history_turn).collect();
+    let after = traffic
+        .writer()
+        .ok()
+        .map(|writer| traffic.seal(&live.token(writer)));
+    let ended = program.ended().map(|(cause, _)| cause);
+    Reply::Whole(
+        200,
+        json!({
+            "program": live.id.to_string(), "calls": turns, "ended": ended, "after": after,
+            "spent_tokens": program.ledger().spent(), "calls_left": program.calls_left(),
+        }),
+    )
+}
+
+fn history_turn(turn: &Turn) -> Value {
+    let answer = match &turn.answer {
+        Answer::Whole(bytes) => json!(String::from_utf8_lossy(bytes)),
+        Answer::Indeterminate => Value::Null,
+        Answer::Child(child, _) => json!({"program": child.to_string()}),
+    };
+    json!({
+        "seq": turn.call.seq, "target": turn.call.target, "answer": answer,
+        "input": String::from_utf8_lossy(&turn.call.input),
+        "indeterminate": turn.answer == Answer::Indeterminate,
+    })
+}
+
+/// Sends a growing answer; a call refused before its first byte is a refusal of the request.
+pub(crate) async fn follow(
+    traffic: &Rc<Traffic>,
+    answer: Rc<wire::Answer<Ending>>,
+    offset: usize,
+) -> Result<Reply> {
+    let mut restarts = answer.restarts();
+    let first = answer.next(offset, restarts).await;
+    if let Next::End(Ending::Refused(refusal)) = first {
+        return Err(refusal);
+    }
+    let (lines, reply) = Lines::new();
+    let shared = traffic.clone();
+    let copy = async move {
+        let mut offset = offset;
+        loop {
+            let line = match answer.next(offset, restarts).await {
+                Next::Bytes(bytes) => {
+                    let line = delta(offset, &bytes);
+                    offset += bytes.len();
+                    line
+                }
+                Next::Restarted(count) => {
+                    restarts = count;
+                    offset = 0;
+                    json!({"type": "restart"})
+                }
+                Next::End(ending) => {
+                    lines.send(&end_line(&shared, &ending)).await;
+                    return;
+                }
+            };
+            if !lines.send(&line).await {
+                return;
+            }
+        }
+    };
+    traffic.executor.spawn(copy).detach();
+    Ok(reply)
+}
+
+fn delta(offset: usize, bytes: &[u8]) -> Value {
+    json!({"type": "delta", "offset": offset, "text": String::from_utf8_lossy(bytes)})
+}
+
+fn end_line(traffic: &Traffic, ending: &Ending) -> Value {
+    match ending {
+        Ending::Turn(turn, token) => done_line(turn, &traffic.seal(token)),
+        Ending::Refused(refusal) => refusal.json(),
+    }
+}
+
+fn done_line(turn: &Turn, after: &str) -> Value {
+    let mut line = json!({
+        "type": "done", "seq": turn.call.seq, "after": after, "durable": true,
+        "usage": {"tokens": turn.usage.tokens, "cached": turn.usage.cached},
+    });
+    match &turn.answer {
+        Answer::Whole(bytes) => {
+            line["length"] = json!(bytes.len());
+            line["digest"] = json!(Digest::of(bytes).to_string());
+        }
+        Answer::Child(child, _) => line["program"] = json!(child.to_string()),
+        Answer::Indeterminate => return Refusal::Indeterminate.json(),
+    }
+    line
+}
+
+/// Sends an answer that is in the history.
+pub(crate) fn replay(
+    traffic: &Rc<Traffic>,
+    live: &Live,
+    turn: &Turn,
+    offset: usize,
+) -> Result<Reply> {
+    if turn.answer == Answer::Indeterminate {
+        return Err(Refusal::Indeterminate);
+    }
+    let done = done_line(turn, &traffic.seal(&live.token(traffic.writer()?)));
+    let rest = match &turn.answer {
+        Answer::Whole(bytes) => bytes.get(offset..).unwrap_or_default().to_vec(),
+        Answer::Child(..) | Answer::Indeterminate => Vec::new(),
+    };
+    let (lines, reply) = Lines::new();
+    let copy = async move {
+        if rest.is_empty() || lines.send(&delta(offset, &rest)).await {
+            lines.send(&done).await;
+        }
+    };
+    traffic.executor.spawn(copy).detach();
+    Ok(reply)
+}
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -10,6 +10,7 @@
 use units::{Account, Calls, Class, Digest, Program, Seq, Span, Target, Tokens};
 use wire::Forward;
 
+use crate::answers;
 use crate::calls;
 use crate::forward;
 use crate::refusal::{Refusal, Result};
@@ -191,8 +192,10 @@
             calls::check_after(&live, after.as_ref())?;
             calls::call(traffic, &live, call, request).await
         }
-        (Method::Get, "calls", Some(seq)) => calls::read(traffic, &live, seq, request.offset).await,
-        (Method::Get, "history", None) => Ok(calls::history(traffic, &live)),
+        (Method::Get, "calls", Some(seq)) => {
+            answers::read(traffic, &live, seq, request.offset).await
+        }
+        (Method::Get, "history", None) => Ok(answers::history(traffic, &live)),
         (Method::Post, "end", None) => {
             traffic.end(&live, log::Cause::Caller).await?;
             Ok(Reply::Whole(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,15 +7,18 @@
 //! - A final answer carries a token and goes out after its record is durable.
 
 mod account;
+mod answers;
 mod api;
 mod calls;
 mod control;
+mod dispatch;
 mod error;
 mod forward;
 mod links;
 mod live;
 mod refusal;
 mod reply;
+mod routing;
 mod traffic;
 
 pub use error::{Error, Result};
