log: commit as a pure state machine, seal, and takeover reads

Cause: the commit loop could be tested only with a service, nothing could seal a log, and nothing read one back. Change: Commit decides and Log drives it; a writer row names its process and its last batch, so one read tells what became of a lost answer; sealing marks the log as inherited in the same transaction, so that a successor finds what it has inherited without an index. Ruled out: reading the batch row back, which a compaction may have deleted.

--- a/crates/log/src/batch.rs
+++ b/crates/log/src/batch.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use platform::api::Transaction;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use units::{Digest, Host, Incarnation, Slot};
@@ -19,12 +20,38 @@
     pub state: State,
     /// The next slot.
     pub next: Slot,
-    /// The writer's host.
+    /// The last batch's own number; 0 if there is none.
+    pub last: u64,
+    /// The process that writes, which may open several logs one after the other.
+    pub process: Incarnation,
+    /// The process's host.
     pub host: Host,
     /// Its address for balsamhold's own processes.
     pub address: SocketAddr,
 }
 
+impl Writer {
+    /// The row of a new log of a process.
+    pub fn new(process: Incarnation, host: Host, address: SocketAddr) -> Self {
+        Writer {
+            state: State::Open,
+            next: Slot(0),
+            last: 0,
+            process,
+            host,
+            address,
+        }
+    }
+
+    /// Reads a row of the table.
+    ///
+    /// # Errors
+    /// [`Error::Corrupt`] if it is no writer row.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        decode(bytes, Slot(0))
+    }
+}
+
 /// Whether a log may grow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
@@ -57,6 +84,49 @@
     format!("log.{writer}.{:016x}", slot.0)
 }
 
+/// Key of the mark of an open log; it goes when the log is sealed.
+pub fn open_key(writer: Incarnation) -> String {
+    format!("open.{writer}")
+}
+
+/// Key of the mark that `successor` is the successor of `writer`.
+pub fn inherited_key(successor: Incarnation, writer: Incarnation) -> String {
+    format!("inherited.{successor}.{writer}")
+}
+
+/// The transaction that opens a log.
+pub(crate) fn open(writer: Incarnation, row: &Writer) -> Result<Transaction> {
+    let bytes = encode(row)?;
+    let key = writer_key(writer);
+    Ok(Transaction::default()
+        .with_check(&key, 0)
+        .with_write(&key, bytes.clone())
+        .with_write(&open_key(writer), bytes))
+}
+
+/// The transaction that seals the log whose row is `row` at `version`.
+///
+/// # Errors
+/// [`Error::Encode`] if the row cannot be encoded.
+pub fn seal(
+    writer: Incarnation,
+    row: &Writer,
+    version: u64,
+    successor: Incarnation,
+) -> Result<Transaction> {
+    let sealed = Writer {
+        state: State::Sealed(successor),
+        ..row.clone()
+    };
+    let bytes = encode(&sealed)?;
+    let key = writer_key(writer);
+    Ok(Transaction::default()
+        .with_check(&key, version)
+        .with_write(&key, bytes.clone())
+        .with_write(&inherited_key(successor, writer), bytes)
+        .with_delete(&open_key(writer)))
+}
+
 fn config() -> impl bincode::config::Config {
     bincode::config::standard().with_limit::<ROW_MAX_BYTES>()
 }
--- /dev/null
+++ b/crates/log/src/commit.rs
@@ -0,0 +1,189 @@
+//! The commit of batches as a state machine without I/O.
+//!
+//! The driver does what [`Next`] says and passes on what came of it. Invariants:
+//! - A batch is reported as committed only after its transaction was acknowledged, or after the
+//!   writer row was read back and names the batch as its last.
+//! - Nothing is written once the writer row was seen to be sealed.
+
+use platform::api::Transaction;
+use units::{Incarnation, Slot};
+
+use crate::batch::{Batch, State, Writer, batch_key, encode, seal, writer_key};
+use crate::error::{Error, Result};
+use crate::event::Record;
+
+/// What the driver is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// Run this transaction.
+    Write(Transaction),
+    /// Read the writer row.
+    Read,
+    /// Wait a little, then go on with [`Reply::Waited`].
+    Wait,
+    /// The batch in this slot is durable, or the log is sealed as it was asked for.
+    Done(Slot),
+}
+
+/// What came of it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The transaction was committed.
+    Committed,
+    /// A row had another version; nothing was written.
+    Conflict,
+    /// The service did not run the transaction.
+    Refused,
+    /// The answer was lost: the transaction may have run or may run yet.
+    Lost,
+    /// The writer row and its version.
+    Row(Writer, u64),
+    /// The writer row could not be read.
+    Unread,
+    /// The wait is over.
+    Waited,
+}
+
+/// What is being written.
+#[derive(Clone, Debug, PartialEq)]
+enum Order {
+    Batch(Batch),
+    Seal(Incarnation),
+}
+
+/// The writing end of a log, without I/O.
+#[derive(Clone, Debug)]
+pub struct Commit {
+    writer: Incarnation,
+    row: Writer,
+    version: u64,
+    order: Option<Order>,
+    in_doubt: bool,
+}
+
+impl Commit {
+    /// The writing end of a log whose row has just been written.
+    pub fn new(writer: Incarnation, row: Writer) -> Self {
+        Commit {
+            writer,
+            row,
+            version: 1,
+            order: None,
+            in_doubt: false,
+        }
+    }
+
+    /// The log's writer.
+    pub fn writer(&self) -> Incarnation {
+        self.writer
+    }
+
+    /// Begins a batch with the random number `id`.
+    ///
+    /// # Errors
+    /// [`Error::Encode`] if the records cannot be encoded.
+    pub fn begin(&mut self, records: Vec<Record>, id: u64) -> Result<Next> {
+        let batch = Batch {
+            id,
+            writer: self.writer,
+            slot: self.row.next,
+            records,
+        };
+        self.order = Some(Order::Batch(batch));
+        self.write()
+    }
+
+    /// Begins the end of the log, in favour of `successor`.
+    ///
+    /// # Errors
+    /// [`Error::Encode`] if the row cannot be encoded.
+    pub fn seal(&mut self, successor: Incarnation) -> Result<Next> {
+        self.order = Some(Order::Seal(successor));
+        self.write()
+    }
+
+    /// Goes on after a reply.
+    ///
+    /// # Errors
+    /// [`Error::Sealed`] if another writer has sealed the log; the batch is not in it and never will
+    /// be. [`Error::Foreign`] if somebody else writes to it.
+    pub fn step(&mut self, reply: Reply) -> Result<Next> {
+        match reply {
+            Reply::Committed => Ok(self.committed()),
+            Reply::Conflict => Ok(Next::Read),
+            Reply::Lost => {
+                self.in_doubt = true;
+                Ok(Next::Read)
+            }
+            Reply::Refused | Reply::Unread => Ok(Next::Wait),
+            Reply::Waited if self.in_doubt => Ok(Next::Read),
+            Reply::Waited => self.write(),
+            Reply::Row(row, version) => self.settle(row, version),
+        }
+    }
+
+    fn write(&self) -> Result<Next> {
+        let transaction = match &self.order {
+            Some(Order::Batch(batch)) => self.append(batch)?,
+            Some(Order::Seal(successor)) => {
+                seal(self.writer, &self.row, self.version, *successor)?
+            }
+            None => return Err(Error::Closed),
+        };
+        Ok(Next::Write(transaction))
+    }
+
+    fn append(&self, batch: &Batch) -> Result<Transaction> {
+        let key = writer_key(self.writer);
+        let row = Writer {
+            next: batch.slot.next(),
+            last: batch.id,
+            ..self.row.clone()
+        };
+        Ok(Transaction::default()
+            .with_check(&key, self.version)
+            .with_write(&key, encode(&row)?)
+            .with_write(&batch_key(self.writer, batch.slot), encode(batch)?))
+    }
+
+    fn committed(&mut self) -> Next {
+        let slot = self.row.next;
+        self.version += 1;
+        self.in_doubt = false;
+        match self.order.take() {
+            Some(Order::Batch(batch)) => {
+                self.row.next = slot.next();
+                self.row.last = batch.id;
+            }
+            Some(Order::Seal(successor)) => self.row.state = State::Sealed(successor),
+            None => {}
+        }
+        Next::Done(slot)
+    }
+
+    /// Finds out from the row what became of the order.
+    fn settle(&mut self, row: Writer, version: u64) -> Result<Next> {
+        let slot = self.row.next;
+        let ours = match &self.order {
+            Some(Order::Batch(batch)) => row.next == slot.next() && row.last == batch.id,
+            Some(Order::Seal(successor)) => {
+                row.next == slot && row.state == State::Sealed(*successor)
+            }
+            None => false,
+        };
+        if ours {
+            return Ok(self.committed());
+        }
+        match row.state {
+            _ if row.next != slot => Err(Error::Foreign(row.next)),
+            State::Sealed(by) => Err(Error::Sealed(slot, by)),
+            State::Open if version != self.version => Err(Error::Foreign(slot)),
+            State::Open => {
+                // A delayed transaction may still arrive. Then this one, which asks for the same
+                // version, meets a conflict and is read back again.
+                self.in_doubt = false;
+                self.write()
+            }
+        }
+    }
+}
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -10,15 +10,21 @@
 //!   lost the rows are read back; the outcome is never guessed.
 
 mod batch;
+mod commit;
 mod error;
 mod event;
+mod history;
+mod takeover;
 mod token;
 mod writer;
 
-pub use batch::{Batch, State, Writer, batch_key, writer_key};
+pub use batch::{Batch, State, Writer, batch_key, inherited_key, open_key, seal, writer_key};
+pub use commit::{Commit, Next, Reply};
 pub use error::{Error, Result};
 pub use event::{
     Answer, Budget, Call, Cause, Created, Event, Intent, Parent, Record, Route, Turn, Usage,
 };
+pub use history::{Histories, History, inherit};
+pub use takeover::{Found, Sealing, find, histories, inherited, opened, take};
 pub use token::Token;
 pub use writer::{Handle, Log, open};
--- /dev/null
+++ b/crates/log/src/takeover.rs
@@ -0,0 +1,192 @@
+//! Takeover of a log: seal its row, then read all that its programs have been through.
+
+use std::collections::{HashMap, HashSet};
+
+use futures_util::stream::{self, StreamExt, TryStreamExt};
+use platform::Client;
+use platform::api::{Outcome, Row};
+use units::{Incarnation, Slot, Span};
+
+use crate::batch::{Batch, State, Writer, batch_key, decode, seal, writer_key};
+use crate::error::{Error, Result};
+use crate::history::{Histories, inherit};
+
+const READ_SLOTS: u64 = 16;
+const READS_PARALLEL: usize = 8;
+const RETRY_DELAY: Span = Span::from_ms(50);
+const ROWS_MAX: u32 = 1_000;
+
+/// A writer row as it was found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    /// The log's writer.
+    pub writer: Incarnation,
+    /// The row.
+    pub row: Writer,
+    /// Its version in the table.
+    pub version: u64,
+}
+
+/// Reads a writer row.
+///
+/// # Errors
+/// [`Error::Platform`] if the service gives no answer.
+pub async fn find(client: &Client, writer: Incarnation) -> Result<Option<Found>> {
+    let Some(row) = client.row(&writer_key(writer)).await? else {
+        return Ok(None);
+    };
+    Ok(Some(Found {
+        writer,
+        version: row.version,
+        row: Writer::decode(&row.value.0)?,
+    }))
+}
+
+/// All logs that are marked as open.
+///
+/// # Errors
+/// [`Error::Platform`] if the service gives no answer.
+pub async fn opened(client: &Client) -> Result<Vec<Found>> {
+    let prefix = "open.";
+    let mut found = Vec::new();
+    for row in all(client, prefix).await? {
+        found.push(Found {
+            writer: suffix(&row, prefix)?,
+            version: row.version,
+            row: Writer::decode(&row.value.0)?,
+        });
+    }
+    Ok(found)
+}
+
+/// The logs whose seal names `successor`.
+///
+/// # Errors
+/// [`Error::Platform`] if the service gives no answer.
+pub async fn inherited(client: &Client, successor: Incarnation) -> Result<Vec<Incarnation>> {
+    let prefix = format!("inherited.{successor}.");
+    let rows = all(client, &prefix).await?;
+    rows.iter().map(|row| suffix(row, &prefix)).collect()
+}
+
+async fn all(client: &Client, prefix: &str) -> Result<Vec<Row>> {
+    let mut rows: Vec<Row> = Vec::new();
+    loop {
+        let after = rows.last().map(|row| row.key.clone()).unwrap_or_default();
+        let page = client.rows(prefix, &after, ROWS_MAX).await?;
+        let last = page.len() < ROWS_MAX as usize;
+        rows.extend(page);
+        if last {
+            return Ok(rows);
+        }
+    }
+}
+
+fn suffix(row: &Row, prefix: &str) -> Result<Incarnation> {
+    let writer = row.key.strip_prefix(prefix).ok_or(Error::Corrupt(Slot(0)))?;
+    writer.parse().map_err(|_| Error::Corrupt(Slot(0)))
+}
+
+/// What came of an attempt to seal a log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sealing {
+    /// The log is sealed, in favour of this writer.
+    Sealed(Incarnation),
+    /// The log has grown since it was found: its writer is alive.
+    Alive,
+}
+
+/// Seals a log as it was found, in favour of `successor`. Waits while the service is down.
+///
+/// # Errors
+/// [`Error::Corrupt`] if the row cannot be read.
+pub async fn take(client: &Client, found: &Found, successor: Incarnation) -> Result<Sealing> {
+    let transaction = seal(found.writer, &found.row, found.version, successor)?;
+    loop {
+        match client.commit(&transaction).await {
+            Ok(Outcome::Committed) => return Ok(Sealing::Sealed(successor)),
+            // Its answer may be lost, or another may have come first: the row tells.
+            Ok(Outcome::Conflict(_)) | Err(_) => {}
+        }
+        match find(client, found.writer).await {
+            Ok(Some(now)) => match now.row.state {
+                State::Sealed(by) => return Ok(Sealing::Sealed(by)),
+                State::Open if now.version != found.version => return Ok(Sealing::Alive),
+                State::Open => {}
+            },
+            Ok(None) => return Err(Error::Corrupt(found.row.next)),
+            Err(Error::Platform(_)) => {}
+            Err(error) => return Err(error),
+        }
+        smol::Timer::after(RETRY_DELAY.into()).await;
+    }
+}
+
+/// The histories of all programs that a sealed log held at its end, those that it had inherited
+/// included. Waits while the service is down.
+///
+/// # Errors
+/// [`Error::Corrupt`] if a batch is missing or damaged.
+pub async fn histories(client: &Client, writer: Incarnation) -> Result<Histories> {
+    let mut logs: HashMap<Incarnation, Vec<Batch>> = HashMap::new();
+    let mut heirs: HashMap<Incarnation, Vec<Incarnation>> = HashMap::new();
+    let mut wanted = vec![writer];
+    let mut seen = HashSet::from([writer]);
+    while let Some(next) = wanted.pop() {
+        let batches = insist(async || read(client, next).await).await?;
+        let sources = insist(async || inherited(client, next).await).await?;
+        wanted.extend(sources.iter().filter(|source| seen.insert(**source)));
+        heirs.insert(next, sources);
+        logs.insert(next, batches);
+    }
+    Ok(inherit(writer, &mut logs, &heirs))
+}
+
+/// Repeats a read until the service answers.
+async fn insist<T>(read: impl AsyncFn() -> Result<T>) -> Result<T> {
+    loop {
+        match read().await {
+            Err(Error::Platform(_)) => {
+                smol::Timer::after(RETRY_DELAY.into()).await;
+            }
+            result => return result,
+        }
+    }
+}
+
+/// Reads all batches of a sealed log, several ranges of slots at a time.
+async fn read(client: &Client, writer: Incarnation) -> Result<Vec<Batch>> {
+    let Some(found) = find(client, writer).await? else {
+        return Err(Error::Corrupt(Slot(0)));
+    };
+    let end = found.row.next.0;
+    let starts = (0..end).step_by(READ_SLOTS as usize);
+    let ranges = starts.map(|start| read_range(client, writer, start, end));
+    let batches: Vec<Vec<Batch>> = stream::iter(ranges)
+        .buffered(READS_PARALLEL)
+        .try_collect()
+        .await?;
+    Ok(batches.into_iter().flatten().collect())
+}
+
+async fn read_range(
+    client: &Client,
+    writer: Incarnation,
+    start: u64,
+    end: u64,
+) -> Result<Vec<Batch>> {
+    let count = READ_SLOTS.min(end - start);
+    let prefix = format!("log.{writer}.");
+    // Keys of slots sort by number; the range is read from the key before its first.
+    let after = start.checked_sub(1).map(|slot| batch_key(writer, Slot(slot)));
+    let after = after.unwrap_or_else(|| prefix.clone());
+    let rows = client.rows(&prefix, &after, count as u32).await?;
+    let mut batches = Vec::new();
+    for slot in start..start + count {
+        let key = batch_key(writer, Slot(slot));
+        let row = rows.iter().find(|row| row.key == key);
+        let row = row.ok_or(Error::Corrupt(Slot(slot)))?;
+        batches.push(decode(&row.value.0, Slot(slot))?);
+    }
+    Ok(batches)
+}
--- a/crates/log/src/writer.rs
+++ b/crates/log/src/writer.rs
@@ -1,19 +1,28 @@
-//! Group commit.
-
-use std::net::SocketAddr;
+//! Group commit: the driver of [`Commit`] on the platform's service.
 
 use async_channel::{Receiver, Sender};
 use platform::Client;
 use platform::api::{Outcome, Transaction};
-use units::{Host, Incarnation, Slot, Span};
+use smol::future::FutureExt;
+use units::{Incarnation, Slot, Span};
 
-use crate::batch::{Batch, State, Writer, batch_key, decode, encode, writer_key};
+use crate::batch::{State, Writer, open as open_transaction};
+use crate::commit::{Commit, Next, Reply};
 use crate::error::{Error, Result};
 use crate::event::Record;
+use crate::takeover::find;
 
 const APPENDS_MAX: usize = 4_096;
 const BATCH_RECORDS_MAX: usize = 512;
 const RETRY_DELAY: Span = Span::from_ms(50);
+const IDLE_CHECK_INTERVAL: Span = Span::from_ms(1_000);
+
+/// What a log is asked to do.
+#[derive(Debug)]
+enum Order {
+    Append(Append),
+    Close(Incarnation, Sender<Result<Slot>>),
+}
 
 /// An append waiting for its batch.
 #[derive(Debug)]
@@ -26,7 +35,7 @@
 #[derive(Clone, Debug)]
 pub struct Handle {
     writer: Incarnation,
-    appends: Sender<Append>,
+    orders: Sender<Order>,
 }
 
 impl Handle {
@@ -35,6 +44,11 @@
         self.writer
     }
 
+    /// Whether the log is known to take no more appends.
+    pub fn is_closed(&self) -> bool {
+        self.orders.is_closed()
+    }
+
     /// Appends `records` in order and returns their slot once they are durable.
     ///
     /// Waits as long as the platform's service is down.
@@ -43,8 +57,19 @@
     /// [`Error::Sealed`] if another writer has taken the log over; [`Error::Closed`] afterwards.
     pub async fn append(&self, records: Vec<Record>) -> Result<Slot> {
         let (done, answer) = async_channel::bounded(1);
-        let append = Append { records, done };
-        self.appends.send(append).await.map_err(|_| Error::Closed)?;
+        let append = Order::Append(Append { records, done });
+        self.orders.send(append).await.map_err(|_| Error::Closed)?;
+        answer.recv().await.map_err(|_| Error::Closed)?
+    }
+
+    /// Seals the log in favour of `successor` once all earlier appends are durable.
+    ///
+    /// # Errors
+    /// [`Error::Sealed`] if another writer has taken the log over.
+    pub async fn close(&self, successor: Incarnation) -> Result<Slot> {
+        let (done, answer) = async_channel::bounded(1);
+        let close = Order::Close(successor, done);
+        self.orders.send(close).await.map_err(|_| Error::Closed)?;
         answer.recv().await.map_err(|_| Error::Closed)?
     }
 }
@@ -53,159 +78,159 @@
 #[derive(Debug)]
 pub struct Log {
     client: Client,
-    writer: Incarnation,
-    row: Writer,
-    version: u64,
-    appends: Receiver<Append>,
+    commit: Commit,
+    orders: Receiver<Order>,
 }
 
 /// Opens a new log for `writer`.
 ///
 /// # Errors
 /// [`Error::Platform`] if the service is down: an entry without a log may only forward.
-pub async fn open(
-    client: Client,
-    writer: Incarnation,
-    host: Host,
-    address: SocketAddr,
-) -> Result<(Log, Handle)> {
-    let row = Writer {
-        state: State::Open,
-        next: Slot(0),
-        host,
-        address,
-    };
-    let key = writer_key(writer);
-    let transaction = Transaction::default()
-        .with_check(&key, 0)
-        .with_write(&key, encode(&row)?);
-    client.commit(&transaction).await?;
-    let (sender, appends) = async_channel::bounded(APPENDS_MAX);
+/// [`Error::Foreign`] if the writer row is another's.
+pub async fn open(client: Client, writer: Incarnation, row: Writer) -> Result<(Log, Handle)> {
+    let outcome = client.commit(&open_transaction(writer, &row)?).await?;
+    if outcome != Outcome::Committed {
+        // An earlier try took effect and its answer was lost, or the number is another's.
+        let found = find(&client, writer).await?;
+        found
+            .filter(|found| found.row.process == row.process)
+            .ok_or(Error::Foreign(Slot(0)))?;
+    }
+    let (sender, orders) = async_channel::bounded(APPENDS_MAX);
     let log = Log {
         client,
-        writer,
-        row,
-        version: 1,
-        appends,
+        commit: Commit::new(writer, row),
+        orders,
     };
     Ok((
         log,
         Handle {
             writer,
-            appends: sender,
+            orders: sender,
         },
     ))
 }
 
-/// What became of one try to commit a batch.
-enum Attempt {
-    Committed,
-    Absent,
-    Sealed(Incarnation),
-}
-
 impl Log {
     /// Commits appends until the log is sealed or every handle is dropped.
+    ///
+    /// # Errors
+    /// [`Error::Sealed`] if another writer has taken the log over.
     pub async fn run(mut self) -> Result<()> {
-        while let Ok(first) = self.appends.recv().await {
-            let group = self.gather(first);
-            let records = group
-                .iter()
-                .flat_map(|append| append.records.clone())
-                .collect();
-            let result = self.commit(records).await;
-            let sealed = match &result {
-                Err(Error::Sealed(slot, by)) => Some((*slot, *by)),
-                _ => None,
-            };
-            for append in group {
-                let answer = match (&result, sealed) {
-                    (Ok(slot), _) => Ok(*slot),
-                    (Err(_), Some((slot, by))) => Err(Error::Sealed(slot, by)),
-                    (Err(_), None) => Err(Error::Closed),
-                };
-                // The program's owner may have gone away; the record is durable all the same.
-                let _ = append.done.send(answer).await;
+        while let Some(order) = self.next().await? {
+            match order {
+                Order::Append(first) => {
+                    if let Some((successor, done)) = self.append(first).await? {
+                        return self.close(successor, done).await;
+                    }
+                }
+                Order::Close(successor, done) => return self.close(successor, done).await,
             }
-            result?;
         }
         Ok(())
     }
 
-    /// Takes what has queued up behind `first`.
-    fn gather(&self, first: Append) -> Vec<Append> {
+    /// The next order; while there is none, looks whether the log has been sealed.
+    async fn next(&self) -> Result<Option<Order>> {
+        loop {
+            let order = async { Some(self.orders.recv().await.ok()) };
+            let idle = async {
+                smol::Timer::after(IDLE_CHECK_INTERVAL.into()).await;
+                None
+            };
+            if let Some(order) = order.or(idle).await {
+                return Ok(order);
+            }
+            if let Ok(Some(found)) = find(&self.client, self.commit.writer()).await
+                && let State::Sealed(by) = found.row.state
+            {
+                return Err(Error::Sealed(found.row.next, by));
+            }
+        }
+    }
+
+    /// Commits what has queued up behind `first`; returns an order to close that came after it.
+    async fn append(
+        &mut self,
+        first: Append,
+    ) -> Result<Option<(Incarnation, Sender<Result<Slot>>)>> {
+        let (group, close) = self.gather(first);
+        let records = group
+            .iter()
+            .flat_map(|append| append.records.clone())
+            .collect();
+        let begun = self.commit.begin(records, rand::random());
+        let result = self.drive(begun).await;
+        for append in group {
+            // The program's owner may have gone away; the record is durable all the same.
+            let _ = append.done.send(share(&result)).await;
+        }
+        result.map(|_| close)
+    }
+
+    fn gather(&self, first: Append) -> (Vec<Append>, Option<(Incarnation, Sender<Result<Slot>>)>) {
         let mut size = first.records.len();
         let mut group = vec![first];
         while size < BATCH_RECORDS_MAX {
-            let Ok(append) = self.appends.try_recv() else {
-                break;
-            };
-            size += append.records.len();
-            group.push(append);
+            match self.orders.try_recv() {
+                Ok(Order::Append(append)) => {
+                    size += append.records.len();
+                    group.push(append);
+                }
+                Ok(Order::Close(successor, done)) => return (group, Some((successor, done))),
+                Err(_) => break,
+            }
         }
-        group
+        (group, None)
+    }
+
+    async fn close(mut self, successor: Incarnation, done: Sender<Result<Slot>>) -> Result<()> {
+        let begun = self.commit.seal(successor);
+        let result = self.drive(begun).await;
+        // Whoever asked may have gone away; the log is sealed all the same.
+        let _ = done.send(share(&result)).await;
+        result.map(drop)
     }
 
-    async fn commit(&mut self, records: Vec<Record>) -> Result<Slot> {
-        let slot = self.row.next;
-        let batch = Batch {
-            id: rand::random(),
-            writer: self.writer,
-            slot,
-            records,
-        };
+    /// Does what the state machine says until the order is done.
+    async fn drive(&mut self, begun: Result<Next>) -> Result<Slot> {
+        let mut next = begun?;
         loop {
-            match self.try_commit(&batch).await {
-                Ok(Attempt::Committed) => {
-                    self.row.next = slot.next();
-                    self.version += 1;
-                    return Ok(slot);
-                }
-                Ok(Attempt::Sealed(by)) => return Err(Error::Sealed(slot, by)),
-                Ok(Attempt::Absent) | Err(Error::Platform(_)) => {
+            let reply = match next {
+                Next::Write(transaction) => self.write(&transaction).await,
+                Next::Read => self.read().await,
+                Next::Wait => {
                     smol::Timer::after(RETRY_DELAY.into()).await;
+                    Reply::Waited
                 }
-                Err(error) => return Err(error),
-            }
+                Next::Done(slot) => return Ok(slot),
+            };
+            next = self.commit.step(reply)?;
         }
     }
 
-    async fn try_commit(&self, batch: &Batch) -> Result<Attempt> {
-        let key = writer_key(self.writer);
-        let row = Writer {
-            next: batch.slot.next(),
-            ..self.row.clone()
-        };
-        let transaction = Transaction::default()
-            .with_check(&key, self.version)
-            .with_write(&key, encode(&row)?)
-            .with_write(&batch_key(self.writer, batch.slot), encode(batch)?);
-        match self.client.commit(&transaction).await {
-            Ok(Outcome::Committed) => Ok(Attempt::Committed),
-            Err(error) if !error.is_uncertain() => Err(error.into()),
-            Ok(Outcome::Conflict(_)) | Err(_) => self.read_back(batch).await,
+    async fn write(&self, transaction: &Transaction) -> Reply {
+        match self.client.commit(transaction).await {
+            Ok(Outcome::Committed) => Reply::Committed,
+            Ok(Outcome::Conflict(_)) => Reply::Conflict,
+            Err(error) if error.is_uncertain() => Reply::Lost,
+            Err(_) => Reply::Refused,
         }
     }
 
-    /// Finds out what became of a batch whose answer was lost or which met a conflict.
-    async fn read_back(&self, batch: &Batch) -> Result<Attempt> {
-        let key = writer_key(self.writer);
-        let Some(row) = self.client.row(&key).await? else {
-            return Err(Error::Corrupt(batch.slot));
-        };
-        let writer: Writer = decode(&row.value.0, batch.slot)?;
-        let stored = self.client.row(&batch_key(self.writer, batch.slot)).await?;
-        if let Some(stored) = stored {
-            let stored: Batch = decode(&stored.value.0, batch.slot)?;
-            return if stored.id == batch.id {
-                Ok(Attempt::Committed)
-            } else {
-                Err(Error::Foreign(batch.slot))
-            };
-        }
-        match writer.state {
-            State::Sealed(by) => Ok(Attempt::Sealed(by)),
-            State::Open => Ok(Attempt::Absent),
+    async fn read(&self) -> Reply {
+        match find(&self.client, self.commit.writer()).await {
+            Ok(Some(found)) => Reply::Row(found.row, found.version),
+            Ok(None) | Err(_) => Reply::Unread,
         }
     }
 }
+
+/// The result of a batch for one of its appends.
+fn share(result: &Result<Slot>) -> Result<Slot> {
+    match result {
+        Ok(slot) => Ok(*slot),
+        Err(Error::Sealed(slot, by)) => Err(Error::Sealed(*slot, *by)),
+        Err(_) => Err(Error::Closed),
+    }
+}
