Tests: store down at start, lost commit answers, an order in an outage

Change: tests only. Conclusion: an entry without a log takes no work and says so truthfully; a lost commit answer neither loses nor repeats an order.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod cluster;
 mod failures;
+mod store;
 mod takeover;
 mod whole_path;
 
--- /dev/null
+++ b/tests/all/store.rs
@@ -0,0 +1,70 @@
+//! The platform's store is down or loses answers.
+
+use crate::cluster::{Cluster, Config, START_MAX, eventually};
+
+const ORDER: &str = "reserve 2 pallets";
+
+fn readiness(cluster: &Cluster, entry: u16) -> u16 {
+    cluster
+        .operate(entry, "GET", "/ready", None)
+        .map_or(0, |(status, _)| status)
+}
+
+#[test]
+fn entry_started_while_the_store_is_down_takes_no_work_until_it_is_back() {
+    let mut cluster = Config::new().start();
+    assert_eq!(readiness(&cluster, 1), 200);
+    cluster.kill("entry-1");
+    cluster.platform.state().knobs.down = true;
+    cluster.restart("entry-1");
+    eventually(START_MAX, "the entry is alive", || {
+        cluster.operate(1, "GET", "/live", None).is_some()
+    });
+    assert_eq!(readiness(&cluster, 1), 503);
+    let caller = cluster.caller(1, "meche");
+    let body = r#"{"class": "advisor", "tokens": 1000, "calls": 2}"#;
+    let (status, refusal) = caller.request("POST", "/v1/programs", Some(body)).unwrap();
+    assert_eq!((status, refusal["ran"].as_str()), (503, Some("no")));
+    cluster.platform.state().knobs.down = false;
+    eventually(START_MAX, "the entry is ready", || {
+        readiness(&cluster, 1) == 200
+    });
+    caller.create("advisor", 1_000, 2);
+}
+
+#[test]
+fn lost_commit_answers_lose_and_repeat_nothing() {
+    let cluster = Config::new().start();
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("reorder", 20_000, 20);
+    for seq in 1..=4 {
+        cluster.platform.state().knobs.lose_answers = 1;
+        let answer = caller.service(&program, seq, "stock", ORDER);
+        assert!(answer.is_whole(), "{answer:?}");
+    }
+    let inputs = cluster.services[0].state().inputs.clone();
+    assert_eq!(inputs, [ORDER; 4]);
+    let history = cluster.caller(1, "meche").history(&program).unwrap().1;
+    assert_eq!(history["calls"].as_array().unwrap().len(), 4);
+}
+
+#[test]
+fn order_in_a_store_outage_waits_and_runs_once() {
+    let cluster = Config::new().start();
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("reorder", 20_000, 20);
+    cluster.platform.state().knobs.down = true;
+    let order = {
+        let (caller, program) = (caller.clone(), program.clone());
+        std::thread::spawn(move || caller.service(&program, 1, "stock", ORDER))
+    };
+    // Nothing else shows that the order has come in.
+    eventually(START_MAX, "the order is running", || {
+        let programs = cluster.operate(0, "GET", "/v1/programs", None).unwrap().1;
+        programs["programs"][0]["running"] == true
+    });
+    assert!(cluster.services[0].state().inputs.is_empty());
+    cluster.platform.state().knobs.down = false;
+    assert!(order.join().unwrap().is_whole());
+    assert_eq!(cluster.services[0].state().inputs, [ORDER]);
+}
