entry: graceful drain hands the log over to a connected entry

Cause: a leaving entry refused new programs, cut off answers that were still being written and left its log open, so that its programs waited for a takeover. Ruled out: handing over one program at a time, for which the receiver would read a growing log over and over. Change: drain.rs; a request is counted until its body has been sent (http-io: hold); a seal requires its successor's log to be open, without which two entries that leave together would have named each other. Additive seam change: wire::Frame::Adopt.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -12,6 +12,7 @@
 
 use crate::answers;
 use crate::calls;
+use crate::drain;
 use crate::forward;
 use crate::owner::Owner;
 use crate::refusal::{Refusal, Result};
@@ -55,7 +56,8 @@
         let method = forward.method.parse();
         Ok(Request {
             account: forward.account,
-            program: Some(forward.program),
+            // A program to be created has no identifier yet.
+            program: (!forward.path.is_empty()).then_some(forward.program),
             method: method.map_err(|_| Refusal::UnknownPath)?,
             path: forward.path,
             seq: forward.seq,
@@ -101,6 +103,7 @@
 /// Answers one HTTP request of a caller.
 pub(crate) async fn answer(traffic: Rc<Traffic>, mut request: http_types::Request) -> Response {
     let start = traffic.shared.clock.now();
+    let held = traffic.requests.clone();
     let result = async {
         let request = read(&traffic, &mut request).await?;
         serve(&traffic, &request).await
@@ -110,7 +113,10 @@
     traffic.shared.metrics.count(kind);
     let length = traffic.shared.clock.now().since(start);
     traffic.shared.metrics.time("request", length.as_secs_f64());
-    respond(&traffic.executor, result)
+    let mut response = respond(&traffic.executor, result);
+    let body = response.take_body();
+    response.set_body(http_io::hold(body, held));
+    response
 }
 
 /// Reads and authenticates a request.
@@ -178,7 +184,14 @@
         return create(traffic, request).await;
     };
     let after = read_after(traffic, request)?;
-    let live = match traffic.owner(id, after.as_ref()).await? {
+    let mut owner = traffic.owner(id, after.as_ref()).await?;
+    if let Owner::Here(live) = &owner
+        && request.method == Method::Post
+    {
+        drain::wait(traffic, live).await;
+        owner = traffic.owner(id, after.as_ref()).await?;
+    }
+    let live = match owner {
         Owner::Here(live) => live,
         Owner::There(_) if request.hops >= HOPS_MAX => return Err(Refusal::Unavailable),
         Owner::There(link) => return forward::send(traffic, &link, request).await,
@@ -238,6 +251,9 @@
     if request.method != Method::Post {
         return Err(Refusal::UnknownPath);
     }
+    if let Some(link) = drain::substitute(traffic, request) {
+        return forward::send(traffic, &link, request).await;
+    }
     let body: CreateBody = decode(&request.body)?;
     let budget = Budget {
         tokens: body.tokens,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod calls;
 mod control;
 mod dispatch;
+mod drain;
 mod error;
 mod forward;
 mod links;
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -21,10 +21,9 @@
 use crate::live::Live;
 use crate::owner::Logs;
 use crate::refusal::{Refusal, Result};
-use crate::{Shared, account, api, forward, links, takeover};
+use crate::{Shared, account, api, drain, forward, links, takeover};
 
 const SWEEP_INTERVAL: Span = Span::from_ms(500);
-const DRAIN_POLL: Span = Span::from_ms(20);
 
 /// What the traffic thread is started with.
 pub(crate) struct Inputs {
@@ -46,6 +45,11 @@
     pub(crate) rng: RefCell<StdRng>,
     programs: RefCell<HashMap<Program, Rc<Live>>>,
     created: Cell<u64>,
+    /// Held by each request until its answer has been sent.
+    pub(crate) requests: Arc<()>,
+    pub(crate) leaving: Cell<bool>,
+    /// Whether programs wait for their handover: nothing new begins in them.
+    pub(crate) handing_over: Cell<bool>,
     pub(crate) logs: Logs,
     observations: Sender<Observation>,
 }
@@ -62,6 +66,9 @@
         rng: RefCell::new(StdRng::from_os_rng()),
         programs: RefCell::default(),
         created: Cell::new(0),
+        requests: Arc::new(()),
+        leaving: Cell::new(false),
+        handing_over: Cell::new(false),
         logs: Logs::default(),
         observations: inputs.observations,
         shared,
@@ -98,17 +105,7 @@
     info!(traffic.shared.logger, "ready"; "callers" => %traffic.shared.settings.callers);
     // Nothing is ever sent: the channel closes when the process is told to stop.
     let _ = drained.recv().await;
-    info!(traffic.shared.logger, "draining");
-    traffic.observe(Observation::Leaving).await;
-    while traffic
-        .programs
-        .borrow()
-        .values()
-        .any(|live| live.program.borrow().is_running())
-    {
-        smol::Timer::after(DRAIN_POLL.into()).await;
-    }
-    info!(traffic.shared.logger, "stopped");
+    drain::run(&traffic).await;
 }
 
 async fn serve_callers(traffic: Rc<Traffic>, listener: std::net::TcpListener) {
@@ -147,7 +144,15 @@
 async fn exchange(traffic: Rc<Traffic>, _peer: Rc<Identity>, mut stream: Stream) {
     let served = async {
         match stream.expect().await? {
-            Frame::Forward(forward) => forward::receive(&traffic, forward, &mut stream).await,
+            Frame::Forward(forward) => {
+                let _held = traffic.requests.clone();
+                forward::receive(&traffic, forward, &mut stream).await
+            }
+            Frame::Adopt(writer) => {
+                traffic.take_over(writer).await;
+                stream.send(&Frame::Ack).await?;
+                stream.finish()
+            }
             Frame::Watch => {
                 // An entry has no load to report; the open stream shows that it lives.
                 std::future::pending::<()>().await;
@@ -287,6 +292,13 @@
             .cloned()
     }
 
+    /// Whether a call of any program is running here.
+    pub(crate) fn is_running(&self) -> bool {
+        let programs = self.programs.borrow();
+        let mut all = programs.values();
+        all.any(|live| !live.log.is_closed() && live.program.borrow().is_running())
+    }
+
     /// Forgets the programs whose log was sealed: another entry owns them.
     fn drop_fenced(&self) {
         self.programs
@@ -311,7 +323,7 @@
         budget: Budget,
         deadline: Option<Span>,
     ) -> Result<Rc<Live>> {
-        if self.shared.view.load().leaving {
+        if self.leaving.get() {
             return Err(Refusal::Unready);
         }
         let environment = self.environment()?;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,4 +12,4 @@
 pub use client::Client;
 pub use error::{Error, Result};
 pub use server::{read_body, serve};
-pub use stream::{Chunks, chunked};
+pub use stream::{Chunks, chunked, hold};
--- a/crates/log/src/batch.rs
+++ b/crates/log/src/batch.rs
@@ -12,6 +12,8 @@
 
 const ROW_MAX_BYTES: usize = 16 << 20;
 const CHECKSUM_BYTES: usize = 32;
+/// Version of the mark of an open log, which is written once and then only deleted.
+const OPEN_VERSION: u64 = 1;
 
 /// The writer row of a log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -119,6 +121,9 @@
 
 /// The transaction that seals the log whose row is `row` at `version`.
 ///
+/// The successor's log must be open, so that chains of successors have no cycles and end in a log
+/// that can adopt.
+///
 /// # Errors
 /// [`Error::Encode`] if the row cannot be encoded.
 pub fn seal(
@@ -135,6 +140,7 @@
     let key = writer_key(writer);
     Ok(Transaction::default()
         .with_check(&key, version)
+        .with_check(&open_key(successor), OPEN_VERSION)
         .with_write(&key, bytes.clone())
         .with_write(&inherited_key(successor, writer), bytes)
         .with_delete(&open_key(writer)))
--- a/crates/log/src/commit.rs
+++ b/crates/log/src/commit.rs
@@ -59,6 +59,7 @@
     version: u64,
     order: Option<Order>,
     in_doubt: bool,
+    conflict: bool,
 }
 
 impl Commit {
@@ -70,6 +71,7 @@
             version: 1,
             order: None,
             in_doubt: false,
+            conflict: false,
         }
     }
 
@@ -106,11 +108,15 @@
     ///
     /// # Errors
     /// [`Error::Sealed`] if another writer has sealed the log; the batch is not in it and never will
-    /// be. [`Error::Foreign`] if somebody else writes to it.
+    /// be. [`Error::Foreign`] if somebody else writes to it. [`Error::Successor`] if the log cannot be
+    /// sealed because its successor's is not open; it goes on then.
     pub fn step(&mut self, reply: Reply) -> Result<Next> {
         match reply {
             Reply::Committed => Ok(self.committed()),
-            Reply::Conflict => Ok(Next::Read),
+            Reply::Conflict => {
+                self.conflict = true;
+                Ok(Next::Read)
+            }
             Reply::Lost => {
                 self.in_doubt = true;
                 Ok(Next::Read)
@@ -148,6 +154,7 @@
         let slot = self.row.next;
         self.version += 1;
         self.in_doubt = false;
+        self.conflict = false;
         match self.order.take() {
             Some(Order::Batch(batch)) => {
                 self.row.next = slot.next();
@@ -172,10 +179,16 @@
         if ours {
             return Ok(self.committed());
         }
+        let conflict = std::mem::take(&mut self.conflict);
         match row.state {
             _ if row.next != slot => Err(Error::Foreign(row.next)),
             State::Sealed(by) => Err(Error::Sealed(slot, by)),
             State::Open if version != self.version => Err(Error::Foreign(slot)),
+            State::Open if conflict => match self.order.take() {
+                // Of the versions that a seal asks for, it must be the successor's that differs.
+                Some(Order::Seal(successor)) => Err(Error::Successor(successor)),
+                _ => Err(Error::Foreign(slot)),
+            },
             State::Open => {
                 // A delayed transaction may still arrive. Then this one, which asks for the same
                 // version, meets a conflict and is read back again.
--- a/crates/log/src/error.rs
+++ b/crates/log/src/error.rs
@@ -19,6 +19,8 @@
     Encode(bincode::error::EncodeError),
     /// The token is malformed or was not issued by this environment.
     Token,
+    /// The log that was to be the successor is not open.
+    Successor(Incarnation),
     /// The log has been closed.
     Closed,
 }
@@ -32,6 +34,7 @@
             Error::Corrupt(slot) => write!(f, "slot {slot} is corrupt"),
             Error::Encode(error) => write!(f, "cannot encode batch: {error}"),
             Error::Token => f.write_str("token is invalid"),
+            Error::Successor(writer) => write!(f, "log {writer} is not open"),
             Error::Closed => f.write_str("log is closed"),
         }
     }
--- a/crates/log/src/takeover.rs
+++ b/crates/log/src/takeover.rs
@@ -102,19 +102,22 @@
 /// Seals a log as it was found, in favour of `successor`. Waits while the service is down.
 ///
 /// # Errors
-/// [`Error::Corrupt`] if the row cannot be read.
+/// [`Error::Corrupt`] if the row cannot be read; [`Error::Successor`] if the successor's log is not
+/// open.
 pub async fn take(client: &Client, found: &Found, successor: Incarnation) -> Result<Sealing> {
     let transaction = seal(found.writer, &found.row, found.version, successor)?;
     loop {
-        match client.commit(&transaction).await {
+        let conflict = match client.commit(&transaction).await {
             Ok(Outcome::Committed) => return Ok(Sealing::Sealed(successor)),
             // Its answer may be lost, or another may have come first: the row tells.
-            Ok(Outcome::Conflict(_)) | Err(_) => {}
-        }
+            Ok(Outcome::Conflict(_)) => true,
+            Err(_) => false,
+        };
         match find(client, found.writer).await {
             Ok(Some(now)) => match now.row.state {
                 State::Sealed(by) => return Ok(Sealing::Sealed(by)),
                 State::Open if now.version != found.version => return Ok(Sealing::Alive),
+                State::Open if conflict => return Err(Error::Successor(successor)),
                 State::Open => {}
             },
             Ok(None) => return Err(Error::Corrupt(found.row.next)),
--- a/crates/log/src/writer.rs
+++ b/crates/log/src/writer.rs
@@ -72,7 +72,8 @@
     /// Seals the log in favour of `successor` once all earlier appends are durable.
     ///
     /// # Errors
-    /// [`Error::Sealed`] if another writer has taken the log over.
+    /// [`Error::Sealed`] if another writer has taken the log over; [`Error::Successor`] if the
+    /// successor's log is not open, in which case this one stays open.
     pub async fn close(&self, successor: Incarnation) -> Result<Slot> {
         let (done, answer) = async_channel::bounded(1);
         let close = Order::Close(Close { successor, done });
@@ -127,11 +128,17 @@
         while let Some(order) = self.next().await? {
             match order {
                 Order::Append(first) => {
-                    if let Some(close) = self.append(first).await? {
-                        return self.close(close).await;
+                    if let Some(close) = self.append(first).await?
+                        && self.close(close).await?
+                    {
+                        return Ok(());
+                    }
+                }
+                Order::Close(close) => {
+                    if self.close(close).await? {
+                        return Ok(());
                     }
                 }
-                Order::Close(close) => return self.close(close).await,
             }
         }
         Ok(())
@@ -188,12 +195,17 @@
         (group, None)
     }
 
-    async fn close(mut self, close: Close) -> Result<()> {
+    /// Seals the log; false if its successor's is not open.
+    async fn close(&mut self, close: Close) -> Result<bool> {
         let begun = self.commit.seal(close.successor);
         let result = self.drive(begun).await;
         // Whoever asked may have gone away; the log is sealed all the same.
         let _ = close.done.send(share(&result)).await;
-        result.map(drop)
+        match result {
+            Ok(_) => Ok(true),
+            Err(Error::Successor(_)) => Ok(false),
+            Err(error) => Err(error),
+        }
     }
 
     /// Does what the state machine says until the order is done.
@@ -235,6 +247,7 @@
     match result {
         Ok(slot) => Ok(*slot),
         Err(Error::Sealed(slot, by)) => Err(Error::Sealed(*slot, *by)),
+        Err(Error::Successor(writer)) => Err(Error::Successor(*writer)),
         Err(_) => Err(Error::Closed),
     }
 }
--- a/crates/log/tests/commit.rs
+++ b/crates/log/tests/commit.rs
@@ -15,6 +15,7 @@
 
 const OWN: Incarnation = Incarnation(1);
 const OTHER: Incarnation = Incarnation(2);
+const OWN_SUCCESSOR: Incarnation = Incarnation(3);
 
 /// A table as the platform has it.
 #[derive(Default)]
@@ -173,9 +174,31 @@
     let mut table = Table::default();
     let transaction = log::open_transaction(OWN, &row).unwrap();
     assert_eq!(table.commit(&transaction), Outcome::Committed);
+    for successor in [OTHER, OWN_SUCCESSOR] {
+        let transaction = log::open_transaction(successor, &row).unwrap();
+        assert_eq!(table.commit(&transaction), Outcome::Committed);
+    }
     (table, Commit::new(OWN, row))
 }
 
+#[test]
+fn two_logs_cannot_be_sealed_in_favour_of_each_other() {
+    let (mut table, mut commit) = opened();
+    let (row, version) = table.writer();
+    let mut other = Commit::new(OTHER, row.clone());
+    let Next::Write(transaction) = other.seal(OWN).unwrap() else {
+        unreachable!("a seal begins with its transaction");
+    };
+    assert_eq!(table.commit(&transaction), Outcome::Committed);
+    let begun = commit.seal(OTHER);
+    let sealed = drive(&mut commit, &mut table, begun, &mut std::iter::empty());
+    assert!(matches!(sealed, Err(Error::Successor(OTHER))));
+    assert_eq!(table.writer(), (row, version));
+    let begun = commit.begin(vec![record(1)], 1);
+    let appended = drive(&mut commit, &mut table, begun, &mut std::iter::empty());
+    assert_eq!(appended.unwrap(), Slot(0));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
@@ -202,7 +225,7 @@
             }
         }
         if closes && !fenced {
-            let begun = commit.seal(Incarnation(3));
+            let begun = commit.seal(OWN_SUCCESSOR);
             let closed = drive(&mut commit, &mut table, begun, &mut faults);
             fenced = matches!(closed, Err(Error::Sealed(..)));
             prop_assert!(closed.is_ok() || fenced);
@@ -220,6 +243,6 @@
         }
         let state = table.writer().0.state;
         prop_assert!(!fenced || state == State::Sealed(OTHER));
-        prop_assert!(!closes || fenced || state == State::Sealed(Incarnation(3)));
+        prop_assert!(!closes || fenced || state == State::Sealed(OWN_SUCCESSOR));
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -68,6 +68,9 @@
     },
     /// The request was carried out.
     Ack,
+    /// The log of this writer was sealed in favour of the receiver's, which is to adopt its programs;
+    /// answered by `Ack`.
+    Adopt(Incarnation),
 }
 
 impl Frame {
@@ -95,6 +98,7 @@
             Frame::Body(_) => "Body",
             Frame::Document { .. } => "Document",
             Frame::Ack => "Ack",
+            Frame::Adopt(_) => "Adopt",
         }
     }
 }
