--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -62,6 +62,7 @@
         .admit(&request, document.limits.loop_limit, now);
     let seq = request.seq;
     match admission {
+        Admission::Run if live.is_over() => Err(program::Refusal::Ended.into()),
         Admission::Run => {
             live.program.borrow_mut().begin(&request);
             let answer = live.begin(seq);
@@ -133,7 +134,10 @@
     let turn = Turn {
         call: Call::from(&run.request),
         answer: Answer::Child(child.id, budget),
-        usage: Usage::default(),
+        usage: Usage {
+            tokens: run.live.program.borrow().lost(),
+            ..Usage::default()
+        },
         route: None,
         at: traffic.shared.clock.now(),
     };
@@ -152,6 +156,10 @@
 async fn reserve(traffic: &Traffic, run: &Run, worst: Tokens) -> Result<()> {
     let tranche = traffic.environment()?.document.limits.tranche;
     loop {
+        if run.live.is_over() {
+            // Its rest may have been returned to its parent.
+            return Err(program::Refusal::Ended.into());
+        }
         let answer = run.live.program.borrow_mut().reserve(worst, tranche);
         match answer {
             Reserve::Granted => return Ok(()),
--- a/crates/entry/src/live.rs
+++ b/crates/entry/src/live.rs
@@ -42,6 +42,11 @@
         })
     }
 
+    /// Whether the program has ended or is about to.
+    pub(crate) fn is_over(&self) -> bool {
+        self.ending.get() || self.program.borrow().ended().is_some()
+    }
+
     /// Begins the answer of a call.
     pub(crate) fn begin(&self, seq: Seq) -> Rc<Answer<Ending>> {
         let answer = Rc::new(Answer::new());
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -383,22 +383,49 @@
             .set("programs", self.programs.borrow().len() as i64);
     }
 
-    /// Ends a program and its sub-agents and frees the engines' memory of it.
+    /// Ends a program and its sub-agents and frees the engines' memory of it. Sub-agents end first,
+    /// so that what they leave over is returned before the program's own rest is counted.
     pub(crate) async fn end(&self, live: &Rc<Live>, cause: Cause) -> Result<()> {
         if live.program.borrow().ended().is_some() || live.ending.replace(true) {
             return Ok(());
         }
-        let at = self.shared.clock.now();
-        let ended = self.append(live, vec![Event::Ended { cause, at }]).await;
+        let ended = self.end_all(live, cause).await;
         live.ending.set(false);
         ended?;
         links::release(self, live.id).await;
+        Ok(())
+    }
+
+    async fn end_all(&self, live: &Rc<Live>, cause: Cause) -> Result<()> {
         for child in self.children(live.id) {
             Box::pin(self.end(&child, Cause::Parent)).await?;
         }
+        let at = self.shared.clock.now();
+        let ended = Event::Ended { cause, at };
+        let Some(parent) = self.parent(live) else {
+            return self.append(live, vec![ended]).await;
+        };
+        let returned = Event::Returned {
+            child: live.id,
+            tokens: live.program.borrow().leftover(),
+        };
+        // In one batch: the leftover is returned if and only if the end is durable.
+        let records = vec![live.record(ended.clone()), parent.record(returned.clone())];
+        self.append_records(&live.log, records).await?;
+        live.program.borrow_mut().apply(&ended);
+        parent.program.borrow_mut().apply(&returned);
         Ok(())
     }
 
+    /// The parent of a sub-agent, if it is here and goes on.
+    fn parent(&self, live: &Live) -> Option<Rc<Live>> {
+        let parent = live.program.borrow().created().parent?.program;
+        let parent = self.local(parent)?;
+        let goes_on = parent.program.borrow().ended().is_none();
+        let same_log = parent.log.writer() == live.log.writer();
+        (goes_on && same_log).then_some(parent)
+    }
+
     fn children(&self, id: Program) -> Vec<Rc<Live>> {
         let is_child = |live: &&Rc<Live>| {
             let program = live.program.borrow();
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -117,7 +117,7 @@
         let spent = match &turn.answer {
             Answer::Child(_, budget) => {
                 self.calls_left = self.calls_left.minus(budget.calls);
-                budget.tokens
+                budget.tokens.plus(turn.usage.tokens)
             }
             Answer::Whole(_) | Answer::Indeterminate => turn.usage.tokens,
         };
--- /dev/null
+++ b/crates/program/tests/budget.rs
@@ -0,0 +1,261 @@
+//! Budgets over random lives of a parent and its children: calls, hedges, retries, sub-agents,
+//! ends and takeovers. The engine's own count is the truth that the ledger must bound.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use log::{Answer, Budget, Call, Cause, Created, Event, Parent, Turn, Usage};
+use program::{Program, Request, Reserve};
+use proptest::prelude::*;
+use units::{Calls, Incarnation, Seq, Time, Tokens, Version};
+
+const TRANCHE: Tokens = Tokens(400);
+
+/// One step in the life of a family of programs; numbers are reduced to what is there.
+#[derive(Clone, Debug)]
+enum Step {
+    /// A call of some program; each dispatch ends as told, the last one may be cut off by a kill.
+    Call {
+        program: usize,
+        worst: u64,
+        dispatches: Vec<Fate>,
+        killed: bool,
+    },
+    /// A sub-agent with this budget.
+    Child { program: usize, tokens: u64 },
+    /// The end of some program; its leftover returns to its parent, perhaps told twice.
+    End { program: usize, twice: bool },
+    /// Another entry takes all programs over.
+    Takeover,
+}
+
+/// How one dispatch ended.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    /// It was proved not to have run.
+    DidNotRun,
+    /// It was lost: it used so much, which nobody learns.
+    Lost(u64),
+    /// It was answered and used so much.
+    Answered(u64),
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        Just(Fate::DidNotRun),
+        (0..300_u64).prop_map(Fate::Lost),
+        (0..300_u64).prop_map(Fate::Answered),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let call = (
+        0..4_usize,
+        1..300_u64,
+        prop::collection::vec(fate(), 1..4),
+        any::<bool>(),
+    );
+    prop_oneof![
+        6 => call.prop_map(|(program, worst, dispatches, killed)| Step::Call {
+            program,
+            worst,
+            dispatches,
+            killed: killed && worst % 3 == 0,
+        }),
+        2 => (0..4_usize, 0..1_000_u64)
+            .prop_map(|(program, tokens)| Step::Child { program, tokens }),
+        1 => (0..4_usize, any::<bool>()).prop_map(|(program, twice)| Step::End { program, twice }),
+        1 => Just(Step::Takeover),
+    ]
+}
+
+/// A program, its durable events and what engines really did for it.
+struct Member {
+    id: units::Program,
+    program: Program,
+    events: Vec<Event>,
+    used: u64,
+}
+
+impl Member {
+    fn new(number: u64, budget: Budget, parent: Option<Parent>) -> Self {
+        let created = Created {
+            account: "meche".parse().unwrap(),
+            class: "reorder".parse().unwrap(),
+            budget,
+            deadline: Time(u64::MAX),
+            parent,
+            document: Version(1),
+            entry: "entry-0".parse().unwrap(),
+            at: Time(0),
+        };
+        let origin = Incarnation(1);
+        Member {
+            id: units::Program { origin, number },
+            program: Program::new(created.clone()),
+            events: vec![Event::Created(created)],
+            used: 0,
+        }
+    }
+
+    fn append(&mut self, event: Event) {
+        self.program.apply(&event);
+        self.events.push(event);
+    }
+
+    fn reserve(&mut self, worst: Tokens) -> bool {
+        loop {
+            match self.program.reserve(worst, TRANCHE) {
+                Reserve::Granted => return true,
+                Reserve::Exhausted => return false,
+                Reserve::Tranche(tokens) => self.append(Event::Tranche(tokens)),
+            }
+        }
+    }
+
+    fn request(&self) -> Request {
+        Request {
+            seq: self.program.next(),
+            target: Some("advisor".parse().unwrap()),
+            input: Vec::new(),
+            budget: Budget::default(),
+        }
+    }
+
+    fn turn(&mut self, request: &Request, answer: Answer, tokens: Tokens) {
+        let usage = Usage {
+            tokens: tokens.plus(self.program.lost()),
+            ..Usage::default()
+        };
+        self.append(Event::Turn(Turn {
+            call: Call::from(request),
+            answer,
+            usage,
+            route: None,
+            at: Time(1),
+        }));
+    }
+
+    /// A call whose dispatches are all under way at a time, as hedges are; true if the entry was
+    /// killed before the end.
+    fn call(&mut self, worst: u64, dispatches: &[Fate], killed: bool) -> bool {
+        let request = self.request();
+        self.program.begin(&request);
+        for (index, fate) in dispatches.iter().enumerate() {
+            if !self.reserve(Tokens(worst)) {
+                break;
+            }
+            match *fate {
+                Fate::DidNotRun => self.program.unreserve(Tokens(worst)),
+                Fate::Lost(used) => {
+                    self.used += used.min(worst);
+                    self.program.lose(Tokens(worst));
+                }
+                Fate::Answered(used) => {
+                    self.used += used.min(worst);
+                    if killed && index + 1 == dispatches.len() {
+                        return true;
+                    }
+                    self.turn(&request, Answer::Whole(Vec::new()), Tokens(used.min(worst)));
+                    return false;
+                }
+            }
+        }
+        self.program.release(request.seq);
+        false
+    }
+
+    fn take_over(&mut self) {
+        self.events.push(Event::Adopted {
+            from: Incarnation(1),
+            at: Time(2),
+        });
+        self.program = Program::replay(&self.events).unwrap();
+    }
+
+    fn check(&self) {
+        let ledger = self.program.ledger();
+        let budget = self.program.created().budget.tokens;
+        assert!(ledger.granted() <= budget);
+        assert!(ledger.spent().plus(ledger.reserved()) <= ledger.granted());
+    }
+}
+
+fn child(members: &mut Vec<Member>, index: usize, tokens: u64) {
+    let number = members.len() as u64;
+    let member = &mut members[index];
+    let request = member.request();
+    let budget = Budget {
+        tokens: Tokens(tokens),
+        calls: Calls(100),
+    };
+    member.program.begin(&request);
+    if !member.reserve(budget.tokens) {
+        member.program.release(request.seq);
+        return;
+    }
+    let parent = Parent {
+        program: member.id,
+        seq: request.seq,
+    };
+    let child = Member::new(number, budget, Some(parent));
+    member.turn(&request, Answer::Child(child.id, budget), Tokens(0));
+    members.push(child);
+}
+
+fn end(members: &mut [Member], index: usize, twice: bool) {
+    let (cause, at) = (Cause::Caller, Time(3));
+    members[index].append(Event::Ended { cause, at });
+    let member = &members[index];
+    let Some(parent) = member.program.created().parent else {
+        return;
+    };
+    let returned = Event::Returned {
+        child: member.id,
+        tokens: member.program.leftover(),
+    };
+    let parent = members
+        .iter_mut()
+        .find(|member| member.id == parent.program)
+        .unwrap();
+    for _ in 0..=u32::from(twice) {
+        parent.append(returned.clone());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(3_000))]
+
+    #[test]
+    fn budget_bounds_what_a_family_of_programs_uses(
+        tokens in 0..5_000_u64,
+        steps in prop::collection::vec(step(), 1..40),
+    ) {
+        let budget = Budget { tokens: Tokens(tokens), calls: Calls(1_000) };
+        let mut members = vec![Member::new(0, budget, None)];
+        for step in steps {
+            let count = members.len();
+            let live = |members: &[Member], program: usize| {
+                members[program % count].program.ended().is_none()
+            };
+            let mut killed_now = matches!(step, Step::Takeover);
+            match step {
+                Step::Call { program, worst, dispatches, killed } if live(&members, program) => {
+                    killed_now = members[program % count].call(worst, &dispatches, killed);
+                }
+                Step::Child { program, tokens } if live(&members, program) => {
+                    child(&mut members, program % count, tokens);
+                }
+                Step::End { program, twice } if live(&members, program) => {
+                    end(&mut members, program % count, twice);
+                }
+                _ => {}
+            }
+            if killed_now {
+                members.iter_mut().for_each(Member::take_over);
+            }
+            members.iter().for_each(Member::check);
+            let used: u64 = members.iter().map(|member| member.used).sum();
+            prop_assert!(used <= tokens, "used {} of {}", used, tokens);
+        }
+    }
+}
