standins: a link that can be cut, silenced or delayed

Cause: connections that go silent for good while new ones work could not be produced in a test. Ruled out: closing the socket (either end sees that) and packet filters (no such tools here). Change: standins::link relays TCP on one thread; Config::with_links puts one before each process, reachable as Cluster::links by host. Conclusion: standins tests/link.rs shows silence in each direction and a cut.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod engine;
 mod host;
+pub mod link;
 pub mod platform;
 pub mod service;
 
--- /dev/null
+++ b/crates/standins/tests/link.rs
@@ -0,0 +1,60 @@
+//! The stand-in link against an echoing server.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+use standins::link::{self, Direction, Link};
+
+const SILENCE: Duration = Duration::from_millis(200);
+
+fn echo() -> Link {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let target = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            std::thread::spawn(move || {
+                std::io::copy(&mut stream.try_clone().unwrap(), &mut stream)
+            });
+        }
+    });
+    link::start("127.0.0.1:0".parse().unwrap(), target).unwrap()
+}
+
+fn exchange(stream: &mut TcpStream) -> std::io::Result<[u8; 4]> {
+    let mut answer = [0; 4];
+    stream.write_all(b"ping")?;
+    stream.read_exact(&mut answer)?;
+    Ok(answer)
+}
+
+#[test]
+fn silenced_connection_stays_open_and_new_ones_work() {
+    for direction in [Direction::ToServer, Direction::ToClient, Direction::Both] {
+        let link = echo();
+        let mut old = TcpStream::connect(link.address).unwrap();
+        assert_eq!(&exchange(&mut old).unwrap(), b"ping");
+        link.silence(direction);
+        old.set_read_timeout(Some(SILENCE)).unwrap();
+        let error = exchange(&mut old).unwrap_err();
+        assert!(matches!(
+            error.kind(),
+            ErrorKind::WouldBlock | ErrorKind::TimedOut
+        ));
+        let mut new = TcpStream::connect(link.address).unwrap();
+        assert_eq!(&exchange(&mut new).unwrap(), b"ping");
+        assert_eq!(link.accepted(), 2);
+    }
+}
+
+#[test]
+fn cut_connection_ends() {
+    let link = echo();
+    let mut stream = TcpStream::connect(link.address).unwrap();
+    exchange(&mut stream).unwrap();
+    link.cut();
+    assert!(exchange(&mut stream).is_err());
+}
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -3,6 +3,7 @@
 //! Each environment has its own address in 127.0.0.0/8, so that tests run side by side with fixed
 //! ports. Processes are ended by their ids when the environment is dropped.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -13,7 +14,7 @@
 use nix::unistd::Pid;
 use platform::api::{HostInfo, HostRole};
 use serde_json::{Value, json};
-use standins::{Handle, engine, platform as table, service};
+use standins::{Handle, engine, link, platform as table, service};
 use units::Digest;
 
 use crate::caller::{Caller, request};
@@ -45,6 +46,7 @@
     services: u16,
     engine: engine::Config,
     document: String,
+    links: bool,
 }
 
 impl Config {
@@ -56,6 +58,7 @@
             services: 1,
             engine: engine::Config::default(),
             document: document(""),
+            links: false,
         }
     }
 
@@ -77,6 +80,12 @@
         self
     }
 
+    /// Has peers reach each process through a stand-in link.
+    pub fn with_links(mut self) -> Self {
+        self.links = true;
+        self
+    }
+
     /// Adds sections to the environment document.
     pub fn with_document(mut self, sections: &str) -> Self {
         self.document = document(sections);
@@ -122,6 +131,8 @@
     pub engines: Vec<Handle<engine::State>>,
     /// The services' stand-ins.
     pub services: Vec<Handle<service::State>>,
+    /// The stand-in links by the process that they lead to, if there are any.
+    pub links: BTreeMap<String, link::Link>,
     address: Ipv4Addr,
     directory: PathBuf,
     processes: Vec<Process>,
@@ -143,12 +154,13 @@
             platform: table::start(any, Vec::new()).unwrap(),
             engines: engines.collect(),
             services: services.collect(),
+            links: BTreeMap::new(),
             address,
             directory,
             processes: Vec::new(),
             entries: config.entries,
         };
-        cluster.add_processes();
+        cluster.add_processes(config.links);
         cluster.eventually_live();
         cluster.apply(0, &config.document).unwrap();
         let endpoints = usize::from(config.engines + config.services);
@@ -158,7 +170,7 @@
         cluster
     }
 
-    fn add_processes(&mut self) {
+    fn add_processes(&mut self, links: bool) {
         let mut hosts = Vec::new();
         for index in 0..self.entries {
             hosts.push(self.add_entry(index));
@@ -173,6 +185,14 @@
             let name = format!("service-{index}");
             hosts.push(self.add_sidecar(&name, "service", *address, "catalogue stock"));
         }
+        if links {
+            for info in &mut hosts {
+                let any = SocketAddr::new(self.address.into(), 0);
+                let link = link::start(any, info.address).unwrap();
+                info.address = link.address;
+                self.links.insert(info.host.to_string(), link);
+            }
+        }
         self.platform.state().hosts = hosts;
         for index in 0..self.processes.len() {
             self.spawn(index);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod cluster;
 mod failures;
+mod links;
 mod whole_path;
 
 /// Defines one test for each named case of a function: `cases!(check; name: argument, ...)`.
