--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -4,18 +4,22 @@
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
-use board::View;
+use board::{Observation, View};
 use http_types::{Method, Request, Response, StatusCode};
 use platform::Client;
-use serde::Serialize;
+use serde::Deserialize;
 use serde_json::{Value, json};
 use telemetry::Metrics;
-use units::{Clock, Digest, Program, Version};
+use units::{Clock, Digest, Host, Program, Span, Time, Version};
 
-use crate::document::{accept, current};
+use crate::audit::{Action, Record};
+use crate::document::{Accepted, Change, Promoted, accept, current, history, past};
 use crate::error::{Error, Result};
+use crate::response::{json, refuse};
+use crate::{audit, status};
 
 const DOCUMENT_MAX_BYTES: u64 = 4 << 20;
+const PAGE_MAX: u32 = 1_000;
 
 /// What the traffic thread is asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,20 +46,83 @@
 pub struct Admin {
     /// Settings of the API.
     pub settings: settings::Admin,
+    /// The process's host.
+    pub own: Host,
     /// The environment's name.
     pub environment: String,
+    /// Bound after which a process that hears neither store nor peer is not ready.
+    pub stale_after: Span,
     /// The platform's service.
     pub client: Client,
     /// The state of the board.
     pub view: Arc<ArcSwap<View>>,
     /// Questions to the traffic thread.
     pub asks: Sender<Ask>,
+    /// Observations for the board.
+    pub observations: Sender<Observation>,
     /// The process's metrics.
     pub metrics: Metrics,
     /// The process's clock.
     pub clock: Clock,
 }
 
+#[derive(Deserialize)]
+struct HistoryQuery {
+    #[serde(default)]
+    after: u64,
+}
+
+#[derive(Deserialize)]
+struct AuditQuery {
+    #[serde(default)]
+    since_us: u64,
+}
+
+#[derive(Deserialize)]
+struct AuthorQuery {
+    #[serde(default)]
+    author: String,
+}
+
+#[derive(Deserialize)]
+struct AcceptQuery {
+    base: u64,
+    author: String,
+    promoted_from: Option<String>,
+    promoted_version: Option<u64>,
+    promoted_digest: Option<String>,
+}
+
+impl AcceptQuery {
+    /// Where the document is promoted from: all three parts or none.
+    fn promoted(&self) -> Result<Option<Promoted>> {
+        let malformed = Error::Malformed("a promotion needs its origin, version and digest");
+        let parts = (
+            &self.promoted_from,
+            self.promoted_version,
+            &self.promoted_digest,
+        );
+        match parts {
+            (None, None, None) => Ok(None),
+            (Some(from), Some(version), Some(digest)) => Ok(Some(Promoted {
+                environment: from.clone(),
+                version: Version(version),
+                digest: digest.parse().map_err(|_| malformed)?,
+            })),
+            _ => Err(malformed),
+        }
+    }
+}
+
+/// A past version without its text.
+fn summary(accepted: &Accepted) -> Value {
+    json!({
+        "version": accepted.version, "author": accepted.author, "at": accepted.at,
+        "digest": Digest::of(accepted.text.as_bytes()).to_string(),
+        "promoted": accepted.promoted,
+    })
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Role {
     Viewer,
@@ -79,7 +146,8 @@
 
     fn ready(&self) -> Response {
         let view = self.view.load();
-        let ready = view.environment.is_some() && !view.leaving;
+        let fresh = view.replica.is_fresh(self.stale_after, self.clock.now());
+        let ready = fresh && !view.leaving;
         Response::new(if ready {
             StatusCode::Ok
         } else {
@@ -103,6 +171,9 @@
                 allow(role, Role::Operator)?;
                 self.accept(request).await
             }
+            (Method::Get, ["v1", "environment", "history"]) => self.history(request).await,
+            (Method::Get, ["v1", "environment", "history", version]) => self.past(version).await,
+            (Method::Get, ["v1", "audit"]) => self.audit(request).await,
             (Method::Get, ["v1", "status"]) => Ok(self.status()),
             (Method::Get, ["v1", "programs"]) => self.ask(Question::Programs).await,
             (Method::Get, ["v1", "programs", id, "explain"]) => {
@@ -110,7 +181,7 @@
             }
             (Method::Post, ["v1", "programs", id, "end"]) => {
                 allow(role, Role::Operator)?;
-                self.ask(Question::End(program(id)?)).await
+                self.end(request, program(id)?).await
             }
             _ => Err(Error::NotFound),
         }
@@ -138,71 +209,92 @@
 
     async fn environment(&self) -> Result<Response> {
         let accepted = current(&self.client, &self.environment).await?;
-        Ok(respond(200, &accepted.ok_or(Error::NotFound)?))
+        Ok(json(200, &accepted.ok_or(Error::NotFound)?))
+    }
+
+    async fn past(&self, version: &str) -> Result<Response> {
+        let version = version.parse().map_err(|_| Error::NotFound)?;
+        let accepted = past(&self.client, &self.environment, version).await?;
+        Ok(json(200, &accepted.ok_or(Error::NotFound)?))
     }
 
-    /// `PUT /v1/environment?base=N&author=NAME` with the document as the body.
+    /// `GET /v1/environment/history?after=N`: who changed the document, without its texts.
+    async fn history(&self, request: &Request) -> Result<Response> {
+        let query: HistoryQuery = request.query().map_err(|_| Error::Malformed("query"))?;
+        let after = Version(query.after);
+        let all = history(&self.client, &self.environment, after, PAGE_MAX).await?;
+        let versions: Vec<Value> = all.iter().map(summary).collect();
+        Ok(json(200, &json!({"versions": versions})))
+    }
+
+    /// `GET /v1/audit?since_us=T`: every change by an operator.
+    async fn audit(&self, request: &Request) -> Result<Response> {
+        let query: AuditQuery = request.query().map_err(|_| Error::Malformed("query"))?;
+        let since = Time(query.since_us);
+        let records = audit::read(&self.client, &self.environment, since, PAGE_MAX).await?;
+        Ok(json(200, &json!({"records": records})))
+    }
+
+    /// `PUT /v1/environment?base=N&author=NAME` with the document as the body; a promoted document
+    /// names its origin too.
     async fn accept(&self, request: &mut Request) -> Result<Response> {
-        #[derive(serde::Deserialize)]
-        struct Query {
-            base: u64,
-            #[serde(default)]
-            author: String,
+        let malformed = Error::Malformed("query needs base=VERSION and author=NAME");
+        let query: AcceptQuery = request.query().map_err(|_| malformed)?;
+        if query.author.is_empty() {
+            return Err(Error::Malformed("query needs author=NAME"));
         }
-        let malformed = Error::Malformed("query needs base=VERSION");
-        let query: Query = request.query().map_err(|_| malformed)?;
         let body = http_io::read_body(request, DOCUMENT_MAX_BYTES).await;
         let body = body.map_err(|_| Error::Malformed("body is too long or broke off"))?;
         let text = String::from_utf8(body).map_err(|_| Error::Malformed("body is not UTF-8"))?;
-        let now = self.clock.now();
-        let base = Version(query.base);
-        let accepted = accept(
-            &self.client,
-            &self.environment,
-            base,
+        let change = Change {
+            base: Version(query.base),
+            promoted: query.promoted()?,
+            author: query.author,
             text,
-            query.author,
-            now,
-        )
-        .await?;
-        Ok(respond(200, &json!({"version": accepted.version})))
+        };
+        let now = self.clock.now();
+        let in_force = self.view.load().environment.clone();
+        let in_force = in_force.as_deref();
+        let accepted = accept(&self.client, &self.environment, in_force, change, now).await?;
+        let version = accepted.version;
+        // In force here at once, from where it reaches the peers without the store.
+        let document = Observation::Document(version, accepted.text);
+        let sent = self.observations.send(document).await;
+        sent.map_err(|_| Error::Stopping)?;
+        Ok(json(200, &json!({"version": version})))
+    }
+
+    /// `POST /v1/programs/{id}/end?author=NAME`. The end needs the store, so the audit record does
+    /// not hold it back.
+    async fn end(&self, request: &Request, program: Program) -> Result<Response> {
+        let query: AuthorQuery = request.query().map_err(|_| Error::Malformed("query"))?;
+        let record = Record {
+            author: query.author,
+            at: self.clock.now(),
+            action: Action::End(program),
+        };
+        audit::write(&self.client, &self.environment, &record).await?;
+        self.ask(Question::End(program)).await
     }
 
     fn status(&self) -> Response {
         let view = self.view.load();
-        let version = view
-            .environment
-            .as_ref()
-            .map(|environment| environment.version);
-        let endpoints: Vec<Value> = view.endpoints.iter().map(endpoint).collect();
-        let entries: Vec<String> = view
-            .entries
-            .iter()
-            .map(|peer| peer.host.to_string())
-            .collect();
-        let status = json!({
-            "version": version, "leaving": view.leaving,
-            "endpoints": endpoints, "entries": entries,
-        });
-        respond(200, &status)
+        let now = self.clock.now();
+        json(
+            200,
+            &status::render(&view, &self.environment, &self.own, now),
+        )
     }
 
     async fn ask(&self, question: Question) -> Result<Response> {
         let (reply, answer) = async_channel::bounded(1);
         let sent = self.asks.send(Ask { question, reply }).await;
-        sent.map_err(|_| Error::Malformed("the process is stopping"))?;
+        sent.map_err(|_| Error::Stopping)?;
         let answer = answer.recv().await.ok().flatten();
-        Ok(respond(200, &answer.ok_or(Error::NotFound)?))
+        Ok(json(200, &answer.ok_or(Error::NotFound)?))
     }
 }
 
-fn endpoint(endpoint: &board::Endpoint) -> Value {
-    json!({
-        "name": endpoint.name, "host": endpoint.host, "zone": endpoint.zone,
-        "running": endpoint.load.running, "queued": endpoint.load.queued,
-    })
-}
-
 fn program(id: &str) -> Result<Program> {
     id.parse().map_err(|_| Error::NotFound)
 }
@@ -214,18 +306,3 @@
         Err(Error::Forbidden)
     }
 }
-
-fn respond<T: Serialize>(status: u16, value: &T) -> Response {
-    let mut response = Response::new(status);
-    // Values of this crate always have a JSON form.
-    response.set_body(serde_json::to_vec(value).unwrap_or_default());
-    response.insert_header("content-type", "application/json");
-    response
-}
-
-fn refuse(error: &Error) -> Response {
-    respond(
-        error.status(),
-        &json!({"code": error.code(), "message": error.to_string()}),
-    )
-}
--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -1,15 +1,14 @@
 //! The board.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use platform::api::HostInfo;
-use settings::Document;
 use units::{Host, Time, Version};
 use wire::{Identity, Load};
 
-use crate::view::{Environment, View};
-use crate::{config, membership};
+use crate::membership;
+use crate::replica::Replica;
+use crate::view::View;
 
 /// Something that a process has learnt.
 #[derive(Clone, Debug)]
@@ -23,7 +22,11 @@
     /// A load report of the sidecar on this host.
     Load(Host, Load),
     /// An environment document, from the store or a peer.
-    Document(Version, String, Box<Document>),
+    Document(Version, String),
+    /// The store answered, with no newer document.
+    Heard,
+    /// The peer on this host has this version of the document in force.
+    InForce(Host, Version),
     /// This process is leaving.
     Leaving,
 }
@@ -36,13 +39,21 @@
     pub(crate) since: Time,
 }
 
+/// The version that a peer last reported, and when.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reported {
+    pub(crate) version: Version,
+    pub(crate) at: Time,
+}
+
 /// All that the control thread knows.
 #[derive(Debug)]
 pub struct Board {
     pub(crate) own: Host,
     pub(crate) hosts: Vec<HostInfo>,
     pub(crate) connected: BTreeMap<Host, Connected>,
-    pub(crate) environment: Option<Arc<Environment>>,
+    pub(crate) reported: BTreeMap<Host, Reported>,
+    pub(crate) replica: Replica,
     pub(crate) leaving: bool,
 }
 
@@ -53,39 +64,50 @@
             own,
             hosts: Vec::new(),
             connected: BTreeMap::new(),
-            environment: None,
+            reported: BTreeMap::new(),
+            replica: Replica::new(),
             leaving: false,
         }
     }
 
     /// Notes an observation made at `now`.
-    pub fn observe(&mut self, observation: Observation, now: Time) {
+    ///
+    /// # Errors
+    /// If it is a document that is not valid; the board is as before then.
+    pub fn observe(&mut self, observation: Observation, now: Time) -> settings::Result<()> {
         match observation {
-            Observation::Hosts(hosts) => self.hosts = hosts,
+            Observation::Hosts(hosts) => membership::list(self, hosts),
             Observation::Up(identity) => membership::up(self, identity, now),
             Observation::Down(host) => membership::down(self, &host),
             Observation::Load(host, load) => membership::load(self, &host, load),
-            Observation::Document(version, text, document) => {
-                config::adopt(self, version, text, *document);
+            Observation::Document(version, text) => {
+                self.replica.adopt(version, text, now)?;
+            }
+            Observation::Heard => self.replica.hear(now),
+            Observation::InForce(host, version) => {
+                self.replica.hear(now);
+                let reported = Reported { version, at: now };
+                self.reported.insert(host, reported);
             }
             Observation::Leaving => self.leaving = true,
         }
+        Ok(())
     }
 
     /// The version of the document in force; 0 if there is none.
     pub fn version(&self) -> Version {
-        self.environment
-            .as_ref()
-            .map_or(Version(0), |environment| environment.version)
+        self.replica.version()
     }
 
     /// The state for traffic.
     pub fn view(&self) -> View {
         View {
-            environment: self.environment.clone(),
+            replica: self.replica.clone(),
+            environment: self.replica.environment().cloned(),
             hosts: membership::targets(self),
             endpoints: membership::endpoints(self),
             entries: membership::entries(self),
+            members: membership::members(self),
             leaving: self.leaving,
         }
     }
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -5,9 +5,10 @@
 //! for safety: that is the log's part.
 
 mod board;
-mod config;
 mod membership;
+mod replica;
 mod view;
 
 pub use board::{Board, Observation};
-pub use view::{Endpoint, Environment, Peer, View};
+pub use replica::{Replica, Report};
+pub use view::{Endpoint, Environment, Member, Peer, View};
--- a/crates/board/src/membership.rs
+++ b/crates/board/src/membership.rs
@@ -1,11 +1,25 @@
 //! Which hosts take part.
+//!
+//! The platform's list is a hint: it lags, omits hosts and flaps. The process's own connections are
+//! the truth for routing, and a host's own word that it is leaving beats both.
 
-use platform::api::HostInfo;
-use units::{Host, Time};
+use std::collections::BTreeSet;
+
+use platform::api::{HostInfo, HostRole};
+use units::{Host, Time, Version};
 use wire::{Identity, Load, Role};
 
 use crate::board::{Board, Connected};
-use crate::view::{Endpoint, Peer};
+use crate::view::{Endpoint, Member, Peer};
+
+/// Takes a new list; what is known of hosts that are neither listed nor connected is forgotten.
+pub(crate) fn list(board: &mut Board, hosts: Vec<HostInfo>) {
+    board.hosts = hosts;
+    let (hosts, connected) = (&board.hosts, &board.connected);
+    let known =
+        |host: &Host| connected.contains_key(host) || hosts.iter().any(|info| info.host == *host);
+    board.reported.retain(|host, _| known(host));
+}
 
 pub(crate) fn up(board: &mut Board, identity: Identity, now: Time) {
     let host = identity.host.clone();
@@ -86,3 +100,32 @@
     };
     entries.iter().map(peer).collect()
 }
+
+/// All other hosts that are listed or connected, by name.
+pub(crate) fn members(board: &Board) -> Vec<Member> {
+    let listed = board.hosts.iter().map(|info| &info.host);
+    let hosts: BTreeSet<&Host> = listed.chain(board.connected.keys()).collect();
+    let others = hosts.into_iter().filter(|host| **host != board.own);
+    others.map(|host| member(board, host)).collect()
+}
+
+fn member(board: &Board, host: &Host) -> Member {
+    let info = board.hosts.iter().find(|info| info.host == *host);
+    let connected = board.connected.get(host);
+    let role = match connected.map(|connected| &connected.identity.role) {
+        Some(Role::Sidecar { .. }) => HostRole::Sidecar,
+        Some(Role::Entry) => HostRole::Entry,
+        None => info.map_or(HostRole::Entry, |info| info.role),
+    };
+    let said = connected.is_some_and(|connected| connected.load.leaving);
+    let reported = board.reported.get(host);
+    Member {
+        host: host.clone(),
+        role,
+        listed: info.is_some(),
+        connected: connected.is_some(),
+        leaving: said || info.is_some_and(|info| info.leaving),
+        version: reported.map_or(Version(0), |reported| reported.version),
+        reported: reported.map(|reported| reported.at),
+    }
+}
--- a/crates/board/src/view.rs
+++ b/crates/board/src/view.rs
@@ -3,14 +3,18 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use platform::api::HostInfo;
+use platform::api::{HostInfo, HostRole};
 use settings::Document;
-use units::{Host, Incarnation, Region, Target, Version, Zone};
+use units::{Host, Incarnation, Region, Target, Time, Version, Zone};
 use wire::Load;
 
+use crate::replica::Replica;
+
 /// An immutable state of the board.
 #[derive(Clone, Debug, Default)]
 pub struct View {
+    /// This process's copy of the environment document.
+    pub replica: Replica,
     /// The environment document in force.
     pub environment: Option<Arc<Environment>>,
     /// The listed hosts that are to be connected to.
@@ -19,6 +23,8 @@
     pub endpoints: Vec<Endpoint>,
     /// The other entries that are connected.
     pub entries: Vec<Peer>,
+    /// All other hosts that are listed or connected.
+    pub members: Vec<Member>,
     /// Whether this process is leaving.
     pub leaving: bool,
 }
@@ -32,6 +38,27 @@
     pub text: String,
     /// Its contents.
     pub document: Document,
+    /// When it came into force here.
+    pub since: Time,
+}
+
+/// Another host, as the list and the own connections show it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub host: Host,
+    /// What it runs.
+    pub role: HostRole,
+    /// Whether the list has it.
+    pub listed: bool,
+    /// Whether there is an open connection to it.
+    pub connected: bool,
+    /// Whether it is leaving by its own word or the list's.
+    pub leaving: bool,
+    /// The version that it last reported to be in force; 0 if it has none.
+    pub version: Version,
+    /// When it reported that; `None` if it never did.
+    pub reported: Option<Time>,
 }
 
 /// An endpoint and its sidecar.
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -3,10 +3,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use admin::{Admin, Ask};
+use admin::{Accepted, Admin, Ask};
 use async_channel::{Receiver, Sender};
 use board::{Board, Observation};
-use settings::Document;
 use slog::{error, info, warn};
 use smol::LocalExecutor;
 use smol::future::FutureExt;
@@ -15,7 +14,7 @@
 
 use crate::Shared;
 
-const POLL_INTERVAL: Span = Span::from_ms(500);
+const LOG_RETRY_DELAY: Span = Span::from_ms(500);
 
 /// Runs the control thread until the traffic thread has gone.
 pub(crate) fn run(
@@ -31,10 +30,15 @@
         .spawn(poll_hosts(shared.clone(), local.clone()))
         .detach();
     executor
-        .spawn(poll_document(shared.clone(), local))
+        .spawn(poll_document(shared.clone(), local.clone()))
         .detach();
+    let inputs = AdminInputs {
+        listener: admin,
+        asks,
+        observations: local,
+    };
     executor
-        .spawn(serve_admin(executor.clone(), shared.clone(), admin, asks))
+        .spawn(serve_admin(executor.clone(), shared.clone(), inputs))
         .detach();
     smol::block_on(executor.run(keep_board(shared, observed, documents)));
 }
@@ -48,7 +52,10 @@
             return;
         };
         let version = board.version();
-        board.observe(observation, shared.clock.now());
+        observe(&shared, &mut board, observation);
+        while let Ok(observation) = observed.try_recv().or_else(|_| local.try_recv()) {
+            observe(&shared, &mut board, observation);
+        }
         if board.version() != version {
             info!(shared.logger, "document in force"; "version" => %board.version());
         }
@@ -56,6 +63,13 @@
     }
 }
 
+fn observe(shared: &Shared, board: &mut Board, observation: Observation) {
+    if let Err(why) = board.observe(observation, shared.clock.now()) {
+        shared.metrics.count("document-invalid");
+        error!(shared.logger, "received document is invalid"; "error" => %why);
+    }
+}
+
 /// Opens the log and commits to it.
 async fn keep_log(shared: Shared) {
     let identity = &shared.identity;
@@ -79,7 +93,7 @@
             }
             Err(why) => {
                 warn!(shared.logger, "log not open"; "error" => %why);
-                smol::Timer::after(POLL_INTERVAL.into()).await;
+                smol::Timer::after(LOG_RETRY_DELAY.into()).await;
             }
         }
     }
@@ -95,50 +109,64 @@
             }
             Err(_) => shared.metrics.count("hosts-unavailable"),
         }
-        smol::Timer::after(POLL_INTERVAL.into()).await;
+        smol::Timer::after(shared.settings.process.timing.hosts_poll.into()).await;
     }
 }
 
+/// Reads the accepted version at a steady interval, and the document when it is higher than the one
+/// in force.
 async fn poll_document(shared: Shared, observations: Sender<Observation>) {
-    let environment = shared.settings.process.environment.as_str();
     loop {
-        match admin::current(&shared.client, environment).await {
-            Ok(Some(accepted)) => match Document::parse("document", &accepted.text) {
-                Ok(document) => {
-                    let observation =
-                        Observation::Document(accepted.version, accepted.text, Box::new(document));
-                    if observations.send(observation).await.is_err() {
-                        return;
-                    }
-                }
-                Err(why) => {
-                    error!(shared.logger, "accepted document is invalid"; "error" => %why);
-                }
-            },
-            Ok(None) => {}
-            Err(_) => shared.metrics.count("document-unavailable"),
+        let observation = match newer_document(&shared).await {
+            Ok(Some(accepted)) => Some(Observation::Document(accepted.version, accepted.text)),
+            Ok(None) => Some(Observation::Heard),
+            Err(_) => {
+                shared.metrics.count("document-unavailable");
+                None
+            }
+        };
+        if let Some(observation) = observation
+            && observations.send(observation).await.is_err()
+        {
+            return;
         }
-        smol::Timer::after(POLL_INTERVAL.into()).await;
+        smol::Timer::after(shared.settings.process.timing.document_poll.into()).await;
     }
 }
 
-async fn serve_admin(
-    executor: Rc<LocalExecutor<'static>>,
-    shared: Shared,
+/// The accepted document, if it is higher than the one in force.
+async fn newer_document(shared: &Shared) -> admin::Result<Option<Accepted>> {
+    let environment = shared.settings.process.environment.as_str();
+    let accepted = admin::version(&shared.client, environment).await?;
+    if accepted <= shared.view.load().replica.version() {
+        return Ok(None);
+    }
+    admin::current(&shared.client, environment).await
+}
+
+/// What the administration API is started with.
+struct AdminInputs {
     listener: std::net::TcpListener,
     asks: Sender<Ask>,
-) {
+    observations: Sender<Observation>,
+}
+
+async fn serve_admin(executor: Rc<LocalExecutor<'static>>, shared: Shared, inputs: AdminInputs) {
+    let process = &shared.settings.process;
     let admin = Admin {
         settings: shared.settings.admin.clone(),
-        environment: shared.settings.process.environment.to_string(),
+        own: process.host.clone(),
+        environment: process.environment.to_string(),
+        stale_after: process.timing.stale_after,
         client: shared.client.clone(),
         view: shared.view.clone(),
-        asks,
+        asks: inputs.asks,
+        observations: inputs.observations,
         metrics: shared.metrics.clone(),
         clock: shared.clock,
     };
     let handler = move |request| admin.clone().answer(request);
-    let served = match listen(listener) {
+    let served = match listen(inputs.listener) {
         Ok(listener) => http_io::serve(executor, listener, handler).await,
         Err(why) => Err(why),
     };
--- /dev/null
+++ b/crates/entry/src/documents.rs
@@ -0,0 +1,150 @@
+//! The environment document on its way between own processes.
+//!
+//! Every entry tells each connected peer its version at a steady interval, and at once when a peer
+//! is known to be behind. Whoever has the higher version sends the document, so a document that one
+//! process has reaches all that are connected, in a store outage too.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use board::{Observation, Report};
+use smol::LocalExecutor;
+use smol::future::FutureExt;
+use units::{Host, Span, Time, Version};
+use wire::{Error, Frame, Link, Result, Stream};
+
+use crate::traffic::Traffic;
+
+const SCAN_INTERVAL: Span = Span::from_ms(100);
+const EXCHANGE_TIMEOUT: Span = Span::from_ms(1_000);
+
+/// What is known of one peer's copy.
+#[derive(Clone, Copy, Default)]
+struct Peer {
+    /// Its version; `None` if the last exchange failed.
+    version: Option<Version>,
+    next: Time,
+    busy: bool,
+}
+
+type Peers = Rc<RefCell<HashMap<Host, Peer>>>;
+
+/// Keeps the documents of all connected peers and of this entry together.
+pub(crate) async fn keep(traffic: Rc<Traffic>, executor: Rc<LocalExecutor<'static>>) {
+    let peers = Peers::default();
+    loop {
+        let links = traffic.links.borrow().clone();
+        peers
+            .borrow_mut()
+            .retain(|host, peer| peer.busy || links.contains_key(host));
+        for (host, link) in links {
+            if due(&traffic, &peers, &host) {
+                let exchange = exchange(traffic.clone(), peers.clone(), host, link);
+                executor.spawn(exchange).detach();
+            }
+        }
+        smol::Timer::after(SCAN_INTERVAL.into()).await;
+    }
+}
+
+/// Whether an exchange with the peer is due; marks it as busy if so.
+fn due(traffic: &Traffic, peers: &Peers, host: &Host) -> bool {
+    let mut peers = peers.borrow_mut();
+    let peer = peers.entry(host.clone()).or_default();
+    let own = traffic.shared.view.load().replica.version();
+    let behind = peer.version.is_some_and(|version| version < own);
+    let due = behind || traffic.shared.clock.now() >= peer.next;
+    if peer.busy || !due {
+        return false;
+    }
+    peer.busy = true;
+    true
+}
+
+/// One exchange with one peer, within a bound.
+async fn exchange(traffic: Rc<Traffic>, peers: Peers, host: Host, link: Link) {
+    let expire = async {
+        smol::Timer::after(EXCHANGE_TIMEOUT.into()).await;
+        Err(Error::Timeout)
+    };
+    let result = compare(&traffic, &link).or(expire).await;
+    let interval = traffic.shared.settings.process.timing.document_exchange;
+    let next = traffic.shared.clock.now().after(interval);
+    let version = match result {
+        Ok(version) => {
+            traffic
+                .observe(Observation::InForce(host.clone(), version))
+                .await;
+            Some(version)
+        }
+        Err(_) => {
+            traffic.shared.metrics.count("document-exchange-failed");
+            None
+        }
+    };
+    let peer = Peer {
+        version,
+        next,
+        busy: false,
+    };
+    peers.borrow_mut().insert(host, peer);
+}
+
+/// Compares versions with a peer and sends the document whichever way it is needed; returns the
+/// peer's version afterwards.
+async fn compare(traffic: &Traffic, link: &Link) -> Result<Version> {
+    let own = traffic.shared.view.load_full();
+    let version = own.replica.version();
+    match link.call(&Frame::InForce(version)).await? {
+        Frame::InForce(theirs) => match own.replica.report(theirs) {
+            Report::InForce(_) => Ok(theirs),
+            Report::Document(environment) => {
+                let document = Frame::Document {
+                    version: environment.version,
+                    text: environment.text.clone(),
+                };
+                match link.call(&document).await? {
+                    Frame::InForce(theirs) => Ok(theirs),
+                    other => Err(Error::Unexpected(other.kind())),
+                }
+            }
+        },
+        Frame::Document { version, text } => {
+            let received = Observation::Document(version, text);
+            traffic.observe(received).await;
+            Ok(version)
+        }
+        other => Err(Error::Unexpected(other.kind())),
+    }
+}
+
+/// Answers a peer that told its version.
+pub(crate) async fn answer(traffic: &Traffic, version: Version, stream: &mut Stream) -> Result<()> {
+    let view = traffic.shared.view.load_full();
+    let frame = match view.replica.report(version) {
+        Report::InForce(version) => Frame::InForce(version),
+        Report::Document(environment) => Frame::Document {
+            version: environment.version,
+            text: environment.text.clone(),
+        },
+    };
+    traffic.observe(Observation::Heard).await;
+    stream.send(&frame).await?;
+    stream.finish()
+}
+
+/// Takes a document that a peer sent; the answer is the version in force by then, which the control
+/// thread may yet raise.
+pub(crate) async fn receive(
+    traffic: &Traffic,
+    version: Version,
+    text: String,
+    stream: &mut Stream,
+) -> Result<()> {
+    let received = Observation::Document(version, text);
+    traffic.observe(received).await;
+    let version = traffic.shared.view.load().replica.version();
+    stream.send(&Frame::InForce(version)).await?;
+    stream.finish()
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod calls;
 mod control;
 mod dispatch;
+mod documents;
 mod error;
 mod forward;
 mod links;
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -20,7 +20,7 @@
 use crate::control::listen;
 use crate::live::Live;
 use crate::refusal::{Refusal, Result};
-use crate::{Shared, account, api, forward, links};
+use crate::{Shared, account, api, documents, forward, links};
 
 const SWEEP_INTERVAL: Span = Span::from_ms(500);
 const DRAIN_POLL: Span = Span::from_ms(20);
@@ -97,6 +97,7 @@
     spawn(Box::pin(serve_callers(traffic.clone(), callers)));
     spawn(Box::pin(serve_peers(traffic.clone(), peers)));
     spawn(Box::pin(links::keep(traffic.clone(), executor.clone())));
+    spawn(Box::pin(documents::keep(traffic.clone(), executor.clone())));
     spawn(Box::pin(sweep(traffic.clone())));
     spawn(Box::pin(answer_asks(traffic.clone(), asked)));
     info!(traffic.shared.logger, "ready"; "callers" => %traffic.shared.settings.callers);
@@ -152,6 +153,10 @@
     let served = async {
         match stream.expect().await? {
             Frame::Forward(forward) => forward::receive(&traffic, forward, &mut stream).await,
+            Frame::InForce(version) => documents::answer(&traffic, version, &mut stream).await,
+            Frame::Document { version, text } => {
+                documents::receive(&traffic, version, text, &mut stream).await
+            }
             Frame::Watch => {
                 // An entry has no load to report; the open stream shows that it lives.
                 std::future::pending::<()>().await;
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -120,6 +120,27 @@
         Ok(document)
     }
 
+    /// The document in `text` under another environment's name; everything else stays as it is,
+    /// byte for byte.
+    pub fn rename(text: &str, name: &str) -> String {
+        let mut inside = false;
+        let mut renamed = String::with_capacity(text.len());
+        for line in text.split_inclusive('\n') {
+            let bare = line.trim();
+            if bare.starts_with('[') {
+                inside = bare == "[environment]";
+            }
+            let key = bare.split(['=', ':']).next().unwrap_or_default().trim();
+            if inside && key == "name" {
+                let end = &line[line.trim_end().len()..];
+                renamed.push_str(&format!("name = {name}{end}"));
+            } else {
+                renamed.push_str(line);
+            }
+        }
+        renamed
+    }
+
     fn check_references(&self, reader: &Reader<'_>) -> Result<()> {
         for (name, account) in &self.accounts {
             for class in &account.classes {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use document::{Account, Class, Document, Limits, Model, Policy, Service};
 pub use error::{Error, Problem, Result};
-pub use process::{Admin, Endpoint, Entry, Format, Kind, Platform, Process, Sidecar};
+pub use process::{Admin, Endpoint, Entry, Format, Kind, Platform, Process, Sidecar, Timing};
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -12,6 +12,8 @@
 const NAME: &str = "a-z, 0-9, '-', '_', '.', at most 64 characters";
 const SPAN: &str = "a whole number with us, ms, s, m or h";
 const SIZE: &str = "a whole number, optionally with k, m or g";
+const TIMING_MIN: Span = Span::from_ms(10);
+const TIMING_MAX: Span = Span::from_ms(3_600_000);
 const HEX: &str = "64 hexadecimal digits";
 
 /// How log lines look.
@@ -40,6 +42,21 @@
     pub key: Digest,
     /// The platform's service.
     pub platform: Platform,
+    /// How often and for how long things are done.
+    pub timing: Timing,
+}
+
+/// How often and for how long a process does things.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Time between reads of the accepted document's version from the store.
+    pub document_poll: Span,
+    /// Time between exchanges of document versions with each peer.
+    pub document_exchange: Span,
+    /// Time between reads of the host list.
+    pub hosts_poll: Span,
+    /// A process that has heard neither the store nor a peer for this long is not ready.
+    pub stale_after: Span,
 }
 
 /// The platform's service.
@@ -209,6 +226,7 @@
     };
     section.close()?;
     Ok(Process {
+        timing: timing(reader.optional("timing"))?,
         host,
         region,
         zone,
@@ -219,6 +237,36 @@
     })
 }
 
+fn timing(section: Option<Section<'_>>) -> Result<Timing> {
+    let mut timing = Timing {
+        document_poll: Span::from_ms(500),
+        document_exchange: Span::from_ms(1_000),
+        hosts_poll: Span::from_ms(500),
+        stale_after: Span::from_ms(5_000),
+    };
+    let Some(section) = section else {
+        return Ok(timing);
+    };
+    let get = |key: &str, default: Span| {
+        let span = section.get_or(key, SPAN, default)?;
+        if (TIMING_MIN..=TIMING_MAX).contains(&span) {
+            return Ok(span);
+        }
+        Err(section.invalid(
+            key,
+            &span.to_compact_string(),
+            "is out of range",
+            "10ms to 1h",
+        ))
+    };
+    timing.document_poll = get("document-poll", timing.document_poll)?;
+    timing.document_exchange = get("document-exchange", timing.document_exchange)?;
+    timing.hosts_poll = get("hosts-poll", timing.hosts_poll)?;
+    timing.stale_after = get("stale-after", timing.stale_after)?;
+    section.close()?;
+    Ok(timing)
+}
+
 /// Takes the value of a secret out of an error.
 fn redact(mut error: Error, key: &str) -> Error {
     if error.key == key
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use board::Replica;
 use settings::Sidecar;
 use slog::{Logger, warn};
 use smol::LocalExecutor;
@@ -33,9 +34,11 @@
     queue: RefCell<Queue>,
     waiting: RefCell<HashMap<Call, Waiting>>,
     token_time: Cell<f64>,
+    pub(crate) replica: RefCell<Replica>,
+    stale_after: Span,
     pub(crate) metrics: Metrics,
-    log: Logger,
-    clock: Clock,
+    pub(crate) log: Logger,
+    pub(crate) clock: Clock,
 }
 
 impl Calls {
@@ -55,6 +58,8 @@
             queue: RefCell::new(Queue::new(settings.endpoint.slots)),
             waiting: RefCell::default(),
             token_time: Cell::new(0.0),
+            replica: RefCell::default(),
+            stale_after: settings.process.timing.stale_after,
             metrics,
             log,
             clock,
@@ -210,6 +215,13 @@
         }
     }
 
+    /// Whether entries may be told to use this sidecar: it has a document and hears of them.
+    pub(crate) fn ready(&self) -> bool {
+        let now = self.clock.now();
+        let fresh = self.replica.borrow().is_fresh(self.stale_after, now);
+        fresh && !self.guard.borrow().leaving()
+    }
+
     /// The load now.
     pub(crate) fn load(&self) -> Load {
         let queue = self.queue.borrow();
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 //! - An answer is retained until an entry says that it is durable.
 
 mod calls;
+mod document;
 mod endpoint;
 mod error;
 mod guard;
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::calls::Calls;
+use crate::document;
 use crate::guard::{End, Verdict};
 
 const LOAD_INTERVAL: Span = Span::from_ms(200);
@@ -53,6 +54,10 @@
             calls.release(program).await;
             stream.send(&Frame::Ack).await?;
         }
+        Frame::InForce(version) => document::answer(calls, version, stream).await?,
+        Frame::Document { version, text } => {
+            document::receive(calls, version, text, stream).await?;
+        }
         Frame::Watch => watch(calls, stream).await?,
         other => return Err(Error::Unexpected(other.kind())),
     }
--- a/crates/sidecar/src/status.rs
+++ b/crates/sidecar/src/status.rs
@@ -26,8 +26,8 @@
     let load = calls.load();
     match path {
         "/live" => Response::new(StatusCode::Ok),
-        "/ready" if load.leaving => Response::new(StatusCode::ServiceUnavailable),
-        "/ready" => Response::new(StatusCode::Ok),
+        "/ready" if calls.ready() => Response::new(StatusCode::Ok),
+        "/ready" => Response::new(StatusCode::ServiceUnavailable),
         "/metrics" => {
             calls.metrics.set("running", i64::from(load.running));
             calls.metrics.set("queued", i64::from(load.queued));
--- a/crates/units/src/digest.rs
+++ b/crates/units/src/digest.rs
@@ -3,14 +3,36 @@
 use std::fmt;
 use std::str::FromStr;
 
-use serde::{Deserialize, Serialize};
+use compact_str::CompactString;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::{Error, Result};
 
-/// A 256-bit blake3 digest.
-#[derive(Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+/// A 256-bit blake3 digest; hexadecimal in text formats, 32 bytes in binary ones.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Digest([u8; 32]);
 
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = CompactString::deserialize(deserializer)?;
+            text.parse().map_err(serde::de::Error::custom)
+        } else {
+            <[u8; 32]>::deserialize(deserializer).map(Digest)
+        }
+    }
+}
+
 impl Digest {
     /// The digest of `bytes`.
     pub fn of(bytes: &[u8]) -> Self {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -59,7 +59,7 @@
     Head(Head),
     /// A part of the answer to a forwarded request; the stream's end ends it.
     Body(Body),
-    /// An environment document in force at the sender; answered by `Ack`.
+    /// An environment document in force at the sender; answered by `InForce`.
     Document {
         /// The document's version.
         version: Version,
@@ -68,6 +68,9 @@
     },
     /// The request was carried out.
     Ack,
+    /// The version of the environment document in force at the sender, 0 for none; answered by
+    /// `InForce`, or by `Document` if the receiver has a higher one.
+    InForce(Version),
 }
 
 impl Frame {
@@ -95,6 +98,7 @@
             Frame::Body(_) => "Body",
             Frame::Document { .. } => "Document",
             Frame::Ack => "Ack",
+            Frame::InForce(_) => "InForce",
         }
     }
 }
--- a/examples/local/run.sh
+++ b/examples/local/run.sh
@@ -46,7 +46,7 @@
 await ctl apply --server 127.0.0.1:7412 --base 0 --author example $here/environment.ini
 await curl -fsS http://127.0.0.1:7412/ready
 await curl -fsS http://127.0.0.1:7422/ready
-three_endpoints() { [ "$(ctl status --server "$1" | grep -c '"running"')" = 3 ]; }
+three_endpoints() { [ "$(ctl status --json --server "$1" | grep -c '"running"')" = 3 ]; }
 await three_endpoints 127.0.0.1:7412
 await three_endpoints 127.0.0.1:7422
 
--- /dev/null
+++ b/src/commands/ctl/mod.rs
@@ -0,0 +1,323 @@
+//! `balsamhold ctl`: the operators' tool.
+
+mod promote;
+mod render;
+mod rollout;
+mod server;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::{Parser, construct, long, positional, pure};
+use http_types::Method;
+use serde_json::Value;
+use settings::Document;
+use units::{Digest, Span};
+
+use crate::commands::ctl::promote::Promotion;
+use crate::commands::ctl::server::{Server, path};
+use crate::commands::{Error, Result};
+
+const TOKEN_VARIABLE: &str = "BALSAMHOLD_TOKEN";
+const TARGET_TOKEN_VARIABLE: &str = "BALSAMHOLD_TARGET_TOKEN";
+const ROLLOUT_TIMEOUT: Span = Span::from_ms(30_000);
+
+/// Arguments of `balsamhold ctl`.
+#[derive(Clone)]
+pub(crate) enum Options {
+    Check {
+        file: String,
+    },
+    Digest,
+    Apply {
+        server: SocketAddr,
+        base: u64,
+        author: String,
+        file: String,
+    },
+    Promote {
+        server: SocketAddr,
+        to: SocketAddr,
+        author: String,
+        source: String,
+        target: String,
+    },
+    Rollout {
+        server: SocketAddr,
+        timeout: Span,
+        version: u64,
+    },
+    Show {
+        query: Query,
+        server: SocketAddr,
+        json: bool,
+    },
+    End {
+        server: SocketAddr,
+        author: String,
+        program: String,
+    },
+}
+
+/// What can be shown.
+#[derive(Clone)]
+pub(crate) enum Query {
+    Status,
+    History,
+    Audit,
+    Programs,
+    Explain(String),
+}
+
+impl Query {
+    fn path(&self) -> String {
+        match self {
+            Query::Status => "/v1/status".into(),
+            Query::History => "/v1/environment/history".into(),
+            Query::Audit => "/v1/audit".into(),
+            Query::Programs => "/v1/programs".into(),
+            Query::Explain(program) => format!("/v1/programs/{program}/explain"),
+        }
+    }
+
+    fn render(&self, value: &Value) -> String {
+        match self {
+            Query::Status => render::status(value),
+            Query::History => render::history(value),
+            Query::Audit => render::audit(value),
+            Query::Programs | Query::Explain(_) => format!("{value:#}\n"),
+        }
+    }
+}
+
+fn server() -> impl Parser<SocketAddr> {
+    long("server")
+        .help("An entry's administration address; the token is read from BALSAMHOLD_TOKEN")
+        .argument("IP:PORT")
+}
+
+fn author() -> impl Parser<String> {
+    long("author")
+        .help("Who makes the change; by default the user's login name")
+        .env("USER")
+        .argument("NAME")
+}
+
+fn json() -> impl Parser<bool> {
+    long("json").help("Prints JSON").switch()
+}
+
+fn file() -> impl Parser<String> {
+    positional("FILE").help("Environment document")
+}
+
+fn program() -> impl Parser<String> {
+    positional("PROGRAM").help("The program")
+}
+
+/// A subcommand that shows something.
+fn show(name: &'static str, description: &'static str, query: Query) -> impl Parser<Options> {
+    let query = pure(query);
+    let (server, json) = (server(), json());
+    construct!(Options::Show {
+        query,
+        server,
+        json
+    })
+    .to_options()
+    .descr(description)
+    .command(name)
+}
+
+fn explain() -> impl Parser<Options> {
+    let (server, json) = (server(), json());
+    let query = program().map(Query::Explain);
+    construct!(Options::Show {
+        server,
+        json,
+        query
+    })
+    .to_options()
+    .descr("Gives the account of a program")
+    .command("explain")
+}
+
+fn changes() -> impl Parser<Options> {
+    let file = self::file();
+    let check = construct!(Options::Check { file })
+        .to_options()
+        .descr("Checks an environment document without a server")
+        .command("check");
+    let digest = pure(Options::Digest)
+        .to_options()
+        .descr("Prints the digest of the token on standard input, for settings and documents")
+        .command("digest");
+    let base = long("base")
+        .help("Version that the change is based on; 0 for the first")
+        .argument("VERSION");
+    let (address, name, text) = (server(), author(), self::file());
+    let apply = construct!(Options::Apply { server(address), base, author(name), file(text) })
+        .to_options()
+        .descr("Has an environment document accepted")
+        .command("apply");
+    let (address, name, program) = (server(), author(), program());
+    let end = construct!(Options::End { server(address), author(name), program })
+        .to_options()
+        .descr("Ends a program")
+        .command("end");
+    construct!([
+        check,
+        digest,
+        apply,
+        promote_options(),
+        rollout_options(),
+        end
+    ])
+}
+
+fn promote_options() -> impl Parser<Options> {
+    let (address, name) = (server(), author());
+    let to = long("to")
+        .help(
+            "Administration address of an entry of the target; the token is read from \
+             BALSAMHOLD_TARGET_TOKEN, else from BALSAMHOLD_TOKEN",
+        )
+        .argument("IP:PORT");
+    let source = positional("SOURCE").help("Environment that the document was tried in");
+    let target = positional("TARGET").help("Environment that gets it");
+    construct!(Options::Promote { server(address), to, author(name), source, target })
+        .to_options()
+        .descr("Has an environment accept the document that another one has in force")
+        .command("promote")
+}
+
+fn rollout_options() -> impl Parser<Options> {
+    let address = server();
+    let timeout = long("timeout")
+        .help("How long to wait")
+        .argument("SPAN")
+        .fallback(ROLLOUT_TIMEOUT);
+    let version = positional("VERSION").help("The version");
+    construct!(Options::Rollout { server(address), timeout, version })
+        .to_options()
+        .descr("Waits until a version of the document is in force at every live host")
+        .command("rollout")
+}
+
+pub(crate) fn options() -> impl Parser<Options> {
+    let status = show(
+        "status",
+        "Shows the document in force at each host, and the endpoints",
+        Query::Status,
+    );
+    let history = show("history", "Lists the accepted documents", Query::History);
+    let audit = show("audit", "Lists all changes by operators", Query::Audit);
+    let programs = show(
+        "programs",
+        "Lists the programs of an entry",
+        Query::Programs,
+    );
+    construct!([changes(), status, history, audit, programs, explain()])
+        .to_options()
+        .descr("Operates an environment")
+        .command("ctl")
+}
+
+pub(crate) fn run(options: Options) -> Result<()> {
+    match options {
+        Options::Check { file } => check(&file),
+        Options::Digest => digest(),
+        Options::Apply {
+            server,
+            base,
+            author,
+            file,
+        } => {
+            let text = std::fs::read_to_string(&file).map_err(Error::File)?;
+            Document::parse(&file, &text).map_err(Error::Settings)?;
+            let base = base.to_string();
+            let query = [("base", base.as_str()), ("author", &author)];
+            let path = path("/v1/environment", &query)?;
+            let server = Server::new(server, TOKEN_VARIABLE);
+            accepted(&server.send(Method::Put, &path, Some(text))?)
+        }
+        Options::Promote {
+            server,
+            to,
+            author,
+            source,
+            target,
+        } => {
+            let promotion = Promotion {
+                source: &source,
+                target: &target,
+                author: &author,
+            };
+            let own = std::env::var_os(TARGET_TOKEN_VARIABLE).is_some();
+            let variable = if own {
+                TARGET_TOKEN_VARIABLE
+            } else {
+                TOKEN_VARIABLE
+            };
+            let from = Server::new(server, TOKEN_VARIABLE);
+            accepted(&promotion.run(&from, &Server::new(to, variable))?)
+        }
+        Options::Rollout {
+            server,
+            timeout,
+            version,
+        } => {
+            let server = Server::new(server, TOKEN_VARIABLE);
+            rollout::wait(&server, version, Duration::from(timeout))?;
+            println!("version {version} is in force at every live host");
+            Ok(())
+        }
+        Options::Show {
+            query,
+            server,
+            json,
+        } => {
+            let value = Server::new(server, TOKEN_VARIABLE).get(&query.path())?;
+            if json {
+                println!("{value:#}");
+            } else {
+                print!("{}", query.render(&value));
+            }
+            Ok(())
+        }
+        Options::End {
+            server,
+            author,
+            program,
+        } => {
+            let path = path(
+                &format!("/v1/programs/{program}/end"),
+                &[("author", &author)],
+            )?;
+            let value = Server::new(server, TOKEN_VARIABLE).send(Method::Post, &path, None)?;
+            println!("{value:#}");
+            Ok(())
+        }
+    }
+}
+
+fn check(file: &str) -> Result<()> {
+    let text = std::fs::read_to_string(file).map_err(Error::File)?;
+    let document = Document::parse(file, &text).map_err(Error::Settings)?;
+    println!("{file}: valid document of environment {}", document.name);
+    Ok(())
+}
+
+fn digest() -> Result<()> {
+    let mut token = String::new();
+    std::io::stdin()
+        .read_line(&mut token)
+        .map_err(Error::File)?;
+    println!("{}", Digest::of(token.trim_end().as_bytes()));
+    Ok(())
+}
+
+fn accepted(answer: &Value) -> Result<()> {
+    println!("accepted as version {}", server::number(answer, "version")?);
+    Ok(())
+}
--- /dev/null
+++ b/src/commands/ctl/rollout.rs
@@ -0,0 +1,48 @@
+//! Waiting until a version of the document is in force at every live host.
+
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use crate::commands::ctl::server::Server;
+use crate::commands::{Error, Result};
+
+const POLL: Duration = Duration::from_millis(200);
+
+/// Waits until `version` or a higher one is in force at every live host.
+///
+/// # Errors
+/// [`Error::NotInForce`] with the hosts that lag once `timeout` has passed.
+pub(crate) fn wait(server: &Server, version: u64, timeout: Duration) -> Result<Value> {
+    let start = Instant::now();
+    loop {
+        let status = server.get("/v1/status")?;
+        let behind = behind(&status, version);
+        if behind.is_empty() {
+            return Ok(status);
+        }
+        if start.elapsed() > timeout {
+            return Err(Error::NotInForce(version, behind));
+        }
+        std::thread::sleep(POLL);
+    }
+}
+
+/// The live hosts at which `version` is not known to be in force, each with what is known. A host
+/// counts as live if it is listed or connected and not leaving.
+pub(crate) fn behind(status: &Value, version: u64) -> Vec<String> {
+    let hosts = status["hosts"].as_array();
+    let live = hosts.into_iter().flatten();
+    let live = live.filter(|host| host["leaving"] != true);
+    let behind = live.filter(|host| host["version"].as_u64().unwrap_or(0) < version);
+    behind.map(describe).collect()
+}
+
+fn describe(host: &Value) -> String {
+    let name = host["host"].as_str().unwrap_or("?");
+    match (&host["connected"], host["version"].as_u64()) {
+        (Value::Bool(false), _) => format!("{name} (not connected)"),
+        (_, Some(version)) => format!("{name} (version {version})"),
+        _ => format!("{name} (no version reported)"),
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -34,6 +34,17 @@
     File(std::io::Error),
     /// A server refused or did not answer.
     Server(http_io::Error),
+    /// A server's answer lacks this.
+    Answer(&'static str),
+    /// A version is not in force at these hosts.
+    NotInForce(u64, Vec<String>),
+    /// The server is of another environment.
+    Environment {
+        /// The environment that was asked for.
+        expected: String,
+        /// The server's environment.
+        found: String,
+    },
 }
 
 impl fmt::Display for Error {
@@ -44,14 +55,44 @@
             Error::Sidecar(error) => error.fmt(f),
             Error::Signals(error) => write!(f, "cannot handle signals: {error}"),
             Error::File(error) => write!(f, "cannot read file: {error}"),
-            Error::Server(http_io::Error::Status(status, body)) => {
-                write!(f, "status {status}: {}", String::from_utf8_lossy(body))
-            }
+            Error::Server(http_io::Error::Status(status, body)) => refused(f, *status, body),
             Error::Server(error) => error.fmt(f),
+            Error::Answer(part) => write!(f, "the server's answer has no {part}"),
+            Error::NotInForce(version, hosts) => {
+                write!(
+                    f,
+                    "version {version} is not in force at {}",
+                    hosts.join(", ")
+                )
+            }
+            Error::Environment { expected, found } => {
+                write!(f, "the server is of environment {found}, not {expected}")
+            }
         }
     }
 }
 
+/// Writes a server's refusal, with the diff if it has one.
+fn refused(f: &mut fmt::Formatter<'_>, status: u16, body: &[u8]) -> fmt::Result {
+    let Ok(answer) = serde_json::from_slice::<serde_json::Value>(body) else {
+        return write!(f, "status {status}: {}", String::from_utf8_lossy(body));
+    };
+    let (code, message) = (answer["code"].as_str(), answer["message"].as_str());
+    write!(
+        f,
+        "{}: {}",
+        code.unwrap_or("refused"),
+        message.unwrap_or_default()
+    )?;
+    if answer["changed"] == "unknown" {
+        f.write_str("; it may have taken effect: repeat the same command to find out")?;
+    }
+    match answer["diff"].as_str() {
+        Some(diff) => write!(f, "\n{diff}"),
+        None => Ok(()),
+    }
+}
+
 /// Result of a command.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -5,7 +5,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,7 @@
 use nix::unistd::Pid;
 use platform::api::{HostInfo, HostRole};
 use serde_json::{Value, json};
+use settings::Document;
 use standins::{Handle, engine, platform as table, service};
 use units::Digest;
 
@@ -45,6 +46,7 @@
     services: u16,
     engine: engine::Config,
     document: String,
+    environment: &'static str,
 }
 
 impl Config {
@@ -56,6 +58,7 @@
             services: 1,
             engine: engine::Config::default(),
             document: document(""),
+            environment: "trial",
         }
     }
 
@@ -77,6 +80,13 @@
         self
     }
 
+    /// Uses an environment of this name.
+    pub fn with_environment(mut self, name: &'static str) -> Self {
+        self.document = Document::rename(&self.document, name);
+        self.environment = name;
+        self
+    }
+
     /// Adds sections to the environment document.
     pub fn with_document(mut self, sections: &str) -> Self {
         self.document = document(sections);
@@ -126,6 +136,7 @@
     directory: PathBuf,
     processes: Vec<Process>,
     entries: u16,
+    environment: &'static str,
 }
 
 impl Cluster {
@@ -147,6 +158,7 @@
             directory,
             processes: Vec::new(),
             entries: config.entries,
+            environment: config.environment,
         };
         cluster.add_processes();
         cluster.eventually_live();
@@ -216,9 +228,10 @@
 
     fn process_settings(&self, name: &str, index: u16) -> String {
         format!(
-            "[process]\nhost = {name}\nregion = north\nzone = north-{}\nenvironment = trial\n\
+            "[process]\nhost = {name}\nregion = north\nzone = north-{}\nenvironment = {}\n\
              key = {KEY}\n[platform]\naddress = {}\ntimeout = 1s\n",
             index % 2,
+            self.environment,
             self.platform.address,
         )
     }
@@ -329,6 +342,21 @@
         Caller::new(self.caller_address(entry), &format!("{account}-token"))
     }
 
+    /// The address of an entry's administration API.
+    pub fn admin_address(&self, entry: u16) -> SocketAddr {
+        SocketAddr::new(self.address.into(), 7_200 + entry)
+    }
+
+    /// Runs an operator's command, with the operators' token.
+    pub fn ctl(&self, arguments: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_balsamhold"))
+            .arg("ctl")
+            .args(arguments)
+            .env("BALSAMHOLD_TOKEN", OPERATOR)
+            .output()
+            .unwrap()
+    }
+
     /// Sends an operator's request; the status and the JSON answer.
     pub fn operate(
         &self,
@@ -337,8 +365,7 @@
         path: &str,
         body: Option<&str>,
     ) -> Option<(u16, Value)> {
-        let address = SocketAddr::new(self.address.into(), 7_200 + entry);
-        request(address, OPERATOR, method, path, body)
+        request(self.admin_address(entry), OPERATOR, method, path, body)
     }
 
     /// Has a document accepted through the first entry; the error's status otherwise.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod bad_input;
 mod caller;
 mod cluster;
+mod documents;
 mod failures;
 mod whole_path;
 
