Explain any program from the log, at any entry, after its end and its owner's

Cause: the account came from the owner's memory, so that a program of another entry, one whose owner was gone, or takeovers and grants could not be explained.

Inputs and answers show as sizes and digests only. Questions of operators are answered side by side, so that a silent peer holds up none.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -16,7 +16,7 @@
 use crate::document::{Accepted, Change, Promoted, accept, current, history, past};
 use crate::error::{Error, Result};
 use crate::response::{json, refuse};
-use crate::{audit, status};
+use crate::{account, audit, status};
 
 const DOCUMENT_MAX_BYTES: u64 = 4 << 20;
 const PAGE_MAX: u32 = 1_000;
@@ -176,9 +176,7 @@
             (Method::Get, ["v1", "audit"]) => self.audit(request).await,
             (Method::Get, ["v1", "status"]) => Ok(self.status()),
             (Method::Get, ["v1", "programs"]) => self.ask(Question::Programs).await,
-            (Method::Get, ["v1", "programs", id, "explain"]) => {
-                self.ask(Question::Explain(program(id)?)).await
-            }
+            (Method::Get, ["v1", "programs", id, "explain"]) => self.explain(program(id)?).await,
             (Method::Post, ["v1", "programs", id, "end"]) => {
                 allow(role, Role::Operator)?;
                 self.end(request, program(id)?).await
@@ -286,12 +284,37 @@
         )
     }
 
+    /// The account of a program: the log tells what happened, its owner what is under way. Without
+    /// the store the owner's memory has to do.
+    async fn explain(&self, id: Program) -> Result<Response> {
+        let owner = self.question(Question::Explain(id)).await?;
+        let account = match log::trail(&self.client, id).await {
+            Ok(steps) => account::from_log(id, &steps),
+            Err(_) if owner.is_some() => None,
+            Err(log::Error::Platform(error)) => return Err(error.into()),
+            Err(_) => return Err(Error::Corrupt),
+        };
+        let account = match (account, owner) {
+            (Some(mut account), Some(owner)) => {
+                account["owner"] = owner["owner"].clone();
+                account["running"] = owner["running"].clone();
+                Some(account)
+            }
+            (account, owner) => account.or(owner),
+        };
+        Ok(json(200, &account.ok_or(Error::NotFound)?))
+    }
+
     async fn ask(&self, question: Question) -> Result<Response> {
+        let answer = self.question(question).await?;
+        Ok(json(200, &answer.ok_or(Error::NotFound)?))
+    }
+
+    async fn question(&self, question: Question) -> Result<Option<Value>> {
         let (reply, answer) = async_channel::bounded(1);
         let sent = self.asks.send(Ask { question, reply }).await;
         sent.map_err(|_| Error::Stopping)?;
-        let answer = answer.recv().await.ok().flatten();
-        Ok(json(200, &answer.ok_or(Error::NotFound)?))
+        Ok(answer.recv().await.ok().flatten())
     }
 }
 
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -4,6 +4,7 @@
 //! a compare-and-set in the platform's table, so that operators who race learn of each other, and
 //! leaves an audit record in the same transaction.
 
+mod account;
 mod api;
 mod audit;
 mod document;
@@ -11,6 +12,7 @@
 mod response;
 mod status;
 
+pub use account::{from_log, from_memory};
 pub use api::{Admin, Ask, Question};
 pub use audit::{Action, Record, read as audit};
 pub use document::{
--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -1,62 +1,78 @@
-//! The account of a program: what happened, in order, for operators.
+//! What this entry and its peers know of programs, for operators.
 
-use log::{Answer, Route, Turn};
+use std::rc::Rc;
+
+use futures_util::future::join_all;
 use serde_json::{Value, json};
+use smol::future::FutureExt;
+use units::{Program, Span};
+use wire::{Body, Frame, Link, Stream};
 
 use crate::live::Live;
+use crate::traffic::Traffic;
 
-/// The account of one program.
-pub(crate) fn explain(live: &Live) -> Value {
-    let program = live.program.borrow();
-    let created = program.created();
-    let turns: Vec<Value> = program.turns().iter().map(turn).collect();
-    let intents = program.intents().iter();
-    let pending: Vec<Value> = intents
-        .map(|intent| json!({"seq": intent.call.seq, "route": route(&intent.route)}))
-        .collect();
-    json!({
-        "program": live.id.to_string(),
-        "account": created.account, "class": created.class, "entry": created.entry,
-        "document": created.document, "created_at": created.at.to_string(),
-        "budget": {"tokens": created.budget.tokens, "calls": created.budget.calls},
-        "spent_tokens": program.ledger().spent(), "calls_left": program.calls_left(),
-        "parent": created.parent.map(|parent| parent.program.to_string()),
-        "calls": turns, "pending": pending,
-        "ended": program.ended().map(|(cause, at)| json!({"cause": cause, "at": at.to_string()})),
-    })
+const PEER_TIMEOUT: Span = Span::from_ms(1_000);
+
+/// What the owner of a program knows of it, here or at a peer.
+pub(crate) async fn explain(traffic: &Traffic, id: Program) -> Option<Value> {
+    if let Some(account) = local(traffic, id) {
+        return Some(account);
+    }
+    let view = traffic.shared.view.load_full();
+    let links = view.entries.iter();
+    let links: Vec<Link> = links.filter_map(|peer| traffic.link(&peer.host)).collect();
+    let answers = links.iter().map(|link| ask(link, id));
+    join_all(answers).await.into_iter().flatten().next()
 }
 
-fn turn(turn: &Turn) -> Value {
-    json!({
-        "seq": turn.call.seq, "target": turn.call.target, "digest": turn.call.digest.to_string(),
-        "at": turn.at.to_string(), "outcome": outcome(&turn.answer),
-        "tokens": turn.usage.tokens, "cached": turn.usage.cached,
-        "route": turn.route.as_ref().map(route),
-    })
+fn local(traffic: &Traffic, id: Program) -> Option<Value> {
+    let live = traffic.local(id)?;
+    let owner = &traffic.shared.identity.host;
+    let program = live.program.borrow();
+    Some(admin::from_memory(id, &program, owner))
 }
 
-fn outcome(answer: &Answer) -> Value {
-    match answer {
-        Answer::Whole(bytes) => json!({"whole_bytes": bytes.len()}),
-        Answer::Indeterminate => json!("indeterminate"),
-        Answer::Child(child, _) => json!({"child": child.to_string()}),
+/// Asks a peer, within a bound.
+async fn ask(link: &Link, id: Program) -> Option<Value> {
+    let answer = async { link.call(&Frame::Explain(id)).await.ok() };
+    let expire = async {
+        smol::Timer::after(PEER_TIMEOUT.into()).await;
+        None
+    };
+    match answer.or(expire).await? {
+        Frame::Body(body) => serde_json::from_slice(&body.bytes).ok(),
+        _ => None,
     }
 }
 
-fn route(route: &Route) -> Value {
-    json!({
-        "entry": route.entry, "endpoint": route.endpoint, "sidecar": route.sidecar.to_string(),
-        "attempt": route.attempt, "document": route.document, "why": route.why,
-        "at": route.at.to_string(),
-    })
+/// Answers a peer that asks for a program.
+pub(crate) async fn answer(
+    traffic: &Traffic,
+    id: Program,
+    stream: &mut Stream,
+) -> wire::Result<()> {
+    let frame = match local(traffic, id) {
+        Some(account) => Frame::Body(Body {
+            bytes: account.to_string().into_bytes(),
+        }),
+        None => Frame::Ack,
+    };
+    stream.send(&frame).await?;
+    stream.finish()
+}
+
+/// One line about each program, for lists.
+pub(crate) fn list(programs: impl Iterator<Item = Rc<Live>>) -> Value {
+    let summaries: Vec<Value> = programs.map(|live| summary(&live)).collect();
+    json!({"programs": summaries})
 }
 
-/// One line about a program, for lists.
-pub(crate) fn summary(live: &Live) -> Value {
+fn summary(live: &Live) -> Value {
     let program = live.program.borrow();
     json!({
         "program": live.id.to_string(), "account": program.created().account,
         "class": program.created().class, "calls": program.turns().len(),
-        "running": program.is_running(),
+        "running": program.is_running(), "created_at": program.created().at,
+        "spent_tokens": program.ledger().spent(),
     })
 }
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -153,6 +153,7 @@
     let served = async {
         match stream.expect().await? {
             Frame::Forward(forward) => forward::receive(&traffic, forward, &mut stream).await,
+            Frame::Explain(id) => account::answer(&traffic, id, &mut stream).await,
             Frame::InForce(version) => documents::answer(&traffic, version, &mut stream).await,
             Frame::Document { version, text } => {
                 documents::receive(&traffic, version, text, &mut stream).await
@@ -192,9 +193,13 @@
 
 async fn answer_asks(traffic: Rc<Traffic>, asked: Receiver<Ask>) {
     while let Ok(ask) = asked.recv().await {
-        let answer = traffic.ask(ask.question).await;
-        // An operator who has gone away needs no answer.
-        let _ = ask.reply.send(answer).await;
+        let asked = traffic.clone();
+        let answer = async move {
+            let answer = asked.ask(ask.question).await;
+            // An operator who has gone away needs no answer.
+            let _ = ask.reply.send(answer).await;
+        };
+        traffic.executor.spawn(answer).detach();
     }
 }
 
@@ -202,14 +207,10 @@
     async fn ask(&self, question: Question) -> Option<Value> {
         match question {
             Question::Programs => {
-                let programs = self.programs.borrow();
-                let summaries: Vec<Value> = programs
-                    .values()
-                    .map(|live| account::summary(live))
-                    .collect();
-                Some(json!({"programs": summaries}))
+                let programs: Vec<Rc<Live>> = self.programs.borrow().values().cloned().collect();
+                Some(account::list(programs.into_iter()))
             }
-            Question::Explain(id) => Some(account::explain(&*self.local(id)?)),
+            Question::Explain(id) => account::explain(self, id).await,
             Question::End(id) => {
                 let live = self.local(id)?;
                 let ended = self.end(&live, Cause::Operator).await.is_ok();
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod event;
 mod token;
+mod trail;
 mod writer;
 
 pub use batch::{Batch, State, Writer, batch_key, writer_key};
@@ -21,4 +22,5 @@
     Answer, Budget, Call, Cause, Created, Event, Intent, Parent, Record, Route, Turn, Usage,
 };
 pub use token::Token;
+pub use trail::{Step, trail};
 pub use writer::{Handle, Log, open};
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -71,6 +71,9 @@
     /// The version of the environment document in force at the sender, 0 for none; answered by
     /// `InForce`, or by `Document` if the receiver has a higher one.
     InForce(Version),
+    /// Asks the owner of a program what it knows of it; answered by `Body` with JSON, or by `Ack`
+    /// from an entry that does not own it.
+    Explain(Program),
 }
 
 impl Frame {
@@ -99,6 +102,7 @@
             Frame::Document { .. } => "Document",
             Frame::Ack => "Ack",
             Frame::InForce(_) => "InForce",
+            Frame::Explain(_) => "Explain",
         }
     }
 }
--- a/src/commands/ctl/mod.rs
+++ b/src/commands/ctl/mod.rs
@@ -85,7 +85,8 @@
             Query::Status => render::status(value),
             Query::History => render::history(value),
             Query::Audit => render::audit(value),
-            Query::Programs | Query::Explain(_) => format!("{value:#}\n"),
+            Query::Programs => render::programs(value),
+            Query::Explain(_) => render::account(value),
         }
     }
 }
--- a/src/commands/ctl/render.rs
+++ b/src/commands/ctl/render.rs
@@ -161,3 +161,71 @@
         origin(&document["promoted"]),
     )
 }
+
+/// The programs of an entry.
+pub(crate) fn programs(programs: &Value) -> String {
+    let mut text = String::new();
+    for program in list(&programs["programs"]) {
+        line!(
+            text,
+            "{}  {:<16} {:<12} {:>6} calls {:>10} tokens  {}",
+            plain(&program["program"]),
+            plain(&program["account"]),
+            plain(&program["class"]),
+            plain(&program["calls"]),
+            plain(&program["spent_tokens"]),
+            if program["running"] == true {
+                "running"
+            } else {
+                "waiting"
+            },
+        );
+    }
+    text
+}
+
+/// The account of a program.
+pub(crate) fn account(account: &Value) -> String {
+    let mut text = String::new();
+    line!(
+        text,
+        "program {} of {}, class {}: {} of {} tokens spent, {} calls left",
+        plain(&account["program"]),
+        plain(&account["account"]),
+        plain(&account["class"]),
+        plain(&account["spent_tokens"]),
+        plain(&account["budget"]["tokens"]),
+        plain(&account["calls_left"]),
+    );
+    if account["source"] == "memory" {
+        line!(
+            text,
+            "The log cannot be read now: this is its owner's memory, without grants, withdrawals \
+             and takeovers."
+        );
+    }
+    for event in list(&account["events"]) {
+        let call = match &event["seq"] {
+            Value::Null => String::new(),
+            seq => format!("call {seq} "),
+        };
+        line!(
+            text,
+            "{:<24}  {:<16}  {call}{}: {}",
+            time(&event["at"]),
+            plain(&event["host"]),
+            plain(&event["event"]),
+            plain(&event["detail"]),
+        );
+    }
+    if !account["running"].is_null() {
+        line!(
+            text,
+            "{:<24}  {:<16}  call {} is running",
+            "now",
+            plain(&account["owner"]),
+            account["running"],
+        );
+    }
+    text
+}
--- /dev/null
+++ b/tests/all/explain.rs
@@ -0,0 +1,139 @@
+//! Any program can be explained: elsewhere than at its owner, after its end, and after the owner's.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::cluster::{Cluster, Config, START_MAX, eventually};
+
+/// Bound for an account, peers that do not answer included.
+const ACCOUNT_MAX: Duration = Duration::from_secs(5);
+
+const SECRET_INPUT: &str = "reserve for Mme Perrine";
+
+fn account(cluster: &Cluster, entry: u16, program: &str) -> Option<Value> {
+    let path = format!("/v1/programs/{program}/explain");
+    let (status, account) = cluster.operate(entry, "GET", &path, None)?;
+    (status == 200).then_some(account)
+}
+
+fn events(account: &Value) -> Vec<(Option<u64>, String)> {
+    let events = account["events"].as_array().unwrap().iter();
+    let event = |event: &Value| {
+        (
+            event["seq"].as_u64(),
+            event["event"].as_str().unwrap().into(),
+        )
+    };
+    events.map(event).collect()
+}
+
+#[test]
+fn one_account_from_any_entry_after_the_end_and_after_the_owner() {
+    let mut cluster = Config::new().start();
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("reorder", 20_000, 20);
+    assert!(caller.model(&program, 1, "Which braid?", 8).is_whole());
+    assert!(
+        caller
+            .service(&program, 2, "stock", SECRET_INPUT)
+            .is_whole()
+    );
+    let child = json!({"seq": 3, "program": {"tokens": 200, "calls": 2}});
+    caller.call(&program, &child);
+    let before = account(&cluster, 1, &program).unwrap();
+    assert_eq!(
+        (&before["source"], &before["owner"]),
+        (&json!("log"), &json!("entry-0"))
+    );
+    assert_eq!(caller.end(&program).unwrap().0, 200);
+    let seq = |seq: u64, event: &str| (Some(seq), event.to_owned());
+    let all = |event: &str| (None, event.to_owned());
+    let expected = [
+        all("created"),
+        all("granted"),
+        seq(1, "dispatched"),
+        seq(1, "answered"),
+        seq(2, "intent"),
+        seq(2, "answered"),
+        seq(3, "sub-agent"),
+        all("ended"),
+    ];
+    cluster.kill("entry-0");
+    let mut found = None;
+    eventually(ACCOUNT_MAX, "an account without the owner", || {
+        found = account(&cluster, 1, &program);
+        found.is_some()
+    });
+    let found = found.unwrap();
+    assert_eq!(events(&found), expected, "{found:#}");
+    assert_eq!(found["ended"]["cause"], "caller");
+    let server = cluster.admin_address(1).to_string();
+    let shown = cluster.ctl(&["explain", "--server", &server, &program]);
+    let shown = String::from_utf8(shown.stdout).unwrap();
+    for part in [
+        "account meche as reorder",
+        "entry-0",
+        "service-0",
+        "because",
+        "document version 1",
+    ] {
+        assert!(shown.contains(part), "{part}: {shown}");
+    }
+    for secret in [SECRET_INPUT, "meche-token", "operator-token"] {
+        assert!(!shown.contains(secret) && !found.to_string().contains(secret));
+    }
+}
+
+#[test]
+fn owners_memory_explains_while_the_store_is_down() {
+    let cluster = Config::new().with_engines(1).start();
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("reorder", 20_000, 20);
+    assert!(caller.model(&program, 1, "Which braid?", 8).is_whole());
+    cluster.platform.state().knobs.down = true;
+    let account = account(&cluster, 1, &program).unwrap();
+    assert_eq!(
+        (&account["source"], &account["owner"]),
+        (&json!("memory"), &json!("entry-0"))
+    );
+    assert_eq!(account["calls"].as_array().map(Vec::len), Some(1));
+    let server = cluster.admin_address(1).to_string();
+    let shown = cluster.ctl(&["explain", "--server", &server, &program]);
+    assert!(
+        String::from_utf8(shown.stdout)
+            .unwrap()
+            .contains("The log cannot be read now")
+    );
+}
+
+#[test]
+fn order_that_may_have_run_is_accounted_for() {
+    let mut cluster = Config::new().with_engines(0).start();
+    cluster.services[0].state().hangs = true;
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("reorder", 2_000, 20);
+    let call = {
+        let (caller, program) = (caller.clone(), program.clone());
+        std::thread::spawn(move || caller.service(&program, 1, "stock", "reserve 2 pallets"))
+    };
+    eventually(START_MAX, "the service runs the order", || {
+        !cluster.services[0].state().inputs.is_empty()
+    });
+    let under_way = account(&cluster, 1, &program).unwrap();
+    assert_eq!(under_way["running"], 1);
+    assert_eq!(under_way["pending"][0]["route"]["endpoint"], "service-0");
+    cluster.kill("sidecar-service-0");
+    assert_eq!(call.join().unwrap().ran(), "unknown");
+    let account = account(&cluster, 1, &program).unwrap();
+    let events = events(&account);
+    let events: Vec<&str> = events.iter().map(|(_, event)| event.as_str()).collect();
+    assert_eq!(events, ["created", "intent", "indeterminate"]);
+}
+
+#[test]
+fn unknown_program_is_not_explained() {
+    let cluster = Config::new().with_entries(1).with_engines(0).start();
+    let path = "/v1/programs/0123456789abcdef-1/explain";
+    assert_eq!(cluster.operate(0, "GET", path, None).unwrap().0, 404);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod cluster;
 mod documents;
+mod explain;
 mod failures;
 mod whole_path;
 
