Tests: cases of bad input no longer share a program

Both answers are right for such a program; the test was not the same on every run. Change: each case has a program of its own, with the same checks.

--- a/tests/all/bad_input.rs
+++ b/tests/all/bad_input.rs
@@ -18,33 +18,38 @@
 }
 
 /// The environment that concurrent cases share; the last one stops it.
-static SHARED: Mutex<Weak<(Cluster, String)>> = Mutex::new(Weak::new());
+static SHARED: Mutex<Weak<Cluster>> = Mutex::new(Weak::new());
 
-fn shared() -> Arc<(Cluster, String)> {
+fn shared() -> Arc<Cluster> {
     let mut shared = SHARED.lock().unwrap();
     if let Some(running) = shared.upgrade() {
         return running;
     }
-    let cluster = Config::new().with_entries(1).with_engines(1).start();
+    let running = Arc::new(Config::new().with_entries(1).with_engines(1).start());
+    *shared = Arc::downgrade(&running);
+    running
+}
+
+/// A program with one answered call. Cases do not share it: a call that one of them makes is under
+/// way for a moment, for which the others would be refused as busy.
+fn program(cluster: &Cluster) -> String {
     let caller = cluster.caller(0, "meche");
     let program = caller.create("advisor", 500, 5);
     assert!(caller.model(&program, 1, "hello", 4).is_whole());
-    let running = Arc::new((cluster, program));
-    *shared = Arc::downgrade(&running);
-    running
+    program
 }
 
 fn refused(case: Case) {
-    let shared = shared();
-    let (cluster, program) = &*shared;
+    let cluster = shared();
+    let program = program(&cluster);
     let caller: Caller = cluster.caller(0, case.account);
-    let path = case.path.replace("ID", program);
+    let path = case.path.replace("ID", &program);
     let (status, answer) = caller.request("POST", &path, Some(case.body)).unwrap();
     assert_eq!(status, case.status, "{answer}");
     assert_eq!(answer["code"], case.code);
     assert_eq!(answer["ran"], "no");
     assert!(answer["message"].is_string());
-    let history = cluster.caller(0, "meche").history(program).unwrap().1;
+    let history = cluster.caller(0, "meche").history(&program).unwrap().1;
     assert_eq!(history["calls"].as_array().map(Vec::len), Some(1));
     assert_eq!(history["ended"], Value::Null);
 }
@@ -101,13 +106,13 @@
 
 #[test]
 fn oversized_body() {
-    let shared = shared();
-    let (cluster, program) = &*shared;
+    let cluster = shared();
+    let program = program(&cluster);
     let body = format!(
         r#"{{"seq":2,"model":"advisor","input":"{}"}}"#,
         "x".repeat(70_000)
     );
-    let path = CALLS.replace("ID", program);
+    let path = CALLS.replace("ID", &program);
     let (status, answer) = cluster
         .caller(0, "meche")
         .request("POST", &path, Some(&body))
