--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -20,7 +20,7 @@
 use crate::control::listen;
 use crate::live::Live;
 use crate::refusal::{Refusal, Result};
-use crate::{Shared, account, api, forward, links};
+use crate::{Shared, account, api, documents, forward, links};
 
 const SWEEP_INTERVAL: Span = Span::from_ms(500);
 const DRAIN_POLL: Span = Span::from_ms(20);
@@ -97,6 +97,7 @@
     spawn(Box::pin(serve_callers(traffic.clone(), callers)));
     spawn(Box::pin(serve_peers(traffic.clone(), peers)));
     spawn(Box::pin(links::keep(traffic.clone(), executor.clone())));
+    spawn(Box::pin(documents::keep(traffic.clone(), executor.clone())));
     spawn(Box::pin(sweep(traffic.clone())));
     spawn(Box::pin(answer_asks(traffic.clone(), asked)));
     info!(traffic.shared.logger, "ready"; "callers" => %traffic.shared.settings.callers);
@@ -152,6 +153,11 @@
     let served = async {
         match stream.expect().await? {
             Frame::Forward(forward) => forward::receive(&traffic, forward, &mut stream).await,
+            Frame::Explain(id) => account::answer(&traffic, id, &mut stream).await,
+            Frame::InForce(version) => documents::answer(&traffic, version, &mut stream).await,
+            Frame::Document { version, text } => {
+                documents::receive(&traffic, version, text, &mut stream).await
+            }
             Frame::Watch => {
                 // An entry has no load to report; the open stream shows that it lives.
                 std::future::pending::<()>().await;
@@ -187,9 +193,13 @@
 
 async fn answer_asks(traffic: Rc<Traffic>, asked: Receiver<Ask>) {
     while let Ok(ask) = asked.recv().await {
-        let answer = traffic.ask(ask.question).await;
-        // An operator who has gone away needs no answer.
-        let _ = ask.reply.send(answer).await;
+        let asked = traffic.clone();
+        let answer = async move {
+            let answer = asked.ask(ask.question).await;
+            // An operator who has gone away needs no answer.
+            let _ = ask.reply.send(answer).await;
+        };
+        traffic.executor.spawn(answer).detach();
     }
 }
 
@@ -197,14 +207,10 @@
     async fn ask(&self, question: Question) -> Option<Value> {
         match question {
             Question::Programs => {
-                let programs = self.programs.borrow();
-                let summaries: Vec<Value> = programs
-                    .values()
-                    .map(|live| account::summary(live))
-                    .collect();
-                Some(json!({"programs": summaries}))
+                let programs: Vec<Rc<Live>> = self.programs.borrow().values().cloned().collect();
+                Some(account::list(programs.into_iter()))
             }
-            Question::Explain(id) => Some(account::explain(&*self.local(id)?)),
+            Question::Explain(id) => account::explain(self, id).await,
             Question::End(id) => {
                 let live = self.local(id)?;
                 let ended = self.end(&live, Cause::Operator).await.is_ok();
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -59,7 +59,7 @@
     Head(Head),
     /// A part of the answer to a forwarded request; the stream's end ends it.
     Body(Body),
-    /// An environment document in force at the sender; answered by `Ack`.
+    /// An environment document in force at the sender; answered by `InForce`.
     Document {
         /// The document's version.
         version: Version,
@@ -68,6 +68,12 @@
     },
     /// The request was carried out.
     Ack,
+    /// The version of the environment document in force at the sender, 0 for none; answered by
+    /// `InForce`, or by `Document` if the receiver has a higher one.
+    InForce(Version),
+    /// Asks the owner of a program what it knows of it; answered by `Body` with JSON, or by `Ack`
+    /// from an entry that does not own it.
+    Explain(Program),
 }
 
 impl Frame {
@@ -95,6 +101,8 @@
             Frame::Body(_) => "Body",
             Frame::Document { .. } => "Document",
             Frame::Ack => "Ack",
+            Frame::InForce(_) => "InForce",
+            Frame::Explain(_) => "Explain",
         }
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,8 @@
 mod bad_input;
 mod caller;
 mod cluster;
+mod documents;
+mod explain;
 mod failures;
 mod links;
 mod whole_path;
