--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -16,6 +16,7 @@
 mod history;
 mod takeover;
 mod token;
+mod trail;
 mod writer;
 
 pub use batch::{
@@ -29,4 +30,5 @@
 pub use history::{Histories, History, inherit};
 pub use takeover::{Found, Sealing, find, histories, inherited, opened, take};
 pub use token::Token;
+pub use trail::{Step, trail};
 pub use writer::{Handle, Log, open};
--- a/crates/program/tests/budget.rs
+++ b/crates/program/tests/budget.rs
@@ -6,7 +6,7 @@
 use log::{Answer, Budget, Call, Cause, Created, Event, Parent, Turn, Usage};
 use program::{Program, Request, Reserve};
 use proptest::prelude::*;
-use units::{Calls, Incarnation, Seq, Time, Tokens, Version};
+use units::{Calls, Incarnation, Time, Tokens, Version};
 
 const TRANCHE: Tokens = Tokens(400);
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,10 +7,14 @@
 )]
 
 mod bad_input;
+mod budget;
 mod caller;
 mod cluster;
+mod documents;
 mod drain;
+mod explain;
 mod failures;
+mod links;
 mod store;
 mod takeover;
 mod whole_path;
