Tests: a process started without the store has the document but is not ready

Changed test: documents::store_outage_after_acceptance_holds_nothing_back asked for readiness while the store was down; a process that can open no log owns no program and is not ready (design, section 2; it was called ready only because nothing looked at the log). It now asks for the document from the peers, for not ready meanwhile, and for ready with the same document once the store is back.

--- a/tests/all/documents.rs
+++ b/tests/all/documents.rs
@@ -48,6 +48,12 @@
     // A new process has no store to ask: its peers tell it, sidecars included.
     cluster.kill("entry-0");
     cluster.restart("entry-0");
+    eventually(IN_FORCE_MAX, "the new process has the document", || {
+        version(&cluster, 0) == Some(2)
+    });
+    // It can open no log yet, so it can own no program.
+    assert!(!ready(&cluster, 0));
+    cluster.platform.state().knobs.down = false;
     eventually(IN_FORCE_MAX, "the new process is ready", || {
         ready(&cluster, 0)
     });
