Outage: answers go on with two witnesses; orders wait to their deadline

Cause: with the store down every answer's end waited, and an order waited without bound. Ruled out: the tail in each dispatch together with the retained answer: two forms of the copy, and sent again with each dispatch. Conclusion: the four tests of tests/all/outage.rs pass; bytes held under load are not measured.

--- a/crates/admin/src/account.rs
+++ b/crates/admin/src/account.rs
@@ -140,6 +140,11 @@
             let (event, detail) = answer(turn);
             line(Some(turn.at), seq, event, detail);
         }
+        Event::Recovered(turn) => {
+            let (_, detail) = answer(turn);
+            let detail = format!("{detail}; from witnesses, as it was not in the log");
+            line(Some(turn.at), Some(turn.call.seq), "recovered", detail);
+        }
         Event::Returned { child, tokens } => {
             let detail = format!("{tokens} tokens left over by sub-agent {child}");
             line(None, None, "returned", detail);
--- a/crates/entry/src/answers.rs
+++ b/crates/entry/src/answers.rs
@@ -106,14 +106,18 @@
 
 fn end_line(traffic: &Traffic, ending: &Ending) -> Value {
     match ending {
-        Ending::Turn(turn, token) => done_line(turn, &traffic.seal(token)),
+        Ending::Turn {
+            turn,
+            token,
+            durable,
+        } => done_line(turn, &traffic.seal(token), *durable),
         Ending::Refused(refusal) => refusal.json(),
     }
 }
 
-fn done_line(turn: &Turn, after: &str) -> Value {
+fn done_line(turn: &Turn, after: &str, durable: bool) -> Value {
     let mut line = json!({
-        "type": "done", "seq": turn.call.seq, "after": after, "durable": true,
+        "type": "done", "seq": turn.call.seq, "after": after, "durable": durable,
         "usage": {"tokens": turn.usage.tokens, "cached": turn.usage.cached},
     });
     match &turn.answer {
@@ -137,7 +141,8 @@
     if turn.answer == Answer::Indeterminate {
         return Err(Refusal::Indeterminate);
     }
-    let done = done_line(turn, &traffic.seal(&live.token()));
+    let durable = live.is_durable(turn.call.seq);
+    let done = done_line(turn, &traffic.seal(&live.token()), durable);
     let rest = match &turn.answer {
         Answer::Whole(bytes) => bytes.get(offset..).unwrap_or_default().to_vec(),
         Answer::Child(..) | Answer::Indeterminate => Vec::new(),
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -14,6 +14,7 @@
 use crate::calls;
 use crate::drain;
 use crate::forward;
+use crate::outage;
 use crate::owner::Owner;
 use crate::refusal::{Refusal, Result};
 use crate::reply::{Reply, respond};
@@ -204,6 +205,7 @@
     match (request.method, request.path.as_str(), request.seq) {
         (Method::Post, "calls", None) => {
             let call = parse_call(request)?;
+            outage::catch_up(traffic, &live, after.as_ref()).await;
             calls::check_after(&live, after.as_ref())?;
             calls::call(traffic, &live, call, request).await
         }
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -4,6 +4,7 @@
 
 use log::{Answer, Call, Event, Intent, Parent, Route, Token, Turn, Usage};
 use program::{Admission, Reserve};
+use smol::future::FutureExt;
 use telemetry::Trace;
 use units::{Target, Tokens};
 use wire::{Done, Frame, Ran, Reason, Refused, Work};
@@ -12,6 +13,7 @@
 use crate::api::Request;
 use crate::dispatch::{self, Dispatched};
 use crate::live::{Ending, Live};
+use crate::outage;
 use crate::refusal::{Refusal, Result};
 use crate::reply::Reply;
 use crate::routing;
@@ -63,6 +65,7 @@
     let seq = request.seq;
     match admission {
         Admission::Run if live.is_over() => Err(program::Refusal::Ended.into()),
+        Admission::Run if live.log.is_full() => Err(Refusal::Unready),
         Admission::Run => {
             live.program.borrow_mut().begin(&request);
             let answer = live.begin(seq);
@@ -107,7 +110,11 @@
 /// Ends the answer of a call with its result.
 pub(crate) fn conclude(run: &Run, result: Result<Turn>) {
     let ending = match result {
-        Ok(turn) => Ending::Turn(Rc::new(turn), run.live.token()),
+        Ok(turn) => Ending::Turn {
+            token: run.live.token(),
+            durable: run.live.is_durable(turn.call.seq),
+            turn: Rc::new(turn),
+        },
         Err(refusal) => {
             run.live.program.borrow_mut().release(run.request.seq);
             Ending::Refused(refusal)
@@ -174,7 +181,7 @@
 }
 
 /// Runs a call at an endpoint, again elsewhere if that is safe.
-async fn run_target(traffic: &Traffic, run: &Run, target: Target) -> Result<Turn> {
+async fn run_target(traffic: &Rc<Traffic>, run: &Run, target: Target) -> Result<Turn> {
     let environment = traffic.environment()?;
     let service = environment.document.services.get(&target);
     let work = match service {
@@ -204,7 +211,7 @@
                 call,
                 route: route.clone(),
             });
-            traffic.append(&run.live, vec![intent]).await?;
+            announce(traffic, run, intent).await?;
         }
         match dispatch::send(traffic, run, &route, order).await {
             Dispatched::Done(done) => return finish(traffic, run, &work, route, &done).await,
@@ -232,6 +239,29 @@
     Err(Refusal::Endpoint(ran, refused.reason))
 }
 
+/// Records an intent; gives up at the program's deadline.
+async fn announce(traffic: &Rc<Traffic>, run: &Run, intent: Event) -> Result<()> {
+    let deadline = run.live.program.borrow().created().deadline;
+    let time_left = deadline.since(traffic.shared.clock.now());
+    let expire = async {
+        smol::Timer::after(time_left.into()).await;
+        Err(program::Refusal::Deadline.into())
+    };
+    let announced = traffic.append(&run.live, vec![intent]).or(expire).await;
+    if announced == Err(program::Refusal::Deadline.into()) {
+        // The intent may become durable yet. It was not acted on, which the next record says.
+        let withdrawn = run.live.record(Event::Withdrawn(run.request.seq));
+        let (traffic, log) = (traffic.clone(), run.live.log.clone());
+        let executor = traffic.executor.clone();
+        let withdraw = async move {
+            // A sealed log holds neither, or its successor asks the sidecar.
+            let _ = traffic.append_records(&log, vec![withdrawn]).await;
+        };
+        executor.spawn(withdraw).detach();
+    }
+    announced
+}
+
 /// Records that the announced dispatch was proved not to have run and never to run.
 pub(crate) async fn withdraw(traffic: &Traffic, run: &Run) -> Result<()> {
     let withdrawn = Event::Withdrawn(run.request.seq);
@@ -254,7 +284,7 @@
 
 /// Records a whole answer and lets the sidecar free it.
 pub(crate) async fn finish(
-    traffic: &Traffic,
+    traffic: &Rc<Traffic>,
     run: &Run,
     work: &Work,
     route: Route,
@@ -293,7 +323,7 @@
 }
 
 /// Records that nobody can tell whether a non-idempotent call ran.
-pub(crate) async fn give_up(traffic: &Traffic, run: &Run, route: Route) -> Result<Turn> {
+pub(crate) async fn give_up(traffic: &Rc<Traffic>, run: &Run, route: Route) -> Result<Turn> {
     traffic.shared.metrics.count("indeterminate");
     record(
         traffic,
@@ -308,7 +338,7 @@
 
 /// Appends the turn of a call.
 async fn record(
-    traffic: &Traffic,
+    traffic: &Rc<Traffic>,
     run: &Run,
     route: Option<Route>,
     answer: Answer,
@@ -323,10 +353,8 @@
         route,
         at: traffic.shared.clock.now(),
     };
-    let appended = traffic
-        .append(&run.live, vec![Event::Turn(turn.clone())])
-        .await;
     // It has been dispatched: it must not be said that it did not run.
-    appended.map_err(|_| Refusal::Unrecorded)?;
+    let recorded = outage::record(traffic, &run.live, &turn).await;
+    recorded.map_err(|_| Refusal::Unrecorded)?;
     Ok(turn)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod forward;
 mod links;
 mod live;
+mod outage;
 mod owner;
 mod refusal;
 mod reply;
--- a/crates/entry/src/live.rs
+++ b/crates/entry/src/live.rs
@@ -6,7 +6,7 @@
 
 use log::{Event, Handle, Record, Token, Turn};
 use program::Program;
-use units::Seq;
+use units::{Incarnation, Seq};
 use wire::Answer;
 
 use crate::refusal::Refusal;
@@ -14,12 +14,26 @@
 /// How a call ended for its callers.
 #[derive(Clone, Debug)]
 pub(crate) enum Ending {
-    /// It has its answer, which is durable.
-    Turn(Rc<Turn>, Token),
+    /// It has its answer.
+    Turn {
+        /// The turn.
+        turn: Rc<Turn>,
+        /// The history's head after it.
+        token: Token,
+        /// Whether it is in the log; otherwise witnesses hold it.
+        durable: bool,
+    },
     /// It was refused.
     Refused(Refusal),
 }
 
+/// Turns that were answered during a store outage, and the sidecars that hold them.
+#[derive(Debug, Default)]
+pub(crate) struct Tail {
+    pub(crate) turns: Vec<Turn>,
+    pub(crate) witnesses: Vec<Incarnation>,
+}
+
 /// A program owned by this entry.
 #[derive(Debug)]
 pub(crate) struct Live {
@@ -28,6 +42,8 @@
     /// The log that holds the program: once it is sealed, nothing of this state may go on.
     pub(crate) log: Arc<Handle>,
     running: RefCell<Option<(Seq, Rc<Answer<Ending>>)>>,
+    /// What has been answered and is not in the log yet.
+    pub(crate) tail: RefCell<Tail>,
     pub(crate) ending: Cell<bool>,
 }
 
@@ -38,6 +54,7 @@
             program: RefCell::new(program),
             log,
             running: RefCell::default(),
+            tail: RefCell::default(),
             ending: Cell::new(false),
         })
     }
@@ -77,6 +94,12 @@
         }
     }
 
+    /// Whether the answer of a call is in the log.
+    pub(crate) fn is_durable(&self, seq: Seq) -> bool {
+        let tail = self.tail.borrow();
+        tail.turns.iter().all(|turn| turn.call.seq != seq)
+    }
+
     /// The token for the head of the history.
     pub(crate) fn token(&self) -> Token {
         let program = self.program.borrow();
@@ -86,6 +109,7 @@
             seq,
             head: program.head(),
             writer: self.log.writer(),
+            witnesses: self.tail.borrow().witnesses.clone(),
         }
     }
 }
--- /dev/null
+++ b/crates/entry/src/outage.rs
@@ -0,0 +1,225 @@
+//! Answers while the platform's store is down.
+//!
+//! The end of an answer normally waits until its turn is in the log. When that takes longer than the
+//! document's `commit-wait`, the end is released as soon as two sidecars hold the program's turns
+//! that are not in the log yet, in different availability zones where there are two. The token names
+//! them; a later owner collects what they hold, or refuses to go on from the shorter history.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use async_channel::Receiver;
+use futures_util::future::join_all;
+use log::{Event, Token, Turn};
+use smol::future::FutureExt;
+use units::{Incarnation, Program, Seq, Span, Zone};
+use wire::{Frame, Link, Role, Tail};
+
+use crate::live::Live;
+use crate::refusal::{Refusal, Result};
+use crate::traffic::Traffic;
+
+const WITNESSES: usize = 2;
+/// Turns of one program that witnesses hold; beyond it answers wait for the log.
+const TAIL_MAX_BYTES: usize = 1 << 20;
+const HOLD_TIMEOUT: Span = Span::from_ms(1_000);
+const HOLD_RETRY_DELAY: Span = Span::from_ms(200);
+
+/// Records a turn and applies it, once it is in the log or held by witnesses.
+pub(crate) async fn record(traffic: &Rc<Traffic>, live: &Rc<Live>, turn: &Turn) -> Result<()> {
+    let appended = append(traffic, live, turn);
+    let commit_wait = traffic.environment()?.document.limits.commit_wait;
+    let patience = async {
+        smol::Timer::after(commit_wait.into()).await;
+        None
+    };
+    let mut witnesses = Vec::new();
+    let ended = match wait(&appended).or(patience).await {
+        Some(result) => Some(result),
+        None => {
+            let held = async {
+                witnesses = hold_until_held(traffic, live, turn).await;
+                None
+            };
+            wait(&appended).or(held).await
+        }
+    };
+    if let Some(result) = ended.or_else(|| appended.try_recv().ok()) {
+        result?;
+    } else {
+        traffic.shared.metrics.count("answered-undurable");
+        let mut tail = live.tail.borrow_mut();
+        tail.turns.push(turn.clone());
+        tail.witnesses = witnesses;
+    }
+    let event = Event::Turn(turn.clone());
+    live.program.borrow_mut().apply(&event);
+    Ok(())
+}
+
+async fn wait(appended: &Receiver<Result<()>>) -> Option<Result<()>> {
+    Some(appended.recv().await.unwrap_or(Err(Refusal::Unavailable)))
+}
+
+/// Appends a turn in the background; the end of the append is sent.
+fn append(traffic: &Rc<Traffic>, live: &Rc<Live>, turn: &Turn) -> Receiver<Result<()>> {
+    let (done, appended) = async_channel::bounded(1);
+    let record = live.record(Event::Turn(turn.clone()));
+    let seq = turn.call.seq;
+    let (traffic, live) = (traffic.clone(), live.clone());
+    let executor = traffic.executor.clone();
+    let append = async move {
+        let result = traffic.append_records(&live.log, vec![record]).await;
+        if result.is_ok() {
+            committed(&traffic, &live, seq);
+        }
+        // Whoever waited may have been content with witnesses.
+        let _ = done.send(result).await;
+    };
+    executor.spawn(append).detach();
+    appended
+}
+
+/// Notes that the turns up to `seq` are in the log.
+fn committed(traffic: &Rc<Traffic>, live: &Live, seq: Seq) {
+    let mut tail = live.tail.borrow_mut();
+    if tail.turns.is_empty() {
+        return;
+    }
+    tail.turns.retain(|turn| turn.call.seq > seq);
+    if tail.turns.is_empty() {
+        tail.witnesses.clear();
+        free(traffic, vec![live.id]);
+    }
+}
+
+/// Tells all sidecars that the tails of these programs are in the log.
+pub(crate) fn free(traffic: &Rc<Traffic>, programs: Vec<Program>) {
+    if programs.is_empty() {
+        return;
+    }
+    let links = sidecars(traffic);
+    let frame = Frame::Committed(programs);
+    let notify = async move {
+        // A sidecar that does not hear holds a tail that the log has outgrown, which is harmless.
+        join_all(links.iter().map(|link| ask(link, &frame))).await;
+    };
+    traffic.executor.spawn(notify).detach();
+}
+
+/// Has two sidecars hold the program's tail with `turn`; tries until it is done.
+async fn hold_until_held(traffic: &Traffic, live: &Live, turn: &Turn) -> Vec<Incarnation> {
+    loop {
+        if let Some(witnesses) = hold(traffic, live, turn).await {
+            return witnesses;
+        }
+        smol::Timer::after(HOLD_RETRY_DELAY.into()).await;
+    }
+}
+
+async fn hold(traffic: &Traffic, live: &Live, turn: &Turn) -> Option<Vec<Incarnation>> {
+    let mut turns = live.tail.borrow().turns.clone();
+    turns.push(turn.clone());
+    let turns = Turn::encode_all(&turns).ok()?;
+    if turns.len() > TAIL_MAX_BYTES {
+        traffic.shared.metrics.count("tail-too-long");
+        return None;
+    }
+    let frame = Frame::Hold(Tail {
+        program: live.id,
+        writer: live.log.writer(),
+        turns,
+    });
+    let mut witnesses: Vec<Link> = Vec::new();
+    let mut candidates = sidecars(traffic);
+    while witnesses.len() < WITNESSES && !candidates.is_empty() {
+        let used: Vec<Zone> = witnesses.iter().map(zone).collect();
+        let other = candidates
+            .iter()
+            .position(|link| !used.contains(&zone(link)));
+        let link = candidates.remove(other.unwrap_or(0));
+        if let Some(Frame::Ack) = ask(&link, &frame).await {
+            witnesses.push(link);
+        }
+    }
+    let incarnations = witnesses.iter().map(|link| link.peer().incarnation);
+    (witnesses.len() == WITNESSES).then(|| incarnations.collect())
+}
+
+fn zone(link: &Link) -> Zone {
+    link.peer().zone.clone()
+}
+
+/// The connected sidecars, those that serve endpoints for longest first.
+fn sidecars(traffic: &Traffic) -> Vec<Link> {
+    let links = traffic.links.borrow();
+    let open = links.values().filter(|link| !link.is_closed());
+    open.filter(|link| link.peer().role != Role::Entry)
+        .cloned()
+        .collect()
+}
+
+async fn ask(link: &Link, frame: &Frame) -> Option<Frame> {
+    let answer = async { link.call(frame).await.ok() };
+    let expire = async {
+        smol::Timer::after(HOLD_TIMEOUT.into()).await;
+        None
+    };
+    answer.or(expire).await
+}
+
+/// The turns that connected sidecars hold for programs in the logs of `writers`: of each program the
+/// longest tail.
+pub(crate) async fn collect(
+    traffic: &Traffic,
+    writers: Vec<Incarnation>,
+) -> HashMap<Program, Vec<Turn>> {
+    let links = sidecars(traffic);
+    let frame = Frame::Collect(writers);
+    let answers = join_all(links.iter().map(|link| ask(link, &frame))).await;
+    let mut tails: HashMap<Program, Vec<Turn>> = HashMap::new();
+    for answer in answers.into_iter().flatten() {
+        let Frame::Tails(held) = answer else {
+            continue;
+        };
+        for tail in held {
+            let Ok(turns) = Turn::decode_all(&tail.turns) else {
+                traffic.shared.metrics.count("tail-broken");
+                continue;
+            };
+            let known = tails.entry(tail.program).or_default();
+            if last(&turns) > last(known) {
+                *known = turns;
+            }
+        }
+    }
+    tails
+}
+
+fn last(turns: &[Turn]) -> Option<Seq> {
+    turns.last().map(|turn| turn.call.seq)
+}
+
+/// Collects turns that the caller has seen and that are not here, if witnesses hold them.
+pub(crate) async fn catch_up(traffic: &Rc<Traffic>, live: &Rc<Live>, after: Option<&Token>) {
+    let Some(token) = after.filter(|token| !token.witnesses.is_empty()) else {
+        return;
+    };
+    let is_behind = || live.program.borrow().next() <= token.seq;
+    if !is_behind() || live.program.borrow().is_running() {
+        return;
+    }
+    let tails = collect(traffic, vec![token.writer]).await;
+    let missing = tails.get(&live.id).into_iter().flatten();
+    for turn in missing {
+        let next = live.program.borrow().next();
+        let busy = live.program.borrow().is_running();
+        if turn.call.seq == next && !busy && is_behind() {
+            let event = Event::Recovered(turn.clone());
+            if traffic.append(live, vec![event]).await.is_err() {
+                return;
+            }
+        }
+    }
+    free(traffic, vec![live.id]);
+}
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -55,7 +55,7 @@
     executor.spawn(task).detach();
 }
 
-async fn settle(traffic: &Traffic, run: &Run, intent: Intent) -> Result<Turn> {
+async fn settle(traffic: &Rc<Traffic>, run: &Run, intent: Intent) -> Result<Turn> {
     let route = intent.route;
     let call = units::Call {
         program: run.live.id,
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -8,16 +8,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use log::{Event, Found, Handle, Histories, History, Record, Sealing, State};
+use log::{Event, Found, Handle, Histories, History, Record, Sealing, State, Turn};
 use program::Program;
 use slog::{info, warn};
-use units::{Host, Incarnation, Span};
+use units::{Host, Incarnation, Span, Time};
 use wire::Link;
 
 use crate::live::Live;
 use crate::owner::Adoption;
 use crate::traffic::Traffic;
-use crate::{links, settle};
+use crate::{links, outage, settle};
 
 const PROBES: u32 = 2;
 const PROBE_DELAY: Span = Span::from_ms(50);
@@ -150,6 +150,43 @@
     true
 }
 
+/// A program on its way into this entry's log.
+struct Adoptee {
+    id: units::Program,
+    program: Program,
+    records: Vec<Record>,
+}
+
+impl Adoptee {
+    /// Rebuilds a program from its history and the turns that witnesses held.
+    fn new(id: units::Program, history: &History, tail: &[Turn], at: Time) -> Option<Self> {
+        let program = Program::replay(&history.events)?;
+        let mut adoptee = Adoptee {
+            id,
+            program,
+            records: Vec::new(),
+        };
+        if adoptee.program.ended().is_none() {
+            let from = history.writer;
+            adoptee.add(Event::Adopted { from, at });
+            for turn in tail {
+                if turn.call.seq == adoptee.program.next() {
+                    adoptee.add(Event::Recovered(turn.clone()));
+                }
+            }
+        }
+        Some(adoptee)
+    }
+
+    fn add(&mut self, event: Event) {
+        self.program.apply(&event);
+        self.records.push(Record {
+            program: self.id,
+            event,
+        });
+    }
+}
+
 /// Owns the programs of a sealed log; returns how many there are.
 async fn adopt(
     traffic: &Rc<Traffic>,
@@ -158,51 +195,40 @@
     histories: Histories,
 ) -> log::Result<usize> {
     let at = traffic.shared.clock.now();
-    let mut fresh: Vec<(units::Program, History)> = histories
-        .into_iter()
-        .filter(|(id, _)| traffic.local(*id).is_none())
-        .collect();
-    for (_, history) in &mut fresh {
-        let from = history.writer;
-        if !is_ended(history) {
-            history.events.push(Event::Adopted { from, at });
+    let mut writers: Vec<Incarnation> = histories.values().map(|one| one.writer).collect();
+    writers.sort_unstable();
+    writers.dedup();
+    let tails = outage::collect(traffic, writers).await;
+    let mut adoptees = Vec::new();
+    for (id, history) in &histories {
+        if traffic.local(*id).is_some() {
+            continue;
+        }
+        let tail = tails.get(id).map_or(&[][..], Vec::as_slice);
+        match Adoptee::new(*id, history, tail, at) {
+            Some(adoptee) => adoptees.push(adoptee),
+            None => traffic.shared.metrics.count("history-broken"),
         }
     }
-    let records: Vec<Record> = fresh.iter().filter_map(adoption).collect();
+    let records = adoptees.iter().flat_map(|adoptee| &adoptee.records);
+    let records: Vec<Record> = records.cloned().collect();
     for part in records.chunks(ADOPT_RECORDS_MAX) {
         own.append(part.to_vec()).await?;
     }
     let mut adopted = Vec::new();
-    for (id, history) in &fresh {
-        let Some(program) = Program::replay(&history.events) else {
-            traffic.shared.metrics.count("history-broken");
-            continue;
-        };
-        let live = Live::new(*id, program, own.clone());
+    for Adoptee { id, program, .. } in adoptees {
+        let live = Live::new(id, program, own.clone());
         traffic.adopt(live.clone());
         settle::begin(traffic, &live);
         adopted.push(live);
     }
     let to = own.writer();
     traffic.logs.note_adopted(Adoption { from: writer, to });
+    outage::free(traffic, tails.into_keys().collect());
     release_ended(traffic, &adopted);
     Ok(adopted.len())
 }
 
-fn is_ended(history: &History) -> bool {
-    let mut events = history.events.iter();
-    events.any(|event| matches!(event, Event::Ended { .. }))
-}
-
-/// The record of an adoption that is the last event of a history.
-fn adoption((program, history): &(units::Program, History)) -> Option<Record> {
-    let event = history.events.last()?;
-    matches!(event, Event::Adopted { .. }).then(|| Record {
-        program: *program,
-        event: event.clone(),
-    })
-}
-
 /// Frees engine memory of ended programs again: the last owner may not have come to it.
 fn release_ended(traffic: &Rc<Traffic>, adopted: &[Rc<Live>]) {
     let ended = |live: &&Rc<Live>| live.program.borrow().ended().is_some();
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -184,15 +184,21 @@
         let all: Vec<Rc<Live>> = traffic.programs.borrow().values().cloned().collect();
         for live in all {
             let expired = live.program.borrow().expired(idle_timeout, now);
-            if let Some(cause) = expired
-                && traffic.end(&live, cause).await.is_err()
-            {
-                traffic.shared.metrics.count("end-failed");
+            if let Some(cause) = expired {
+                let ending = end_expired(traffic.clone(), live, cause);
+                traffic.executor.spawn(ending).detach();
             }
         }
     }
 }
 
+/// Ends a program on its own; with the store down that waits.
+async fn end_expired(traffic: Rc<Traffic>, live: Rc<Live>, cause: Cause) {
+    if traffic.end(&live, cause).await.is_err() {
+        traffic.shared.metrics.count("end-failed");
+    }
+}
+
 async fn answer_asks(traffic: Rc<Traffic>, asked: Receiver<Ask>) {
     while let Ok(ask) = asked.recv().await {
         let asked = traffic.clone();
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -2,10 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 use units::{
-    Account, Calls, Class, Digest, Endpoint, Host, Incarnation, Program, Seq, Target, Time, Tokens,
-    Version,
+    Account, Calls, Class, Digest, Endpoint, Host, Incarnation, Program, Seq, Slot, Target, Time,
+    Tokens, Version,
 };
 
+use crate::batch::{decode, encode};
+use crate::error::Result;
+
 /// One event of one program.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -28,6 +31,8 @@
     Withdrawn(Seq),
     /// A call has its answer.
     Turn(Turn),
+    /// A call had its answer, which the last owner could not record; witnesses held it.
+    Recovered(Turn),
     /// A child returned what it left over of its budget.
     Returned {
         /// The child.
@@ -153,6 +158,24 @@
     pub at: Time,
 }
 
+impl Turn {
+    /// Encodes turns for witnesses.
+    ///
+    /// # Errors
+    /// [`Error::Encode`] if they are too long.
+    pub fn encode_all(turns: &[Turn]) -> Result<Vec<u8>> {
+        encode(&turns)
+    }
+
+    /// Reads what [`Turn::encode_all`] wrote.
+    ///
+    /// # Errors
+    /// [`Error::Corrupt`] if it is something else.
+    pub fn decode_all(bytes: &[u8]) -> Result<Vec<Turn>> {
+        decode(bytes, Slot(0))
+    }
+}
+
 /// What a call used.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
--- a/crates/log/src/token.rs
+++ b/crates/log/src/token.rs
@@ -12,7 +12,7 @@
 const AUTHENTICATOR_BYTES: usize = 32;
 
 /// The head of a program's history at some answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Token {
     /// The program.
     pub program: Program,
@@ -22,6 +22,8 @@
     pub head: Digest,
     /// The log that holds it.
     pub writer: Incarnation,
+    /// The sidecars that hold what is not in the log yet; none if all is.
+    pub witnesses: Vec<Incarnation>,
 }
 
 impl Token {
@@ -57,13 +59,17 @@
 
     fn parse(text: &str) -> Option<Self> {
         let mut fields = text.split(' ');
-        let token = Token {
+        let mut token = Token {
             program: fields.next()?.parse().ok()?,
             seq: fields.next()?.parse().ok()?,
             head: fields.next()?.parse().ok()?,
             writer: fields.next()?.parse().ok()?,
+            witnesses: Vec::new(),
         };
-        fields.next().is_none().then_some(token)
+        for witness in fields {
+            token.witnesses.push(witness.parse().ok()?);
+        }
+        Some(token)
     }
 }
 
@@ -73,6 +79,8 @@
             f,
             "{} {} {} {}",
             self.program, self.seq, self.head, self.writer
-        )
+        )?;
+        let mut witnesses = self.witnesses.iter();
+        witnesses.try_for_each(|witness| write!(f, " {witness}"))
     }
 }
--- a/crates/log/src/writer.rs
+++ b/crates/log/src/writer.rs
@@ -13,6 +13,8 @@
 use crate::takeover::find;
 
 const APPENDS_MAX: usize = 4_096;
+/// Leaves room for what the work under way still has to record.
+const APPENDS_FULL: usize = APPENDS_MAX / 2;
 const BATCH_RECORDS_MAX: usize = 512;
 const RETRY_DELAY: Span = Span::from_ms(50);
 const IDLE_CHECK_INTERVAL: Span = Span::from_ms(1_000);
@@ -56,6 +58,11 @@
         self.orders.is_closed()
     }
 
+    /// Whether so many appends wait that no new work should begin.
+    pub fn is_full(&self) -> bool {
+        self.orders.len() >= APPENDS_FULL
+    }
+
     /// Appends `records` in order and returns their slot once they are durable.
     ///
     /// Waits as long as the platform's service is down.
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -33,6 +33,7 @@
     seen: Time,
     returned: BTreeSet<units::Program>,
     lost: Tokens,
+    forfeited: Tokens,
     attempt: u32,
 }
 
@@ -50,6 +51,7 @@
             seen: created.at,
             returned: BTreeSet::new(),
             lost: Tokens(0),
+            forfeited: Tokens(0),
             attempt: 0,
             created,
         }
@@ -73,12 +75,21 @@
             Event::Intent(intent) => self.intents.push(intent.clone()),
             Event::Withdrawn(seq) => self.intents.retain(|intent| intent.call.seq != *seq),
             Event::Turn(turn) => self.apply_turn(turn),
+            Event::Recovered(turn) => self.apply_recovered(turn),
             Event::Returned { child, tokens } => self.apply_returned(*child, *tokens),
             Event::Ended { cause, at } => self.ended = Some((*cause, *at)),
             Event::Adopted { at, .. } => self.apply_adopted(*at),
         }
     }
 
+    /// A turn of the last owner: its tokens are among those that were counted as spent already.
+    fn apply_recovered(&mut self, turn: &Turn) {
+        let counted = self.forfeited.min(turn.usage.tokens);
+        self.forfeited = self.forfeited.minus(counted);
+        self.ledger.refund(counted);
+        self.apply_turn(turn);
+    }
+
     /// Takes back what a child left over, once, and never more than was carved out for it.
     fn apply_returned(&mut self, child: units::Program, tokens: Tokens) {
         if let Some(carved) = self.carved(child)
@@ -101,6 +112,7 @@
     fn apply_adopted(&mut self, at: Time) {
         self.running = None;
         self.lost = Tokens(0);
+        self.forfeited = self.ledger.granted().minus(self.ledger.spent());
         self.ledger.forfeit();
         self.attempt = (self.attempt / ATTEMPTS_PER_OWNER + 1) * ATTEMPTS_PER_OWNER;
         self.touch(at);
--- a/crates/program/tests/budget.rs
+++ b/crates/program/tests/budget.rs
@@ -25,7 +25,7 @@
     /// The end of some program; its leftover returns to its parent, perhaps told twice.
     End { program: usize, twice: bool },
     /// Another entry takes all programs over.
-    Takeover,
+    Takeover { recovers: bool },
 }
 
 /// How one dispatch ended.
@@ -64,7 +64,7 @@
         2 => (0..4_usize, 0..1_000_u64)
             .prop_map(|(program, tokens)| Step::Child { program, tokens }),
         1 => (0..4_usize, any::<bool>()).prop_map(|(program, twice)| Step::End { program, twice }),
-        1 => Just(Step::Takeover),
+        1 => any::<bool>().prop_map(|recovers| Step::Takeover { recovers }),
     ]
 }
 
@@ -74,6 +74,8 @@
     program: Program,
     events: Vec<Event>,
     used: u64,
+    /// The turn that a killed entry could not record; witnesses may hold it.
+    unrecorded: Option<Turn>,
 }
 
 impl Member {
@@ -94,6 +96,7 @@
             program: Program::new(created.clone()),
             events: vec![Event::Created(created)],
             used: 0,
+            unrecorded: None,
         }
     }
 
@@ -121,18 +124,23 @@
         }
     }
 
-    fn turn(&mut self, request: &Request, answer: Answer, tokens: Tokens) {
+    fn make_turn(&self, request: &Request, answer: Answer, tokens: Tokens) -> Turn {
         let usage = Usage {
             tokens: tokens.plus(self.program.lost()),
             ..Usage::default()
         };
-        self.append(Event::Turn(Turn {
+        Turn {
             call: Call::from(request),
             answer,
             usage,
             route: None,
             at: Time(1),
-        }));
+        }
+    }
+
+    fn turn(&mut self, request: &Request, answer: Answer, tokens: Tokens) {
+        let turn = self.make_turn(request, answer, tokens);
+        self.append(Event::Turn(turn));
     }
 
     /// A call whose dispatches are all under way at a time, as hedges are; true if the entry was
@@ -153,6 +161,9 @@
                 Fate::Answered(used) => {
                     self.used += used.min(worst);
                     if killed && index + 1 == dispatches.len() {
+                        let answer = Answer::Whole(Vec::new());
+                        let turn = self.make_turn(&request, answer, Tokens(used.min(worst)));
+                        self.unrecorded = Some(turn);
                         return true;
                     }
                     self.turn(&request, Answer::Whole(Vec::new()), Tokens(used.min(worst)));
@@ -164,11 +175,16 @@
         false
     }
 
-    fn take_over(&mut self) {
+    fn take_over(&mut self, recovers: bool) {
         self.events.push(Event::Adopted {
             from: Incarnation(1),
             at: Time(2),
         });
+        if let Some(turn) = self.unrecorded.take()
+            && recovers
+        {
+            self.events.push(Event::Recovered(turn));
+        }
         self.program = Program::replay(&self.events).unwrap();
     }
 
@@ -237,7 +253,8 @@
             let live = |members: &[Member], program: usize| {
                 members[program % count].program.ended().is_none()
             };
-            let mut killed_now = matches!(step, Step::Takeover);
+            let mut killed_now = matches!(step, Step::Takeover { .. });
+            let recovers = !matches!(step, Step::Takeover { recovers: false });
             match step {
                 Step::Call { program, worst, dispatches, killed } if live(&members, program) => {
                     killed_now = members[program % count].call(worst, &dispatches, killed);
@@ -251,7 +268,7 @@
                 _ => {}
             }
             if killed_now {
-                members.iter_mut().for_each(Member::take_over);
+                members.iter_mut().for_each(|member| member.take_over(recovers));
             }
             members.iter().for_each(Member::check);
             let used: u64 = members.iter().map(|member| member.used).sum();
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -15,9 +15,12 @@
 use crate::endpoint::Client;
 use crate::guard::{End, Guard, Verdict};
 use crate::queue::Queue;
+use crate::witness::Witness;
 
 const QUEUE_MAX: u32 = 1_024;
 const DRAIN_POLL: Span = Span::from_ms(20);
+/// Room for tails of histories in a store outage.
+const WITNESS_MAX: Bytes = Bytes(16 << 20);
 const TOKEN_TIME_WEIGHT: f64 = 0.2;
 
 /// A call that is waiting for a slot.
@@ -36,6 +39,7 @@
     token_time: Cell<f64>,
     pub(crate) replica: RefCell<Replica>,
     stale_after: Span,
+    pub(crate) witness: RefCell<Witness>,
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
     pub(crate) clock: Clock,
@@ -58,6 +62,7 @@
             queue: RefCell::new(Queue::new(settings.endpoint.slots)),
             waiting: RefCell::default(),
             token_time: Cell::new(0.0),
+            witness: RefCell::new(Witness::new(WITNESS_MAX)),
             replica: RefCell::default(),
             stale_after: settings.process.timing.stale_after,
             metrics,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -14,6 +14,7 @@
 mod queue;
 mod server;
 mod status;
+mod witness;
 
 pub use error::{Error, Result};
 pub use guard::{Entry, Guard, Verdict};
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -58,6 +58,25 @@
         Frame::Document { version, text } => {
             document::receive(calls, version, text, stream).await?;
         }
+        Frame::Hold(tail) => {
+            let frame = if calls.witness.borrow_mut().hold(tail) {
+                Frame::Ack
+            } else {
+                Frame::Refused(Refused {
+                    ran: Ran::No,
+                    reason: Reason::Full,
+                })
+            };
+            stream.send(&frame).await?;
+        }
+        Frame::Collect(writers) => {
+            let tails = calls.witness.borrow().collect(&writers);
+            stream.send(&Frame::Tails(tails)).await?;
+        }
+        Frame::Committed(programs) => {
+            calls.witness.borrow_mut().drop_all(&programs);
+            stream.send(&Frame::Ack).await?;
+        }
         Frame::Watch => watch(calls, stream).await?,
         other => return Err(Error::Unexpected(other.kind())),
     }
--- a/crates/sidecar/src/status.rs
+++ b/crates/sidecar/src/status.rs
@@ -31,6 +31,8 @@
         "/metrics" => {
             calls.metrics.set("running", i64::from(load.running));
             calls.metrics.set("queued", i64::from(load.queued));
+            let held = calls.witness.borrow().held();
+            calls.metrics.set("witness-bytes", held.0 as i64);
             let mut response = Response::new(StatusCode::Ok);
             response.set_body(calls.metrics.render());
             response.insert_header("content-type", "text/plain; version=0.0.4");
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -74,6 +74,15 @@
     /// Asks the owner of a program what it knows of it; answered by `Body` with JSON, or by `Ack`
     /// from an entry that does not own it.
     Explain(Program),
+    /// Has a sidecar hold turns that their owner cannot record now; answered by `Ack`, or by
+    /// `Refused` for want of room.
+    Hold(Tail),
+    /// Asks for the tails of these writers' programs; answered by `Tails`.
+    Collect(Vec<Incarnation>),
+    /// The tails that the sidecar holds.
+    Tails(Vec<Tail>),
+    /// The tails of these programs are in the log and need not be held; answered by `Ack`.
+    Committed(Vec<Program>),
     /// The log of this writer was sealed in favour of the receiver's, which is to adopt its programs;
     /// answered by `Ack`.
     Adopt(Incarnation),
@@ -106,6 +115,10 @@
             Frame::Ack => "Ack",
             Frame::InForce(_) => "InForce",
             Frame::Explain(_) => "Explain",
+            Frame::Hold(_) => "Hold",
+            Frame::Collect(_) => "Collect",
+            Frame::Tails(_) => "Tails",
+            Frame::Committed(_) => "Committed",
             Frame::Adopt(_) => "Adopt",
         }
     }
@@ -311,6 +324,17 @@
     pub reason: Reason,
 }
 
+/// The end of a program's history that is not in its log yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tail {
+    /// The program.
+    pub program: Program,
+    /// The writer of its log.
+    pub writer: Incarnation,
+    /// The turns, encoded by the log.
+    pub turns: Vec<u8>,
+}
+
 /// A request for the rest of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resume {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -21,7 +21,7 @@
 pub use error::{Error, Result};
 pub use frame::{
     Accepted, Body, Delta, Dispatch, Done, Forward, Frame, Head, Identity, Load, Ran, Reason,
-    Refused, Resume, Role, State, Usage, Work,
+    Refused, Resume, Role, State, Tail, Usage, Work,
 };
 pub use link::Link;
 pub use server::serve;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod explain;
 mod failures;
 mod links;
+mod outage;
 mod store;
 mod takeover;
 mod whole_path;
