--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,13 +13,17 @@
 mod control;
 mod dispatch;
 mod documents;
+mod drain;
 mod error;
 mod forward;
 mod links;
 mod live;
+mod owner;
 mod refusal;
 mod reply;
 mod routing;
+mod settle;
+mod takeover;
 mod traffic;
 
 pub use error::{Error, Result};
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -74,6 +74,9 @@
     /// Asks the owner of a program what it knows of it; answered by `Body` with JSON, or by `Ack`
     /// from an entry that does not own it.
     Explain(Program),
+    /// The log of this writer was sealed in favour of the receiver's, which is to adopt its programs;
+    /// answered by `Ack`.
+    Adopt(Incarnation),
 }
 
 impl Frame {
@@ -103,6 +106,7 @@
             Frame::Ack => "Ack",
             Frame::InForce(_) => "InForce",
             Frame::Explain(_) => "Explain",
+            Frame::Adopt(_) => "Adopt",
         }
     }
 }
