wire: heartbeats, a second connection on suspicion, full jitter

Cause: a connection that went silent for good held its exchanges to their deadlines, and a silent client's streams stayed at the server. Ruled out: TCP keep-alive (too slow), closing at the first overdue pong (a paused process would lose its streams). Change: typestate connection with the time as an argument, h2 PING from both ends, Link::{suspected, recovered, close}, entry links open a second connection and move to it, forwarded requests are repeated to the same incarnation, server waits end with their client. serve() takes a callback for refused connections.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,7 +1,15 @@
 //! Requests for programs that another entry owns.
+//!
+//! A request is passed on again when its connection is lost, to the same incarnation of the owner
+//! only: there a call is known by its number, so that a repeat finds the one answer and never makes
+//! a second one.
 
 use std::rc::Rc;
 
+use async_channel::Receiver;
+use serde_json::json;
+use smol::future::FutureExt;
+use units::{Incarnation, Span};
 use wire::{Body, Error, Forward, Frame, Head, Link, Stream};
 
 use crate::api::{self, Request};
@@ -9,45 +17,124 @@
 use crate::reply::{Lines, Reply};
 use crate::traffic::Traffic;
 
+const RECOVERY_TIMEOUT: Span = Span::from_ms(3_000);
+const RECOVERY_POLL: Span = Span::from_ms(50);
+const STATUS_OK: u16 = 200;
+
+/// A request that is passed on.
+struct Passed {
+    request: Frame,
+    owner: Incarnation,
+    /// Whether the answer is lines, which can be begun anew.
+    lines: bool,
+}
+
 /// Passes a request on to the entry behind `link` and its answer back.
 pub(crate) async fn send(traffic: &Rc<Traffic>, link: &Link, request: &Request) -> Result<Reply> {
-    let forward = Frame::Forward(request.forward());
+    let passed = Passed {
+        request: Frame::Forward(request.forward()),
+        owner: link.peer().incarnation,
+        lines: request.path == "calls",
+    };
     let mut stream = link
-        .open(&forward)
+        .open(&passed.request)
         .await
         .map_err(|_| Refusal::Unavailable)?;
-    stream.finish().map_err(|_| Refusal::Unavailable)?;
-    // From here on the request may have reached the owner; the caller learns more by a repeat.
-    let head = stream.expect().await.map_err(|_| Refusal::Indeterminate)?;
-    let Frame::Head(Head { status }) = head else {
-        return Err(Refusal::Indeterminate);
+    // From here on the request may have reached the owner.
+    let status = match head(&mut stream).await {
+        Ok(status) => status,
+        Err(_) => {
+            let (again, status) = repeat(traffic, &passed).await?;
+            stream = again;
+            status
+        }
     };
     let (lines, reply) = Lines::new();
-    traffic.executor.spawn(copy(stream, lines)).detach();
+    let copy = copy(traffic.clone(), passed, stream, status, lines);
+    traffic.executor.spawn(copy).detach();
     let Reply::Lines(_, receiver) = reply else {
         return Err(Refusal::Indeterminate);
     };
     Ok(Reply::Lines(status, receiver))
 }
 
-async fn copy(mut stream: Stream, lines: Lines) {
+async fn head(stream: &mut Stream) -> std::result::Result<u16, Error> {
+    stream.finish()?;
+    match stream.expect().await? {
+        Frame::Head(Head { status }) => Ok(status),
+        other => Err(Error::Unexpected(other.kind())),
+    }
+}
+
+/// Passes a request on again, on the connection that took the place of the lost one.
+async fn repeat(traffic: &Traffic, passed: &Passed) -> Result<(Stream, u16)> {
+    let start = traffic.shared.clock.now();
+    while traffic.shared.clock.now().since(start) < RECOVERY_TIMEOUT {
+        let view = traffic.shared.view.load_full();
+        let mut entries = view.entries.iter();
+        let owner = entries.find(|peer| peer.incarnation == passed.owner);
+        if let Some(link) = owner.and_then(|peer| traffic.link(&peer.host))
+            && link.peer().incarnation == passed.owner
+            && let Ok(mut stream) = link.open(&passed.request).await
+            && let Ok(status) = head(&mut stream).await
+        {
+            traffic.shared.metrics.count("forward-repeated");
+            return Ok((stream, status));
+        }
+        smol::Timer::after(RECOVERY_POLL.into()).await;
+    }
+    Err(Refusal::Indeterminate)
+}
+
+/// Copies an answer to the caller, through lost connections if need be.
+async fn copy(
+    traffic: Rc<Traffic>,
+    mut passed: Passed,
+    mut stream: Stream,
+    mut status: u16,
+    lines: Lines,
+) {
+    let mut sent = false;
     loop {
         match stream.recv().await {
             Ok(Some(Frame::Body(body))) => {
+                sent = true;
                 if !lines.send_bytes(body.bytes).await {
                     return;
                 }
             }
             Ok(None) => return,
+            // A whole value is one frame: only its end is missing.
+            Ok(Some(_)) | Err(_) if sent && !(passed.lines && status == STATUS_OK) => return,
             Ok(Some(_)) | Err(_) => {
-                // The caller must not take a broken answer for a whole one.
-                lines.send(&Refusal::Indeterminate.json()).await;
-                return;
+                if sent {
+                    passed.begin_anew();
+                }
+                match repeat(&traffic, &passed).await {
+                    Ok(again) => (stream, status) = again,
+                    Err(refusal) => {
+                        // The caller must not take a broken answer for a whole one.
+                        lines.send(&refusal.json()).await;
+                        return;
+                    }
+                }
+                if sent && !lines.send(&json!({"type": "restart"})).await {
+                    return;
+                }
             }
         }
     }
 }
 
+impl Passed {
+    /// Asks for the answer from its first byte on.
+    fn begin_anew(&mut self) {
+        if let Frame::Forward(forward) = &mut self.request {
+            forward.offset = 0;
+        }
+    }
+}
+
 /// Serves a request that another entry passed on.
 pub(crate) async fn receive(
     traffic: &Rc<Traffic>,
@@ -66,7 +153,7 @@
         }
         Ok(Reply::Lines(status, lines)) => {
             stream.send(&Frame::Head(Head { status })).await?;
-            while let Ok(bytes) = lines.recv().await {
+            while let Some(bytes) = next(&lines, stream).await {
                 stream.send(&Frame::Body(Body { bytes })).await?;
             }
         }
@@ -82,3 +169,13 @@
     }
     stream.finish()
 }
+
+/// The next line, unless the peer has gone away: a wait for it must not pin the stream.
+async fn next(lines: &Receiver<Vec<u8>>, stream: &mut Stream) -> Option<Vec<u8>> {
+    let line = async { lines.recv().await.ok() };
+    let gone = async {
+        stream.gone().await;
+        None
+    };
+    line.or(gone).await
+}
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -1,17 +1,20 @@
 //! Connections to the listed hosts.
+//!
+//! A connection whose heartbeat is overdue is not waited for: a second one is opened and takes its
+//! place, and the first is closed, so that its exchanges go on on the second.
 
 use std::rc::Rc;
 
 use board::Observation;
 use platform::api::HostInfo;
 use smol::LocalExecutor;
+use smol::future::FutureExt;
 use units::{Host, Program, Span};
-use wire::{Frame, Link, Result};
+use wire::{Backoff, Frame, Link, Result};
 
 use crate::traffic::Traffic;
 
 const SCAN_INTERVAL: Span = Span::from_ms(100);
-const RECONNECT_DELAY: Span = Span::from_ms(200);
 
 /// Keeps a connection to each listed host.
 pub(crate) async fn keep(traffic: Rc<Traffic>, executor: Rc<LocalExecutor<'static>>) {
@@ -30,32 +33,101 @@
 
 /// Keeps the connection to one host until it is no longer listed at this address.
 async fn keep_one(traffic: Rc<Traffic>, executor: Rc<LocalExecutor<'static>>, info: HostInfo) {
+    let mut backoff = Backoff::new();
+    let mut current: Option<Link> = None;
     while traffic.shared.view.load().hosts.contains(&info) {
-        let identity = &traffic.shared.identity;
-        match Link::connect(&executor, info.address, &traffic.key, identity).await {
+        match connect(&traffic, &executor, &info, current.as_ref()).await {
             Ok(link) => {
-                use_link(&traffic, &info.host, link).await;
-                traffic.links.borrow_mut().remove(&info.host);
-                traffic.observe(Observation::Down(info.host.clone())).await;
+                replace(&traffic, &info.host, current.take(), &link).await;
+                backoff.opened(traffic.shared.clock.now());
+                attend(&traffic, &info.host, &link).await;
+                current = Some(link);
             }
-            Err(_) => traffic.shared.metrics.count("connect-failed"),
+            Err(error) => {
+                traffic.shared.metrics.count("connect-failed");
+                traffic.shared.metrics.count(error.label());
+                drop_link(&traffic, &info.host, current.take()).await;
+            }
+        }
+        // A second connection is tried at once; what is lost for good is tried with jitter.
+        if current.as_ref().is_none_or(Link::is_closed) {
+            drop_link(&traffic, &info.host, current.take()).await;
+            let now = traffic.shared.clock.now();
+            let delay = backoff.delay(now, &mut *traffic.rng.borrow_mut());
+            smol::Timer::after(delay.into()).await;
         }
-        smol::Timer::after(RECONNECT_DELAY.into()).await;
     }
+    drop_link(&traffic, &info.host, current).await;
     traffic.connecting.borrow_mut().remove(&info.host);
 }
 
-/// Offers a connection to calls until it breaks.
-async fn use_link(traffic: &Traffic, host: &Host, link: Link) {
-    let mut identity = link.peer().clone();
-    identity.host = host.clone();
+/// Opens a connection, unless the suspected one recovers first.
+async fn connect(
+    traffic: &Traffic,
+    executor: &Rc<LocalExecutor<'static>>,
+    info: &HostInfo,
+    suspect: Option<&Link>,
+) -> Result<Link> {
+    let open = Link::connect(
+        executor,
+        info.address,
+        &traffic.key,
+        &traffic.shared.identity,
+    );
+    let recover = async {
+        match suspect {
+            Some(link) => {
+                link.recovered().await;
+                Ok(link.clone())
+            }
+            None => std::future::pending().await,
+        }
+    };
+    open.or(recover).await
+}
+
+/// Offers `link` to calls in place of the one before it, whose exchanges move to it.
+async fn replace(traffic: &Traffic, host: &Host, before: Option<Link>, link: &Link) {
+    if before.as_ref().is_some_and(|before| before.same(link)) {
+        return;
+    }
+    let restarted = |before: &Link| before.peer().incarnation != link.peer().incarnation;
+    if before.as_ref().is_some_and(restarted) {
+        traffic.observe(Observation::Down(host.clone())).await;
+    }
     traffic
         .links
         .borrow_mut()
         .insert(host.clone(), link.clone());
+    let mut identity = link.peer().clone();
+    identity.host = host.clone();
     traffic.observe(Observation::Up(identity)).await;
-    // The watch ends with the connection, which is all that matters here.
-    let _ = watch(traffic, host, &link).await;
+    if let Some(before) = before {
+        traffic.shared.metrics.count("link-replaced");
+        before.close();
+    }
+}
+
+/// Ends the use of a host's connection.
+async fn drop_link(traffic: &Traffic, host: &Host, link: Option<Link>) {
+    if let Some(link) = link {
+        traffic.links.borrow_mut().remove(host);
+        link.close();
+        traffic.observe(Observation::Down(host.clone())).await;
+    }
+}
+
+/// Reads load reports until the connection is suspected or ends.
+async fn attend(traffic: &Traffic, host: &Host, link: &Link) {
+    let watch = async {
+        // A watch that ends without its connection is no reason to leave it.
+        let _ = watch(traffic, host, link).await;
+        std::future::pending().await
+    };
+    watch.or(link.suspected()).await;
+    if link.is_suspect() {
+        traffic.shared.metrics.count("link-suspected");
+    }
 }
 
 async fn watch(traffic: &Traffic, host: &Host, link: &Link) -> Result<()> {
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -138,7 +138,9 @@
     let served = match listen(listener) {
         Ok(listener) => {
             let (executor, key) = (traffic.executor.clone(), traffic.key.clone());
-            wire::serve(executor, listener, key, own, handler).await
+            let metrics = traffic.shared.metrics.clone();
+            let refused = move |error: &Error| metrics.count(error.label());
+            wire::serve(executor, listener, key, own, handler, refused).await
         }
         Err(why) => Err(why),
     };
@@ -154,7 +156,7 @@
             Frame::Forward(forward) => forward::receive(&traffic, forward, &mut stream).await,
             Frame::Watch => {
                 // An entry has no load to report; the open stream shows that it lives.
-                std::future::pending::<()>().await;
+                stream.gone().await;
                 Ok(())
             }
             other => Err(Error::Unexpected(other.kind())),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -66,7 +66,11 @@
         let calls = calls.clone();
         move |peer, stream| server::exchange(calls.clone(), peer, stream)
     };
-    let serve = wire::serve(executor.clone(), peers, key, identity, handler);
+    let refused = {
+        let calls = calls.clone();
+        move |error: &wire::Error| calls.metrics.count(error.label())
+    };
+    let serve = wire::serve(executor.clone(), peers, key, identity, handler, refused);
     executor.spawn(async move { drop(serve.await) }).detach();
     executor
         .spawn(status::serve(executor.clone(), status, calls.clone()))
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use smol::future::FutureExt;
 use units::Span;
 use wire::{
     Accepted, Answer, Delta, Error, Frame, Identity, Next, Ran, Reason, Refused, Result, Resume,
@@ -62,7 +63,8 @@
 /// Sends an answer from `offset` on until it ends.
 async fn follow(stream: &mut Stream, answer: &Answer<End>, mut offset: usize) -> Result<()> {
     loop {
-        let frame = match answer.next(offset, answer.restarts()).await {
+        let next = async { Ok(answer.next(offset, answer.restarts()).await) };
+        let frame = match next.or(gone(stream)).await? {
             Next::Bytes(bytes) => {
                 let delta = Delta {
                     offset: offset as u64,
@@ -88,6 +90,16 @@
             stream.send(&Frame::Load(load)).await?;
             sent = Some(load);
         }
-        smol::Timer::after(LOAD_INTERVAL.into()).await;
+        let wait = async {
+            smol::Timer::after(LOAD_INTERVAL.into()).await;
+            Ok(())
+        };
+        wait.or(gone(stream)).await?;
     }
 }
+
+/// Fails once the peer has gone away, so that a wait for something else pins no stream.
+async fn gone<T>(stream: &mut Stream) -> Result<T> {
+    stream.gone().await;
+    Err(Error::Ended)
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -27,6 +27,18 @@
     Timeout,
 }
 
+impl Error {
+    /// The name under which a connection that ended like this is counted.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Error::Authentication => "peer-unauthenticated",
+            Error::Timeout => "peer-silent",
+            Error::Decode(_) | Error::TooLarge(_) | Error::Version(_) => "peer-malformed",
+            _ => "peer-broken",
+        }
+    }
+}
+
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,19 +4,25 @@
 //! - A connection carries no work before both ends have proved that they hold the shared key.
 //! - Each exchange has an h2 stream of its own, opened by the client with one request frame; a lost
 //!   exchange never disturbs another.
+//! - A connection whose peer stops answering pings is suspected within two seconds and closed soon
+//!   after, at both ends, so that its exchanges end and pin nothing.
 //! - A frame is bounded by [`FRAME_MAX_BYTES`], checked before anything is allocated for it.
 
 mod answer;
 mod auth;
+pub mod backoff;
 mod codec;
+pub mod connection;
 mod error;
 mod frame;
+mod heartbeat;
 mod link;
 mod server;
 mod stream;
 
 pub use answer::{Answer, Next};
 pub use auth::Key;
+pub use backoff::Backoff;
 pub use codec::{Decoder, FRAME_MAX_BYTES, encode};
 pub use error::{Error, Result};
 pub use frame::{
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,6 +1,5 @@
 //! The client's end of a connection to a peer.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -10,14 +9,15 @@
 use smol::LocalExecutor;
 use smol::future::FutureExt;
 use smol::net::TcpStream;
-use units::Span;
+use units::Clock;
 
 use crate::auth::{Key, introduce};
+use crate::connection::CONNECT_TIMEOUT;
 use crate::error::{Error, Result};
 use crate::frame::{Frame, Identity};
+use crate::heartbeat::{self, Health};
 use crate::stream::Stream;
 
-const CONNECT_TIMEOUT: Span = Span::from_ms(1_000);
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
 
@@ -26,7 +26,7 @@
 pub struct Link {
     sender: SendRequest<Bytes>,
     peer: Rc<Identity>,
-    closed: Rc<Cell<bool>>,
+    health: Rc<Health>,
 }
 
 impl Link {
@@ -53,17 +53,24 @@
     ) -> Result<Self> {
         let stream = TcpStream::connect(address).await.map_err(Error::Connect)?;
         stream.set_nodelay(true).map_err(Error::Connect)?;
-        let (sender, connection) = h2::client::Builder::new()
+        let (sender, mut connection) = h2::client::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .handshake(Compat::new(stream))
             .await?;
-        let closed = Rc::new(Cell::new(false));
-        let flag = closed.clone();
+        let pings = connection.ping_pong().ok_or(Error::Ended)?;
+        let health = Rc::new(Health::default());
+        let state = health.clone();
         let drive = async move {
-            // Each open exchange reports the error of its own; the flag stops new ones.
-            let _ = connection.await;
-            flag.set(true);
+            let connection = async {
+                // Each open exchange reports the error of its own.
+                let _ = connection.await;
+            };
+            let beats = heartbeat::run(pings, &state, Clock::new());
+            let closed = state.until(Health::is_closed);
+            // Dropping the connection ends all exchanges on it with an error.
+            connection.or(beats).or(closed).await;
+            state.close();
         };
         executor.spawn(drive).detach();
         let mut first = open(&sender).await?;
@@ -71,7 +78,7 @@
         Ok(Link {
             sender,
             peer: Rc::new(peer),
-            closed,
+            health,
         })
     }
 
@@ -80,9 +87,36 @@
         &self.peer
     }
 
+    /// Whether both are the same connection.
+    pub fn same(&self, other: &Link) -> bool {
+        Rc::ptr_eq(&self.health, &other.health)
+    }
+
     /// Whether the connection has ended.
     pub fn is_closed(&self) -> bool {
-        self.closed.get()
+        self.health.is_closed()
+    }
+
+    /// Whether a heartbeat is overdue: what is on the connection may never arrive.
+    pub fn is_suspect(&self) -> bool {
+        self.health.is_suspect()
+    }
+
+    /// Waits until the connection is suspected or has ended.
+    pub async fn suspected(&self) {
+        let bad = |health: &Health| health.is_suspect() || health.is_closed();
+        self.health.until(bad).await;
+    }
+
+    /// Waits until the peer answers again; for ever if the connection has ended.
+    pub async fn recovered(&self) {
+        let good = |health: &Health| !health.is_suspect() && !health.is_closed();
+        self.health.until(good).await;
+    }
+
+    /// Ends the connection for all its users: open exchanges end with an error.
+    pub fn close(self) {
+        self.health.close();
     }
 
     /// Opens an exchange with its first frame.
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -9,86 +9,152 @@
 use h2::RecvStream;
 use h2::server::SendResponse;
 use smol::LocalExecutor;
+use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
+use units::Clock;
 
 use crate::auth::{Key, verify};
+use crate::connection::CONNECT_TIMEOUT;
 use crate::error::{Error, Result};
 use crate::frame::{Frame, Identity};
+use crate::heartbeat::{self, Health};
 use crate::stream::Stream;
 
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
 const STREAMS_MAX: u32 = 10_000;
 
+type Peer = Rc<RefCell<Option<Rc<Identity>>>>;
+
+/// The server of one process.
+#[derive(Clone, Debug)]
+struct Server<H, R> {
+    executor: Rc<LocalExecutor<'static>>,
+    key: Key,
+    own: Identity,
+    handler: H,
+    refused: R,
+}
+
 /// Accepts peers on `listener`: each exchange is a call of `handler` with the peer's identity and
-/// the stream, as a task of `executor`. Returns only if the listener fails.
-pub async fn serve<H, F>(
+/// the stream, as a task of `executor`. `refused` is told why a connection was refused or broke.
+/// Returns only if the listener fails.
+pub async fn serve<H, F, R>(
     executor: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
     key: Key,
     own: Identity,
     handler: H,
+    refused: R,
 ) -> std::io::Result<()>
 where
     H: Fn(Rc<Identity>, Stream) -> F + Clone + 'static,
     F: Future<Output = ()> + 'static,
+    R: Fn(&Error) + Clone + 'static,
 {
+    let server = Server {
+        executor: executor.clone(),
+        key,
+        own,
+        handler,
+        refused,
+    };
     loop {
         let (stream, _) = listener.accept().await?;
-        let (key, own, handler) = (key.clone(), own.clone(), handler.clone());
-        let tasks = executor.clone();
+        let server = server.clone();
         let connection = async move {
             // A peer that breaks off or cannot authenticate concerns nobody else.
-            let _ = connection(tasks, stream, key, own, handler).await;
+            if let Err(error) = server.connection(stream).await {
+                (server.refused)(&error);
+            }
         };
         executor.spawn(connection).detach();
     }
 }
 
-async fn connection<H, F>(
-    executor: Rc<LocalExecutor<'static>>,
-    stream: TcpStream,
-    key: Key,
-    own: Identity,
-    handler: H,
-) -> Result<()>
+impl<H, F, R> Server<H, R>
 where
     H: Fn(Rc<Identity>, Stream) -> F + Clone + 'static,
     F: Future<Output = ()> + 'static,
+    R: Fn(&Error) + Clone + 'static,
 {
-    stream.set_nodelay(true).map_err(Error::Connect)?;
-    let mut connection = h2::server::Builder::new()
-        .initial_window_size(STREAM_WINDOW_BYTES)
-        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .max_concurrent_streams(STREAMS_MAX)
-        .handshake::<_, Bytes>(Compat::new(stream))
-        .await?;
-    let peer: Rc<RefCell<Option<Rc<Identity>>>> = Rc::default();
-    let mut first = true;
-    while let Some(accepted) = connection.accept().await {
-        let (request, respond) = accepted?;
-        let mut stream = answer(request, respond)?;
-        let known = peer.borrow().clone();
-        if let Some(identity) = known {
-            executor.spawn(handler(identity, stream)).detach();
-        } else if first {
-            first = false;
-            let (key, own, peer) = (key.clone(), own.clone(), peer.clone());
-            let handshake = async move {
-                if let Ok(identity) = verify(&mut stream, &key, &own).await {
-                    *peer.borrow_mut() = Some(Rc::new(identity));
-                    // A client that does not read `Welcome` has gone away.
-                    let _ = stream.send(&Frame::Welcome).await;
-                    // Without an end, dropping the stream would reset it before it is sent.
-                    let _ = stream.finish();
-                }
-            };
-            executor.spawn(handshake).detach();
-        } else {
+    /// Serves one connection until it ends or its client no longer answers pings.
+    async fn connection(&self, stream: TcpStream) -> Result<()> {
+        stream.set_nodelay(true).map_err(Error::Connect)?;
+        let handshake = h2::server::Builder::new()
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .max_concurrent_streams(STREAMS_MAX)
+            .handshake::<_, Bytes>(Compat::new(stream));
+        let handshake = async { Ok(handshake.await?) }.or(expire());
+        let mut connection = handshake.await.map_err(|_| Error::Authentication)?;
+        let pings = connection.ping_pong().ok_or(Error::Ended)?;
+        let peer = Peer::default();
+        let health = Health::default();
+        let exchanges = self.exchanges(&mut connection, &peer);
+        let beats = async {
+            heartbeat::run(pings, &health, Clock::new()).await;
+            Err(Error::Timeout)
+        };
+        // Dropping the connection ends the streams of a client that has gone silent, so that they
+        // pin nothing.
+        let end = exchanges.or(beats).or(authenticated(&peer)).await;
+        if peer.borrow().is_none() {
             return Err(Error::Authentication);
         }
+        end
+    }
+
+    async fn exchanges(
+        &self,
+        connection: &mut h2::server::Connection<Compat<TcpStream>, Bytes>,
+        peer: &Peer,
+    ) -> Result<()> {
+        let mut first = true;
+        while let Some(accepted) = connection.accept().await {
+            let (request, respond) = accepted?;
+            let stream = answer(request, respond)?;
+            let known = peer.borrow().clone();
+            if let Some(identity) = known {
+                let exchange = (self.handler)(identity, stream);
+                self.executor.spawn(exchange).detach();
+            } else if first {
+                first = false;
+                let handshake = self.clone().handshake(stream, peer.clone());
+                self.executor.spawn(handshake).detach();
+            } else {
+                return Err(Error::Authentication);
+            }
+        }
+        Ok(())
+    }
+
+    /// Authenticates the client on the connection's first stream.
+    async fn handshake(self, mut stream: Stream, peer: Peer) {
+        // A failure leaves the peer unknown, which the connection reports.
+        if let Ok(identity) = verify(&mut stream, &self.key, &self.own).await {
+            *peer.borrow_mut() = Some(Rc::new(identity));
+            // A client that does not read `Welcome` has gone away.
+            let _ = stream.send(&Frame::Welcome).await;
+            // Without an end, dropping the stream would reset it before it is sent.
+            let _ = stream.finish();
+        }
+    }
+}
+
+/// Fails once the time to connect has passed.
+async fn expire<T>() -> Result<T> {
+    smol::Timer::after(CONNECT_TIMEOUT.into()).await;
+    Err(Error::Timeout)
+}
+
+/// Fails if the client has not authenticated itself in time.
+async fn authenticated(peer: &Peer) -> Result<()> {
+    smol::Timer::after(CONNECT_TIMEOUT.into()).await;
+    if peer.borrow().is_none() {
+        return Err(Error::Authentication);
     }
-    Ok(())
+    std::future::pending().await
 }
 
 fn answer(request: http::Request<RecvStream>, mut respond: SendResponse<Bytes>) -> Result<Stream> {
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -55,6 +55,12 @@
         Ok(self.sender.send_data(Bytes::new(), true)?)
     }
 
+    /// Waits until the peer gives the exchange up or its connection ends.
+    pub async fn gone(&mut self) {
+        // Either end of the wait means that nothing sent from here on will be read.
+        let _ = poll_fn(|context| self.sender.poll_reset(context)).await;
+    }
+
     /// The next frame, or `None` once the peer has ended its direction.
     pub async fn recv(&mut self) -> Result<Option<Frame>> {
         if let Receiver::Waiting(response) = &mut self.receiver {
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -6,10 +6,14 @@
     reason = "a failed step fails the test"
 )]
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use smol::LocalExecutor;
+use smol::future::FutureExt;
 use smol::net::TcpListener;
+use standins::link::{self, Direction};
 use units::{Call, Incarnation, Program};
 use wire::{Error, Frame, Identity, Key, Link, Role, State, Stream, serve};
 
@@ -45,7 +49,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let own = identity("server", address);
-        let run = serve(tasks.clone(), listener, server, own, answer);
+        let run = serve(tasks.clone(), listener, server, own, answer, |_| {});
         tasks.spawn(async move { drop(run.await) }).detach();
         let own = identity("client", address);
         check(Link::connect(&tasks, address, &client, &own).await).await;
@@ -74,3 +78,84 @@
         assert!(matches!(link.unwrap_err(), Error::Authentication));
     });
 }
+
+/// Bound for a server to give up a client that has gone silent.
+const SERVER_CLOSE_MAX: Duration = Duration::from_secs(4);
+
+/// Runs a server whose exchanges last until their client has gone, and `check` with its address, the
+/// number of its open exchanges and the labels of the connections that it gave up.
+fn with_server<F: Future<Output = ()>>(
+    check: impl FnOnce(Rc<LocalExecutor<'static>>, std::net::SocketAddr, Rc<Seen>) -> F,
+) {
+    let executor = Rc::new(LocalExecutor::new());
+    let tasks = executor.clone();
+    smol::block_on(executor.run(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Rc::new(Seen::default());
+        let (counts, labels) = (seen.clone(), seen.clone());
+        let wait = move |_: Rc<Identity>, mut stream: Stream| {
+            let counts = counts.clone();
+            async move {
+                counts.open.set(counts.open.get() + 1);
+                stream.gone().await;
+                counts.open.set(counts.open.get() - 1);
+            }
+        };
+        let refused = move |error: &Error| labels.refused.borrow_mut().push(error.label());
+        let (key, own) = (Key::new([1; 32]), identity("server", address));
+        let run = serve(tasks.clone(), listener, key, own, wait, refused);
+        tasks.spawn(async move { drop(run.await) }).detach();
+        check(tasks, address, seen).await;
+    }));
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    open: Cell<u32>,
+    refused: RefCell<Vec<&'static str>>,
+}
+
+/// Waits until `condition` holds.
+async fn eventually(bound: Duration, condition: impl Fn() -> bool) {
+    let poll = async {
+        while !condition() {
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+        true
+    };
+    let expire = async {
+        smol::Timer::after(bound).await;
+        false
+    };
+    assert!(poll.or(expire).await, "not within {bound:?}");
+}
+
+#[test]
+fn silent_client_pins_no_exchange_at_the_server() {
+    with_server(|tasks, address, seen| async move {
+        let relay = link::start("127.0.0.1:0".parse().unwrap(), address).unwrap();
+        let (key, own) = (Key::new([1; 32]), identity("client", address));
+        let link = Link::connect(&tasks, relay.address, &key, &own)
+            .await
+            .unwrap();
+        let _stream = link.open(&Frame::Watch).await.unwrap();
+        eventually(SERVER_CLOSE_MAX, || seen.open.get() == 1).await;
+        relay.silence(Direction::Both);
+        link.suspected().await;
+        eventually(SERVER_CLOSE_MAX, || seen.open.get() == 0).await;
+        assert_eq!(*seen.refused.borrow(), ["peer-silent"]);
+    });
+}
+
+#[test]
+fn wrong_key_and_missing_handshake_are_counted() {
+    with_server(|tasks, address, seen| async move {
+        let (wrong, own) = (Key::new([2; 32]), identity("client", address));
+        let refused = Link::connect(&tasks, address, &wrong, &own).await;
+        assert!(matches!(refused, Err(Error::Authentication)));
+        let _mute = smol::net::TcpStream::connect(address).await.unwrap();
+        eventually(SERVER_CLOSE_MAX, || seen.refused.borrow().len() == 2).await;
+        assert_eq!(*seen.refused.borrow(), ["peer-unauthenticated"; 2]);
+    });
+}
--- a/tests/all/links.rs
+++ b/tests/all/links.rs
@@ -2,9 +2,51 @@
 
 use std::time::Duration;
 
-use standins::engine::expected;
+use standins::engine::{self, expected};
+use standins::link::Direction;
 
-use crate::cluster::Config;
+use crate::cases;
+use crate::cluster::{Config, START_MAX, eventually};
+
+/// Bound for a silent connection to be noticed and a second one opened.
+const NOTICE_MAX: Duration = Duration::from_secs(2);
+
+const TOKENS: u64 = 160;
+
+/// Silences the connections to `host` within a call of `entry` that the first entry owns.
+fn silence_mid_stream((host, entry, direction): (&str, u16, Direction)) {
+    let slow = engine::Config {
+        token_us: 20_000,
+        ..engine::Config::default()
+    };
+    let config = Config::new().with_engines(1).with_engine(slow);
+    let cluster = config.with_links().start();
+    let program = cluster.caller(0, "meche").create("advisor", 50_000, 20);
+    let caller = cluster.caller(entry, "meche");
+    let call = std::thread::spawn(move || caller.model(&program, 1, "Which wax?", TOKENS));
+    let generated = || cluster.engines[0].state().used.values().sum::<u64>();
+    eventually(START_MAX, "the answer grows", || generated() > 20);
+    let link = &cluster.links[host];
+    let accepted = link.accepted();
+    link.silence(direction);
+    eventually(NOTICE_MAX, "a second connection is open", || {
+        link.accepted() > accepted
+    });
+    let answer = call.join().unwrap();
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(answer.text, expected("Which wax?", TOKENS));
+    let executions = cluster.engines[0].state().executions.clone();
+    assert_eq!(executions.values().sum::<u32>(), 1, "{executions:?}");
+}
+
+cases! {
+    silence_mid_stream;
+    sidecar_silent_both_ways: ("sidecar-engine-0", 0, Direction::Both),
+    sidecar_silent_to_the_entry: ("sidecar-engine-0", 0, Direction::ToClient),
+    sidecar_silent_from_the_entry: ("sidecar-engine-0", 0, Direction::ToServer),
+    owner_silent_both_ways: ("entry-0", 1, Direction::Both),
+    owner_silent_to_the_other_entry: ("entry-0", 1, Direction::ToClient),
+}
 
 #[test]
 fn calls_pass_through_slow_links() {
