--- a/crates/wire/examples/reconnect.rs
+++ b/crates/wire/examples/reconnect.rs
@@ -116,7 +116,7 @@
         links.push(client.await);
     }
     let all = back.elapsed();
-    let attempts = attempts.borrow();
+    let attempts = attempts.take();
     let mut buckets = std::collections::BTreeMap::<u128, u32>::new();
     for attempt in attempts.iter() {
         let bucket = attempt.duration_since(lost).as_millis() / BUCKET_MS;
