sidecar: guard bounded by epochs, floors and releases

Cause: tombstones and saved calls grew for ever; a saved call's tombstone said that the call did not run; a cancel that overtook its dispatch had no effect; a queue-full refusal and queued inputs were unbounded. Ruled out: dropping tombstones with Saved or Release (a late dispatch runs), a floor per program for ever, a Bloom filter. Change: Frame::Epoch and Dispatch::epoch, two epochs of 60 s; floor per program; cancel and full queue leave tombstones; entry bounds recovery by the deadline, cancels what is past it, waits 15 s for an order's sidecar. Found by the new state-machine test: a tombstone made after the call was forgotten denied a call that ran; now answered unknown, with a test. Figures: at most 300 of 10,000 calls kept with an epoch per 100 calls.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -3,13 +3,15 @@
 use log::Route;
 use slog::warn;
 use smol::future::FutureExt;
-use units::{Digest, Span, Target};
-use wire::{Dispatch, Done, Frame, Ran, Reason, Refused, State, Work};
+use units::{Digest, Host, Incarnation, Span, Target, Time};
+use wire::{Dispatch, Done, Epoch, Frame, Link, Ran, Reason, Refused, State, Work};
 
 use crate::calls::Run;
 use crate::traffic::Traffic;
 
 const RECOVERY_TIMEOUT: Span = Span::from_ms(3_000);
+/// A call that may not be repeated is worth a longer wait for its sidecar than one that may.
+const ORDER_RECOVERY_TIMEOUT: Span = Span::from_ms(15_000);
 const RECOVERY_POLL: Span = Span::from_ms(100);
 
 /// How one dispatch ended.
@@ -41,6 +43,7 @@
             attempt: route.attempt,
         },
         sidecar: route.sidecar,
+        epoch: epoch(traffic, route),
         account: created.account.clone(),
         target: target.clone(),
         work: work.clone(),
@@ -52,6 +55,21 @@
     }
 }
 
+/// The sidecar's epoch as last heard: the dispatch is made before its intent is recorded.
+fn epoch(traffic: &Traffic, route: &Route) -> Epoch {
+    find(traffic, route).map_or(Epoch::default(), |(_, link)| link.epoch())
+}
+
+/// A dispatch that was sent.
+struct Sent {
+    call: units::Call,
+    host: Host,
+    sidecar: Incarnation,
+    epoch: Epoch,
+    deadline: Time,
+    recovery: Span,
+}
+
 /// Sends one dispatch and follows its answer, through a lost connection if need be.
 pub(crate) async fn send(
     traffic: &Traffic,
@@ -59,38 +77,37 @@
     route: &Route,
     dispatch: Dispatch,
 ) -> Dispatched {
-    let view = traffic.shared.view.load_full();
-    let endpoint = view
-        .endpoints
-        .iter()
-        .find(|endpoint| endpoint.incarnation == route.sidecar);
-    let unreachable = Refused {
-        ran: Ran::No,
-        reason: Reason::Unreachable,
-    };
-    let Some(host) = endpoint.map(|endpoint| endpoint.host.clone()) else {
-        return Dispatched::Refused(unreachable);
+    let Some((host, link)) = find(traffic, route) else {
+        return Dispatched::Refused(refused(Ran::No, Reason::Unreachable));
     };
-    let Some(link) = traffic.link(&host) else {
-        return Dispatched::Refused(unreachable);
+    if link.epoch() > dispatch.epoch {
+        // Its intent took so long to record that it would be rejected, or soon be.
+        return Dispatched::Refused(refused(Ran::No, Reason::Stale));
+    }
+    let sent = Sent {
+        call: dispatch.call,
+        host: host.clone(),
+        sidecar: route.sidecar,
+        epoch: dispatch.epoch,
+        deadline: traffic.shared.clock.now().after(dispatch.time_left),
+        recovery: if dispatch.work.idempotent() {
+            RECOVERY_TIMEOUT
+        } else {
+            ORDER_RECOVERY_TIMEOUT
+        },
     };
     *traffic
         .outstanding
         .borrow_mut()
         .entry(host.clone())
         .or_default() += 1;
-    let (call, time_left) = (dispatch.call, dispatch.time_left);
-    let expire = async {
-        smol::Timer::after(time_left.into()).await;
-        Err(wire::Error::Timeout)
-    };
     let request = Frame::Dispatch(dispatch);
-    let result = exchange(run, &link, &request).or(expire).await;
+    let result = until(traffic, sent.deadline, exchange(run, &link, &request)).await;
     let dispatched = match result {
         Ok(dispatched) => dispatched,
         Err(why) => {
-            warn!(traffic.shared.logger, "dispatch broken"; "call" => %call, "error" => %why);
-            recover(traffic, run, &host, call, route).await
+            warn!(traffic.shared.logger, "dispatch broken"; "call" => %sent.call, "error" => %why);
+            recover(traffic, run, &sent).await
         }
     };
     if let Some(count) = traffic.outstanding.borrow_mut().get_mut(&host) {
@@ -99,8 +116,32 @@
     dispatched
 }
 
+/// The host of a route's sidecar and the connection to it.
+fn find(traffic: &Traffic, route: &Route) -> Option<(Host, Link)> {
+    let view = traffic.shared.view.load();
+    let mut endpoints = view.endpoints.iter();
+    let endpoint = endpoints.find(|endpoint| endpoint.incarnation == route.sidecar)?;
+    let link = traffic.link(&endpoint.host)?;
+    let same = link.peer().incarnation == route.sidecar;
+    same.then(|| (endpoint.host.clone(), link))
+}
+
+/// Bounds an exchange by the call's deadline.
+async fn until<T>(
+    traffic: &Traffic,
+    deadline: Time,
+    exchange: impl Future<Output = wire::Result<T>>,
+) -> wire::Result<T> {
+    let expire = async {
+        let left = deadline.since(traffic.shared.clock.now());
+        smol::Timer::after(left.into()).await;
+        Err(wire::Error::Timeout)
+    };
+    exchange.or(expire).await
+}
+
 /// Sends a request and copies the answer that comes.
-async fn exchange(run: &Run, link: &wire::Link, request: &Frame) -> wire::Result<Dispatched> {
+async fn exchange(run: &Run, link: &Link, request: &Frame) -> wire::Result<Dispatched> {
     let mut stream = link.open(request).await?;
     stream.finish()?;
     loop {
@@ -123,45 +164,66 @@
     }
 }
 
-/// Finds out on a new connection what became of a call and fetches the rest of its answer.
-async fn recover(
-    traffic: &Traffic,
-    run: &Run,
-    host: &units::Host,
-    call: units::Call,
-    route: &Route,
-) -> Dispatched {
-    let unknown = Dispatched::Refused(Refused {
-        ran: Ran::Unknown,
-        reason: Reason::Unreachable,
-    });
-    let start = traffic.shared.clock.now();
-    while traffic.shared.clock.now().since(start) < RECOVERY_TIMEOUT {
-        smol::Timer::after(RECOVERY_POLL.into()).await;
-        let Some(link) = traffic.link(host) else {
+/// Finds out on an open connection what became of a call and fetches the rest of its answer; a call
+/// past its deadline is cancelled.
+async fn recover(traffic: &Traffic, run: &Run, sent: &Sent) -> Dispatched {
+    let unknown = Dispatched::Refused(refused(Ran::Unknown, Reason::Unreachable));
+    let clock = traffic.shared.clock;
+    let limit = clock.now().after(sent.recovery);
+    while clock.now() < limit {
+        let Some(link) = traffic.link(&sent.host) else {
+            smol::Timer::after(RECOVERY_POLL.into()).await;
             continue;
         };
-        if link.peer().incarnation != route.sidecar {
+        if link.peer().incarnation != sent.sidecar {
             return unknown;
         }
-        let Ok(Frame::State(state)) = link.call(&Frame::Query(call)).await else {
-            continue;
-        };
-        match state {
-            State::Tombstone => {
-                return Dispatched::Refused(Refused {
-                    ran: Ran::No,
-                    reason: Reason::Tombstone,
-                });
-            }
-            State::Refused(refused) => return Dispatched::Refused(refused),
-            State::Retained(_) | State::Running => {}
-        }
-        let offset = run.answer.len() as u64;
-        let resume = Frame::Resume(wire::Resume { call, offset });
-        if let Ok(dispatched) = exchange(run, &link, &resume).await {
-            return dispatched;
+        match ask(traffic, run, sent, &link, limit).await {
+            Ok(Some(dispatched)) => return dispatched,
+            Ok(None) => return unknown,
+            Err(_) => {}
         }
+        smol::Timer::after(RECOVERY_POLL.into()).await;
     }
     unknown
 }
+
+/// One attempt to learn a call's end; `None` if it still runs past its deadline.
+async fn ask(
+    traffic: &Traffic,
+    run: &Run,
+    sent: &Sent,
+    link: &Link,
+    limit: Time,
+) -> wire::Result<Option<Dispatched>> {
+    let late = traffic.shared.clock.now() >= sent.deadline;
+    if late {
+        until(traffic, limit, link.call(&Frame::Cancel(sent.call))).await?;
+    }
+    let query = Frame::Query(sent.call);
+    let Frame::State(state) = until(traffic, limit, link.call(&query)).await? else {
+        return Err(wire::Error::Unexpected("in place of State"));
+    };
+    match state {
+        State::Tombstone if link.epoch() <= sent.epoch.next() => Ok(Some(Dispatched::Refused(
+            refused(Ran::No, Reason::Tombstone),
+        ))),
+        // The sidecar may have forgotten that it ran the call.
+        State::Tombstone => Ok(None),
+        State::Refused(refused) => Ok(Some(Dispatched::Refused(refused))),
+        State::Running if late => Ok(None),
+        State::Retained(_) | State::Running => {
+            let call = sent.call;
+            let offset = run.answer.len() as u64;
+            let resume = Frame::Resume(wire::Resume { call, offset });
+            let end = sent.deadline.max(limit);
+            until(traffic, end, exchange(run, link, &resume))
+                .await
+                .map(Some)
+        }
+    }
+}
+
+fn refused(ran: Ran, reason: Reason) -> Refused {
+    Refused { ran, reason }
+}
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -10,7 +10,7 @@
 use smol::LocalExecutor;
 use smol::future::FutureExt;
 use units::{Host, Program, Span};
-use wire::{Backoff, Frame, Link, Result};
+use wire::{Backoff, Error, Frame, Link, Result, Role};
 
 use crate::traffic::Traffic;
 
@@ -38,9 +38,8 @@
     while traffic.shared.view.load().hosts.contains(&info) {
         match connect(&traffic, &executor, &info, current.as_ref()).await {
             Ok(link) => {
-                replace(&traffic, &info.host, current.take(), &link).await;
                 backoff.opened(traffic.shared.clock.now());
-                attend(&traffic, &info.host, &link).await;
+                attend(&traffic, &info.host, current.take(), &link).await;
                 current = Some(link);
             }
             Err(error) => {
@@ -117,11 +116,11 @@
     }
 }
 
-/// Reads load reports until the connection is suspected or ends.
-async fn attend(traffic: &Traffic, host: &Host, link: &Link) {
+/// Uses `link` in place of the one before it until it is suspected or ends.
+async fn attend(traffic: &Traffic, host: &Host, before: Option<Link>, link: &Link) {
     let watch = async {
         // A watch that ends without its connection is no reason to leave it.
-        let _ = watch(traffic, host, link).await;
+        let _ = watch(traffic, host, before, link).await;
         std::future::pending().await
     };
     watch.or(link.suspected()).await;
@@ -130,11 +129,21 @@
     }
 }
 
-async fn watch(traffic: &Traffic, host: &Host, link: &Link) -> Result<()> {
+/// Reads a peer's reports. A sidecar is offered to calls once its epoch is known.
+async fn watch(traffic: &Traffic, host: &Host, before: Option<Link>, link: &Link) -> Result<()> {
     let mut stream = link.open(&Frame::Watch).await?;
+    if matches!(link.peer().role, Role::Sidecar { .. }) {
+        match stream.expect().await? {
+            Frame::Epoch(epoch) => link.hear(epoch),
+            other => return Err(Error::Unexpected(other.kind())),
+        }
+    }
+    replace(traffic, host, before, link).await;
     loop {
-        if let Frame::Load(load) = stream.expect().await? {
-            traffic.observe(Observation::Load(host.clone(), load)).await;
+        match stream.expect().await? {
+            Frame::Epoch(epoch) => link.hear(epoch),
+            Frame::Load(load) => traffic.observe(Observation::Load(host.clone(), load)).await,
+            other => return Err(Error::Unexpected(other.kind())),
         }
     }
 }
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -9,13 +9,15 @@
 use smol::LocalExecutor;
 use telemetry::{Metrics, Trace};
 use units::{Bytes, Call, Clock, Digest, Incarnation, Program, Span, Time, Tokens};
-use wire::{Dispatch, Done, Load, Ran, Reason, Refused, State, Usage, Work};
+use wire::{Dispatch, Done, Epoch, Load, Ran, Reason, Refused, State, Usage, Work};
 
 use crate::endpoint::Client;
 use crate::guard::{End, Guard, Verdict};
 use crate::queue::Queue;
 
 const QUEUE_MAX: u32 = 1_024;
+const QUEUE_MAX_BYTES: usize = 16 << 20;
+const EPOCH: Span = Span::from_ms(60_000);
 const DRAIN_POLL: Span = Span::from_ms(20);
 const TOKEN_TIME_WEIGHT: f64 = 0.2;
 
@@ -32,6 +34,7 @@
     guard: RefCell<Guard>,
     queue: RefCell<Queue>,
     waiting: RefCell<HashMap<Call, Waiting>>,
+    waiting_bytes: Cell<usize>,
     token_time: Cell<f64>,
     pub(crate) metrics: Metrics,
     log: Logger,
@@ -54,6 +57,7 @@
             guard: RefCell::new(guard),
             queue: RefCell::new(Queue::new(settings.endpoint.slots)),
             waiting: RefCell::default(),
+            waiting_bytes: Cell::new(0),
             token_time: Cell::new(0.0),
             metrics,
             log,
@@ -63,18 +67,12 @@
 
     /// Takes on a dispatch, or finds the answer of an earlier one.
     pub(crate) fn dispatch(self: &Rc<Self>, dispatch: Dispatch) -> Verdict {
-        let verdict = self.guard.borrow_mut().dispatch(&dispatch);
+        let room = self.has_room(&dispatch);
+        let verdict = self.guard.borrow_mut().dispatch(&dispatch, room);
         match &verdict {
-            Verdict::Run(answer) => {
+            Verdict::Run(_) => {
                 self.metrics.count("dispatched");
-                if self.queue.borrow().waiting() >= QUEUE_MAX {
-                    answer.finish(Err(Refused {
-                        ran: Ran::No,
-                        reason: Reason::Full,
-                    }));
-                } else {
-                    self.enqueue(dispatch);
-                }
+                self.enqueue(dispatch);
             }
             Verdict::Attach(_) => self.metrics.count("attached"),
             Verdict::Reject(_) => self.metrics.count("rejected"),
@@ -82,23 +80,40 @@
         verdict
     }
 
+    /// Whether the queue can take one more call. A prompt larger than all of it may wait alone.
+    fn has_room(&self, dispatch: &Dispatch) -> bool {
+        let bytes = self.waiting_bytes.get();
+        let fits = bytes == 0 || bytes + dispatch.input.len() <= QUEUE_MAX_BYTES;
+        fits && self.queue.borrow().waiting() < QUEUE_MAX
+    }
+
     fn enqueue(self: &Rc<Self>, dispatch: Dispatch) {
         let call = dispatch.call;
         self.queue.borrow_mut().push(call, dispatch.priority);
         let since = self.clock.now();
+        let bytes = self.waiting_bytes.get() + dispatch.input.len();
+        self.waiting_bytes.set(bytes);
         self.waiting
             .borrow_mut()
             .insert(call, Waiting { dispatch, since });
         self.fill();
     }
 
+    /// Takes a waiting call out of the queue's account.
+    fn take(&self, call: Call) -> Option<Waiting> {
+        let waiting = self.waiting.borrow_mut().remove(&call)?;
+        let bytes = self.waiting_bytes.get() - waiting.dispatch.input.len();
+        self.waiting_bytes.set(bytes);
+        Some(waiting)
+    }
+
     /// Starts waiting calls while there are slots.
     fn fill(self: &Rc<Self>) {
         loop {
             let Some(call) = self.queue.borrow_mut().pop() else {
                 return;
             };
-            let Some(waiting) = self.waiting.borrow_mut().remove(&call) else {
+            let Some(waiting) = self.take(call) else {
                 self.queue.borrow_mut().finish();
                 continue;
             };
@@ -119,10 +134,7 @@
         };
         let start = self.clock.now();
         if start.since(since) > dispatch.time_left {
-            answer.finish(Err(Refused {
-                ran: Ran::No,
-                reason: Reason::Deadline,
-            }));
+            self.finish(dispatch.call, Err(did_not_run(Reason::Deadline)));
             return;
         }
         let trace = Trace::below(&dispatch.trace);
@@ -137,11 +149,12 @@
         if let Err(refused) = &result {
             warn!(self.log, "call failed"; "call" => %dispatch.call, "why" => %refused.reason);
         }
-        let bytes = answer.bytes();
-        self.guard
-            .borrow_mut()
-            .ended(dispatch.call, bytes.len() as u64);
-        answer.finish(result.map(|usage| self.done(&bytes, usage)));
+        let end = result.map(|usage| self.done(&answer.bytes(), usage));
+        self.finish(dispatch.call, end);
+    }
+
+    fn finish(&self, call: Call, end: End) {
+        self.guard.borrow_mut().finish(call, end);
     }
 
     fn observe(&self, usage: &Usage, length: Span) {
@@ -165,22 +178,13 @@
         }
     }
 
-    /// Stops a call.
+    /// Stops a call; one that is not known is declared as never to run, as the cancel may have
+    /// overtaken its dispatch.
     pub(crate) async fn cancel(&self, call: Call) {
-        let cancelled = Err(Refused {
-            ran: Ran::No,
-            reason: Reason::Cancelled,
-        });
-        let waiting = self.waiting.borrow_mut().remove(&call);
-        if waiting.is_some() {
+        if self.take(call).is_some() {
             self.queue.borrow_mut().remove(call);
-        }
-        let Some(answer) = self.guard.borrow().answer(call) else {
-            return;
-        };
-        if waiting.is_some() {
-            answer.finish(cancelled);
-        } else if answer.end().is_none() {
+            self.finish(call, Err(did_not_run(Reason::Cancelled)));
+        } else if self.query(call) == State::Running {
             self.stop(call).await;
         }
     }
@@ -203,13 +207,35 @@
         self.guard.borrow_mut().saved(calls);
     }
 
-    /// Frees the engine's memory of a program that has ended.
+    /// Stops what still runs of a program that has ended and frees all that is held for it.
     pub(crate) async fn release(&self, program: Program) {
+        let running = self.guard.borrow_mut().release(program);
+        for call in running {
+            self.cancel(call).await;
+        }
+        self.free(program).await;
+    }
+
+    /// Frees the engine's memory of a program.
+    async fn free(&self, program: Program) {
         if let Err(error) = self.client.release(program).await {
             warn!(self.log, "release failed"; "program" => %program, "error" => %error);
         }
     }
 
+    /// Counts epochs without end.
+    pub(crate) async fn count_epochs(&self) {
+        loop {
+            smol::Timer::after(EPOCH.into()).await;
+            self.guard.borrow_mut().advance();
+        }
+    }
+
+    /// The epoch now.
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.guard.borrow().epoch()
+    }
+
     /// The load now.
     pub(crate) fn load(&self) -> Load {
         let queue = self.queue.borrow();
@@ -230,3 +256,10 @@
         }
     }
 }
+
+fn did_not_run(reason: Reason) -> Refused {
+    Refused {
+        ran: Ran::No,
+        reason,
+    }
+}
--- a/crates/sidecar/src/guard.rs
+++ b/crates/sidecar/src/guard.rs
@@ -1,17 +1,29 @@
 //! The at-most-once guard: what became of each call, as a pure state machine.
+//!
+//! A dispatch carries the epoch that its entry had heard of before the dispatch's intent was recorded.
+//! One that is two epochs old is refused, so that what only serves to stop a late dispatch, a
+//! tombstone, may be forgotten two epochs after it was made. Invariants:
+//! - A call is run at most once in this incarnation, whatever is dispatched, queried or cancelled in
+//!   whatever order.
+//! - "Did not run" is said only of calls that have not run and never will.
+//! - An answer is retained until its call is saved or its program released; when there is no room for
+//!   more, new work is refused.
+//! - What is kept is bounded by the calls of the last epochs, the programs not yet released and
+//!   `retain_max`.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 
-use units::{Bytes, Call, Incarnation};
-use wire::{Answer, Dispatch, Done, Ran, Reason, Refused, State};
+use units::{Bytes, Call, Incarnation, Program, Seq};
+use wire::{Answer, Dispatch, Done, Epoch, Ran, Reason, Refused, State};
 
 /// How a call ended at the endpoint.
-pub(crate) type End = std::result::Result<Done, Refused>;
+pub type End = std::result::Result<Done, Refused>;
 
 /// What is known of a call.
 #[derive(Clone, Debug)]
-pub enum Entry {
+enum Entry {
     /// It was taken on; its answer grows or is complete.
     Taken(Rc<Answer<End>>),
     /// It did not run and never will.
@@ -33,8 +45,14 @@
 #[derive(Debug)]
 pub struct Guard {
     incarnation: Incarnation,
-    entries: HashMap<Call, Entry>,
-    ended: VecDeque<(Call, u64)>,
+    epoch: Epoch,
+    entries: BTreeMap<Call, Entry>,
+    /// For each program, the position up to which its calls are settled elsewhere.
+    floors: BTreeMap<Program, Seq>,
+    /// Calls that may be forgotten two epochs after this one.
+    expiring: VecDeque<(Epoch, Call)>,
+    /// Programs whose floor may be forgotten two epochs after this one.
+    released: VecDeque<(Epoch, Program)>,
     retained: u64,
     retain_max: Bytes,
     leaving: bool,
@@ -45,60 +63,84 @@
     pub fn new(incarnation: Incarnation, retain_max: Bytes) -> Self {
         Guard {
             incarnation,
-            entries: HashMap::new(),
-            ended: VecDeque::new(),
+            epoch: Epoch::default(),
+            entries: BTreeMap::new(),
+            floors: BTreeMap::new(),
+            expiring: VecDeque::new(),
+            released: VecDeque::new(),
             retained: 0,
             retain_max,
             leaving: false,
         }
     }
 
-    /// Decides on a dispatch.
-    pub fn dispatch(&mut self, dispatch: &Dispatch) -> Verdict {
+    /// Decides on a dispatch; `room` tells whether the queue can take one more.
+    pub fn dispatch(&mut self, dispatch: &Dispatch, room: bool) -> Verdict {
+        let call = dispatch.call;
         if dispatch.sidecar != self.incarnation {
-            return Verdict::Reject(Refused {
-                ran: Ran::Unknown,
-                reason: Reason::Incarnation,
-            });
+            return reject(Ran::Unknown, Reason::Incarnation);
         }
-        match self.entries.get(&dispatch.call) {
+        match self.entries.get(&call) {
             Some(Entry::Taken(answer)) => return Verdict::Attach(answer.clone()),
-            Some(Entry::Tombstone) => {
-                return Verdict::Reject(Refused {
-                    ran: Ran::No,
-                    reason: Reason::Tombstone,
-                });
-            }
+            // That the call ran may have been forgotten before the tombstone was made.
+            _ if self.is_stale(dispatch.epoch) => return reject(Ran::Unknown, Reason::Stale),
+            Some(Entry::Tombstone) => return reject(Ran::No, Reason::Tombstone),
+            None if self.is_settled(call) => return reject(Ran::Unknown, Reason::Unretained),
             None => {}
         }
-        if self.leaving || self.retained >= self.retain_max.0 {
-            let reason = if self.leaving {
-                Reason::Leaving
-            } else {
-                Reason::Full
-            };
+        if let Some(reason) = self.refusal(room) {
             // The rejection is final, so that the caller may be told that the call did not run.
-            self.entries.insert(dispatch.call, Entry::Tombstone);
-            return Verdict::Reject(Refused {
-                ran: Ran::No,
-                reason,
-            });
+            self.bury(call);
+            return reject(Ran::No, reason);
         }
         let answer = Rc::new(Answer::new());
-        self.entries
-            .insert(dispatch.call, Entry::Taken(answer.clone()));
+        self.entries.insert(call, Entry::Taken(answer.clone()));
         Verdict::Run(answer)
     }
 
+    /// Why no new work is taken on now.
+    fn refusal(&self, room: bool) -> Option<Reason> {
+        if self.leaving {
+            Some(Reason::Leaving)
+        } else if !room || self.retained >= self.retain_max.0 {
+            Some(Reason::Full)
+        } else {
+            None
+        }
+    }
+
+    /// Whether tombstones made since then may have been forgotten.
+    fn is_stale(&self, epoch: Epoch) -> bool {
+        epoch.next() < self.epoch
+    }
+
+    /// Whether the call was settled elsewhere; whether it ran here may have been forgotten.
+    fn is_settled(&self, call: Call) -> bool {
+        self.floors
+            .get(&call.program)
+            .is_some_and(|floor| call.seq <= *floor)
+    }
+
+    /// Declares a call as never to run.
+    fn bury(&mut self, call: Call) {
+        self.entries.insert(call, Entry::Tombstone);
+        self.expiring.push_back((self.epoch, call));
+    }
+
     /// Answers a query; an unknown call is declared as never to run.
     pub fn query(&mut self, call: Call) -> State {
-        match self.entries.entry(call).or_insert(Entry::Tombstone) {
-            Entry::Tombstone => State::Tombstone,
-            Entry::Taken(answer) => match answer.end() {
+        match self.entries.get(&call) {
+            Some(Entry::Tombstone) => State::Tombstone,
+            Some(Entry::Taken(answer)) => match answer.end() {
                 None => State::Running,
                 Some(Ok(done)) => State::Retained(done),
                 Some(Err(refused)) => State::Refused(refused),
             },
+            None if self.is_settled(call) => State::Refused(unretained()),
+            None => {
+                self.bury(call);
+                State::Tombstone
+            }
         }
     }
 
@@ -110,26 +152,110 @@
         }
     }
 
-    /// Notes that a call has ended with an answer of `length` bytes, to be retained.
-    pub fn ended(&mut self, call: Call, length: u64) {
-        self.retained += length;
-        self.ended.push_back((call, length));
+    /// Ends a call that was taken on; its answer is retained, if there is one.
+    pub fn finish(&mut self, call: Call, end: End) {
+        let Some(answer) = self.answer(call).filter(|answer| answer.end().is_none()) else {
+            return;
+        };
+        match &end {
+            Ok(_) => self.retained += answer.len() as u64,
+            Err(refused) if refused.ran == Ran::No => self.expiring.push_back((self.epoch, call)),
+            Err(_) => {}
+        }
+        answer.finish(end);
+        if self.is_settled(call) {
+            self.settle(call);
+        }
     }
 
-    /// Frees answers that are durable elsewhere. The calls stay known: they never run again.
+    /// Frees what is kept of calls whose answers are durable elsewhere, and of those before them.
     pub fn saved(&mut self, calls: &[Call]) {
-        let mut freed = 0;
-        self.ended.retain(|(call, length)| {
-            let saved = calls.contains(call);
-            freed += if saved { *length } else { 0 };
-            !saved
-        });
-        self.retained -= freed;
         for call in calls {
-            self.entries.insert(*call, Entry::Tombstone);
+            self.raise(call.program, call.seq);
+        }
+    }
+
+    /// Frees what is kept of a program that has ended; returns its calls that are still running.
+    pub fn release(&mut self, program: Program) -> Vec<Call> {
+        self.raise(program, Seq(u64::MAX));
+        self.released.push_back((self.epoch, program));
+        self.running(program)
+    }
+
+    fn running(&self, program: Program) -> Vec<Call> {
+        let calls = self.entries.range(calls_of(program, Seq(u64::MAX)));
+        let is_running =
+            |entry: &Entry| matches!(entry, Entry::Taken(answer) if answer.end().is_none());
+        calls
+            .filter(|(_, entry)| is_running(entry))
+            .map(|(call, _)| *call)
+            .collect()
+    }
+
+    /// Settles a program's calls up to `seq`: the program's history goes beyond them.
+    fn raise(&mut self, program: Program, seq: Seq) {
+        let floor = self.floors.entry(program).or_default();
+        *floor = seq.max(*floor);
+        let calls = self.entries.range(calls_of(program, seq));
+        let calls: Vec<Call> = calls.map(|(call, _)| *call).collect();
+        calls.into_iter().for_each(|call| self.settle(call));
+    }
+
+    /// Frees the answer of a settled call unless it is still growing.
+    fn settle(&mut self, call: Call) {
+        let Some(Entry::Taken(answer)) = self.entries.get(&call) else {
+            return;
+        };
+        match answer.end() {
+            None => return,
+            Some(Ok(_)) => self.retained -= answer.len() as u64,
+            // It is a tombstone under another name.
+            Some(Err(refused)) if refused.ran == Ran::No => return,
+            Some(Err(_)) => {}
+        }
+        self.entries.remove(&call);
+    }
+
+    /// Begins the next epoch and forgets what only stopped dispatches that are refused from now on.
+    pub fn advance(&mut self) {
+        self.epoch = self.epoch.next();
+        let epoch = self.epoch;
+        let is_old = |since: Epoch| since.next() < epoch;
+        while let Some((_, call)) = self.expiring.pop_front_if(|(since, _)| is_old(*since)) {
+            self.entries.remove(&call);
+        }
+        while let Some((_, program)) = self.released.pop_front_if(|(since, _)| is_old(*since)) {
+            if self.running(program).is_empty() {
+                self.floors.remove(&program);
+            } else {
+                // What still runs is to be freed when it ends.
+                self.released.push_back((epoch, program));
+            }
         }
     }
 
+    /// The epoch now.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Programs of which something is kept that only their release frees.
+    pub fn programs(&self) -> Vec<Program> {
+        let mut programs: Vec<Program> = self.floors.keys().copied().collect();
+        let taken = |entry: &Entry| matches!(entry, Entry::Taken(_));
+        let entries = self.entries.iter().filter(|(_, entry)| taken(entry));
+        programs.extend(entries.map(|(call, _)| call.program));
+        programs.sort_unstable();
+        programs.dedup();
+        programs.retain(|program| self.floors.get(program) != Some(&Seq(u64::MAX)));
+        programs
+    }
+
+    /// Whether a program was released.
+    pub fn is_released(&self, program: Program) -> bool {
+        self.floors.get(&program) == Some(&Seq(u64::MAX))
+    }
+
     /// Accepts no new work from now on.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -144,4 +270,40 @@
     pub fn retained(&self) -> Bytes {
         Bytes(self.retained)
     }
+
+    /// Calls of which something is kept.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty() && self.floors.is_empty()
+    }
+}
+
+/// The calls of a program up to `seq`.
+fn calls_of(program: Program, seq: Seq) -> RangeInclusive<Call> {
+    let first = Call {
+        program,
+        seq: Seq(0),
+        attempt: 0,
+    };
+    let last = Call {
+        program,
+        seq,
+        attempt: u32::MAX,
+    };
+    first..=last
+}
+
+fn reject(ran: Ran, reason: Reason) -> Verdict {
+    Verdict::Reject(Refused { ran, reason })
+}
+
+fn unretained() -> Refused {
+    Refused {
+        ran: Ran::Unknown,
+        reason: Reason::Unretained,
+    }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -15,7 +15,7 @@
 mod status;
 
 pub use error::{Error, Result};
-pub use guard::{Entry, Guard, Verdict};
+pub use guard::{End, Guard, Verdict};
 pub use queue::Queue;
 
 use std::rc::Rc;
@@ -72,6 +72,10 @@
     };
     let serve = wire::serve(executor.clone(), peers, key, identity, handler, refused);
     executor.spawn(async move { drop(serve.await) }).detach();
+    let epochs = calls.clone();
+    executor
+        .spawn(async move { epochs.count_epochs().await })
+        .detach();
     executor
         .spawn(status::serve(executor.clone(), status, calls.clone()))
         .detach();
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -84,7 +84,13 @@
 /// Sends a load report whenever the load has changed.
 async fn watch(calls: &Calls, stream: &mut Stream) -> Result<()> {
     let mut sent = None;
+    let mut told = None;
     loop {
+        let epoch = calls.epoch();
+        if told != Some(epoch) {
+            stream.send(&Frame::Epoch(epoch)).await?;
+            told = Some(epoch);
+        }
         let load = calls.load();
         if sent != Some(load) {
             stream.send(&Frame::Load(load)).await?;
--- /dev/null
+++ b/crates/sidecar/tests/guard.rs
@@ -0,0 +1,353 @@
+//! The guard against a model, whatever the order of what reaches it.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "a failed step fails the test"
+)]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use sidecar::{Guard, Verdict};
+use units::{Bytes, Call, Digest, Incarnation, Program, Seq, Span, Tokens};
+use wire::{Dispatch, Done, Epoch, Load, Ran, Reason, Refused, State, Usage, Work};
+
+const INCARNATION: Incarnation = Incarnation(7);
+const PROGRAMS: usize = 3;
+const ANSWER: &[u8] = b"done";
+const RETAIN_MAX: Bytes = Bytes(40);
+
+/// Something that reaches the guard; numbers choose among what there is.
+#[derive(Clone, Debug)]
+enum Step {
+    /// An entry makes a dispatch of a program's current call, to be delivered any number of times.
+    Make(usize),
+    Deliver(usize, bool),
+    Query(usize),
+    Cancel(usize),
+    Start(usize),
+    Finish(usize, bool),
+    /// The program's current call is recorded, and the sidecar may be told so.
+    Settle(usize, bool),
+    Release(usize),
+    Advance,
+    Leave,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let index = 0..1_000_usize;
+    prop_oneof![
+        4 => (0..PROGRAMS).prop_map(Step::Make),
+        8 => (index.clone(), prop::bool::weighted(0.9)).prop_map(|(n, room)| Step::Deliver(n, room)),
+        2 => index.clone().prop_map(Step::Query),
+        1 => index.clone().prop_map(Step::Cancel),
+        6 => index.clone().prop_map(Step::Start),
+        6 => (index.clone(), prop::bool::weighted(0.8)).prop_map(|(n, whole)| Step::Finish(n, whole)),
+        3 => (0..PROGRAMS, any::<bool>()).prop_map(|(n, told)| Step::Settle(n, told)),
+        1 => (0..PROGRAMS).prop_map(Step::Release),
+        1 => Just(Step::Advance),
+        1 => prop::bool::weighted(0.02).prop_map(|leave| if leave { Step::Leave } else { Step::Advance }),
+    ]
+}
+
+fn program(number: usize) -> Program {
+    Program {
+        origin: Incarnation(1),
+        number: number as u64,
+    }
+}
+
+fn dispatch(call: Call, epoch: Epoch) -> Dispatch {
+    Dispatch {
+        call,
+        sidecar: INCARNATION,
+        epoch,
+        account: "meche".parse().unwrap(),
+        target: "stock".parse().unwrap(),
+        work: Work::Service { idempotent: false },
+        time_left: Span::from_ms(1_000),
+        priority: 0,
+        input: Vec::new(),
+        trace: Default::default(),
+        tail: Vec::new(),
+    }
+}
+
+/// What the entries, the queue and the endpoint do around a guard.
+struct Model {
+    guard: Guard,
+    made: Vec<Dispatch>,
+    attempts: u32,
+    current: Vec<Seq>,
+    ended: BTreeSet<Program>,
+    waiting: Vec<Call>,
+    running: Vec<Call>,
+    executions: BTreeMap<Call, u32>,
+    denied: BTreeSet<Call>,
+    retained: BTreeSet<Call>,
+}
+
+fn choose<T>(all: &[T], number: usize) -> Option<usize> {
+    (!all.is_empty()).then(|| number % all.len())
+}
+
+impl Model {
+    fn new() -> Self {
+        Model {
+            guard: Guard::new(INCARNATION, RETAIN_MAX),
+            made: Vec::new(),
+            attempts: 0,
+            current: vec![Seq(1); PROGRAMS],
+            ended: BTreeSet::new(),
+            waiting: Vec::new(),
+            running: Vec::new(),
+            executions: BTreeMap::new(),
+            denied: BTreeSet::new(),
+            retained: BTreeSet::new(),
+        }
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match *step {
+            Step::Make(number) => self.make(number),
+            Step::Deliver(number, room) => self.deliver(number, room),
+            Step::Query(number) => self.query(number),
+            Step::Cancel(number) => self.cancel(number),
+            Step::Start(number) => {
+                if let Some(index) = choose(&self.waiting, number) {
+                    let call = self.waiting.remove(index);
+                    *self.executions.entry(call).or_default() += 1;
+                    self.running.push(call);
+                }
+            }
+            Step::Finish(number, whole) => {
+                if let Some(index) = choose(&self.running, number) {
+                    let call = self.running.remove(index);
+                    self.finish(call, whole);
+                }
+            }
+            Step::Settle(number, told) => self.settle(number, told),
+            Step::Release(number) => {
+                self.ended.insert(program(number));
+                self.guard.release(program(number));
+                self.retained.retain(|call| call.program != program(number));
+            }
+            Step::Advance => self.guard.advance(),
+            Step::Leave => self.guard.leave(),
+        }
+    }
+
+    fn make(&mut self, number: usize) {
+        if !self.ended.contains(&program(number)) {
+            let call = Call {
+                program: program(number),
+                seq: self.current[number],
+                attempt: self.attempts,
+            };
+            self.attempts += 1;
+            self.made.push(dispatch(call, self.guard.epoch()));
+        }
+    }
+
+    fn deliver(&mut self, number: usize, room: bool) {
+        let Some(index) = choose(&self.made, number) else {
+            return;
+        };
+        let dispatch = self.made[index].clone();
+        match self.guard.dispatch(&dispatch, room) {
+            Verdict::Run(_) => self.waiting.push(dispatch.call),
+            Verdict::Attach(answer) => {
+                if let Some(Err(refused)) = answer.end() {
+                    self.note(dispatch.call, refused);
+                }
+            }
+            Verdict::Reject(refused) => self.note(dispatch.call, refused),
+        }
+    }
+
+    fn note(&mut self, call: Call, refused: Refused) {
+        match refused.ran {
+            Ran::No => drop(self.denied.insert(call)),
+            Ran::Yes => assert!(self.executions.contains_key(&call)),
+            Ran::Unknown => {}
+        }
+    }
+
+    /// An entry asks about a dispatch: its own, of which it believes a tombstone up to the next epoch,
+    /// or the current one of a program that it owns.
+    fn query(&mut self, number: usize) {
+        let Some(index) = choose(&self.made, number) else {
+            return;
+        };
+        let (call, epoch) = (self.made[index].call, self.made[index].epoch);
+        let state = self.guard.query(call);
+        if self.retained.contains(&call) {
+            assert!(matches!(state, State::Retained(_)), "{call}: {state:?}");
+        }
+        let owned = !self.ended.contains(&call.program)
+            && call.seq == self.current[call.program.number as usize];
+        match state {
+            State::Tombstone if owned || self.guard.epoch() <= epoch.next() => {
+                self.denied.insert(call);
+            }
+            State::Refused(refused) => self.note(call, refused),
+            State::Tombstone | State::Retained(_) | State::Running => {}
+        }
+    }
+
+    fn cancel(&mut self, number: usize) {
+        let Some(index) = choose(&self.made, number) else {
+            return;
+        };
+        let call = self.made[index].call;
+        if self.waiting.contains(&call) {
+            self.waiting.retain(|waiting| *waiting != call);
+            let refused = Refused {
+                ran: Ran::No,
+                reason: Reason::Cancelled,
+            };
+            self.guard.finish(call, Err(refused));
+            self.denied.insert(call);
+        } else {
+            self.query(index);
+        }
+    }
+
+    fn finish(&mut self, call: Call, whole: bool) {
+        let index = call.program.number as usize;
+        let settled = self.ended.contains(&call.program) || call.seq < self.current[index];
+        if whole && !settled {
+            self.retained.insert(call);
+        }
+        if let Some(answer) = self.guard.answer(call) {
+            answer.push(ANSWER);
+        }
+        let done = Done {
+            length: Bytes(ANSWER.len() as u64),
+            digest: Digest::of(ANSWER),
+            usage: Usage {
+                generated: Tokens(1),
+                ..Usage::default()
+            },
+            load: Load::default(),
+        };
+        let broken = Refused {
+            ran: Ran::Unknown,
+            reason: Reason::Endpoint,
+        };
+        self.guard
+            .finish(call, if whole { Ok(done) } else { Err(broken) });
+    }
+
+    fn settle(&mut self, number: usize, told: bool) {
+        let (program, seq) = (program(number), self.current[number]);
+        self.current[number] = seq.next();
+        self.retained
+            .retain(|call| call.program != program || call.seq > seq);
+        let mut made = self.made.iter().map(|dispatch| dispatch.call);
+        if let Some(call) = made.find(|call| told && call.program == program && call.seq == seq) {
+            self.guard.saved(&[call]);
+        }
+    }
+
+    fn check(&self) {
+        for (call, executions) in &self.executions {
+            assert!(*executions <= 1, "{call} ran {executions} times");
+            assert!(!self.denied.contains(call), "{call} ran and was denied");
+        }
+        let room = RETAIN_MAX.0 + (self.executions.len() * ANSWER.len()) as u64;
+        assert!(self.guard.retained().0 <= room);
+    }
+
+    /// Ends everything; nothing may be left.
+    fn close(mut self) {
+        for number in 0..PROGRAMS {
+            self.apply(&Step::Release(number));
+        }
+        while !self.waiting.is_empty() {
+            self.apply(&Step::Start(0));
+        }
+        while !self.running.is_empty() {
+            self.apply(&Step::Finish(0, true));
+        }
+        for _ in 0..5 {
+            self.guard.advance();
+        }
+        assert_eq!(self.guard.retained(), Bytes(0));
+        // Ends without a word whether the call ran stay until their program is released.
+        assert!(self.guard.is_empty(), "{:?}", self.guard);
+        for number in 0..self.made.len() {
+            self.deliver(number, true);
+        }
+        assert!(self.waiting.is_empty(), "a late dispatch would run");
+        self.check();
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+    #[test]
+    fn calls_run_at_most_once_and_denials_are_true(steps in prop::collection::vec(step(), 1..120)) {
+        let mut model = Model::new();
+        for step in &steps {
+            model.apply(step);
+            model.check();
+        }
+        model.close();
+    }
+}
+
+#[test]
+fn saved_calls_leave_nothing_behind() {
+    let mut guard = Guard::new(INCARNATION, RETAIN_MAX);
+    let mut most = 0;
+    for seq in 1..=10_000 {
+        let call = Call {
+            program: program(0),
+            seq: Seq(seq),
+            attempt: 0,
+        };
+        guard.dispatch(&dispatch(call, guard.epoch()), true);
+        guard.query(call);
+        guard.finish(
+            call,
+            Err(Refused {
+                ran: Ran::Unknown,
+                reason: Reason::Endpoint,
+            }),
+        );
+        guard.saved(&[call]);
+        if seq % 100 == 0 {
+            guard.advance();
+        }
+        most = most.max(guard.len());
+    }
+    assert!(most <= 300, "{most} calls kept");
+}
+
+#[test]
+fn tombstone_made_after_a_call_was_forgotten_denies_nothing() {
+    let mut guard = Guard::new(INCARNATION, RETAIN_MAX);
+    let call = Call {
+        program: program(0),
+        seq: Seq(1),
+        attempt: 0,
+    };
+    let dispatch = dispatch(call, guard.epoch());
+    assert!(matches!(guard.dispatch(&dispatch, true), Verdict::Run(_)));
+    guard.release(call.program);
+    let broken = Refused {
+        ran: Ran::Unknown,
+        reason: Reason::Endpoint,
+    };
+    guard.finish(call, Err(broken));
+    guard.advance();
+    guard.advance();
+    guard.advance();
+    guard.query(call);
+    let Verdict::Reject(refused) = guard.dispatch(&dispatch, true) else {
+        panic!("a late dispatch was taken on");
+    };
+    assert_eq!(refused.ran, Ran::Unknown);
+}
--- /dev/null
+++ b/crates/sidecar/tests/process.rs
@@ -0,0 +1,197 @@
+//! A whole sidecar on a thread, between a stand-in endpoint and a client that speaks as an entry.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "a failed step fails the test"
+)]
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use slog::{Discard, Logger, o};
+use smol::LocalExecutor;
+use standins::service;
+use units::{Call, Incarnation, Program, Seq, Span};
+use wire::{Dispatch, Frame, Identity, Key, Link, Ran, Reason, Refused, Role, Stream, Work};
+
+const START_MAX: Duration = Duration::from_secs(5);
+const POLL: Duration = Duration::from_millis(5);
+const KEY: [u8; 32] = [1; 32];
+
+/// A sidecar on a thread of its own.
+struct Sidecar {
+    peers: SocketAddr,
+    stop: Option<Sender<()>>,
+    thread: Option<JoinHandle<sidecar::Result<()>>>,
+}
+
+/// An address that was free a moment ago.
+fn free() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl Sidecar {
+    fn start(kind: &str, endpoint: SocketAddr, more: &str) -> Self {
+        let peers = free();
+        let key: String = KEY.iter().map(|byte| format!("{byte:02x}")).collect();
+        let text = format!(
+            "[process]\nhost = sidecar-0\nregion = north\nzone = north-1\nenvironment = trial\n\
+             key = {key}\n[platform]\naddress = 127.0.0.1:9\n\
+             [sidecar]\npeer-address = {peers}\nstatus-address = {}\n\
+             [endpoint]\nname = endpoint-0\nkind = {kind}\naddress = {endpoint}\nserves = stock advisor\n{more}",
+            free(),
+        );
+        let settings = settings::Sidecar::parse("test", &text).unwrap();
+        let (stop, stopped) = async_channel::bounded(1);
+        let run = move || {
+            let log = Logger::root(Discard, o!());
+            let stopped = async move { drop(stopped.recv().await) };
+            sidecar::run(settings, &log, stopped)
+        };
+        Sidecar {
+            peers,
+            stop: Some(stop),
+            thread: Some(std::thread::spawn(run)),
+        }
+    }
+
+    /// Connects as the entry with this incarnation.
+    async fn connect(&self, tasks: &Rc<LocalExecutor<'static>>, entry: u64) -> Link {
+        let own = Identity {
+            host: "entry-0".parse().unwrap(),
+            incarnation: Incarnation(entry),
+            address: self.peers,
+            region: "north".parse().unwrap(),
+            zone: "north-1".parse().unwrap(),
+            role: Role::Entry,
+        };
+        let start = Instant::now();
+        loop {
+            match Link::connect(tasks, self.peers, &Key::new(KEY), &own).await {
+                Ok(link) => return link,
+                Err(error) => assert!(start.elapsed() < START_MAX, "{error}"),
+            }
+            smol::Timer::after(POLL).await;
+        }
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        self.stop.take();
+        if let Some(thread) = self.thread.take() {
+            let ended = thread.join();
+            assert!(std::thread::panicking() || ended.unwrap().is_ok());
+        }
+    }
+}
+
+/// Runs `check` on an executor of its own.
+fn run<F: Future<Output = ()>>(check: impl FnOnce(Rc<LocalExecutor<'static>>) -> F) {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(check(executor.clone())));
+}
+
+/// Waits until `condition` holds.
+async fn eventually(bound: Duration, what: &str, condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < bound, "not within {bound:?}: {what}");
+        smol::Timer::after(POLL).await;
+    }
+}
+
+fn call(number: u64, seq: u64) -> Call {
+    Call {
+        program: Program {
+            origin: Incarnation(1),
+            number,
+        },
+        seq: Seq(seq),
+        attempt: 0,
+    }
+}
+
+/// A dispatch of an order.
+fn order(link: &Link, call: Call) -> Frame {
+    Frame::Dispatch(Dispatch {
+        call,
+        sidecar: link.peer().incarnation,
+        epoch: link.epoch(),
+        account: "meche".parse().unwrap(),
+        target: "stock".parse().unwrap(),
+        work: Work::Service { idempotent: false },
+        time_left: Span::from_ms(30_000),
+        priority: 0,
+        input: b"reserve".to_vec(),
+        trace: Default::default(),
+        tail: Vec::new(),
+    })
+}
+
+/// Reads an exchange to its last frame.
+async fn last(mut stream: Stream) -> Frame {
+    let mut last = stream.expect().await.unwrap();
+    while let Some(frame) = stream.recv().await.unwrap() {
+        last = frame;
+    }
+    last
+}
+
+fn refusal(ran: Ran, reason: Reason) -> Frame {
+    Frame::Refused(Refused { ran, reason })
+}
+
+#[test]
+fn cancelled_order_that_waits_never_runs() {
+    let service = service::start("127.0.0.1:0".parse().unwrap(), 300).unwrap();
+    let sidecar = Sidecar::start("service", service.address, "slots = 1\n");
+    run(|tasks| async move {
+        let link = sidecar.connect(&tasks, 1).await;
+        let first = link.open(&order(&link, call(1, 1))).await.unwrap();
+        eventually(START_MAX, "the first order runs", || {
+            service.state().executions.len() == 1
+        })
+        .await;
+        let second = link.open(&order(&link, call(2, 1))).await.unwrap();
+        let overtaken = call(3, 1);
+        for cancelled in [call(2, 1), overtaken] {
+            let ack = link.call(&Frame::Cancel(cancelled)).await.unwrap();
+            assert_eq!(ack, Frame::Ack);
+        }
+        assert_eq!(last(second).await, refusal(Ran::No, Reason::Cancelled));
+        assert!(matches!(last(first).await, Frame::Done(_)));
+        let again = link.open(&order(&link, call(2, 1))).await.unwrap();
+        assert_eq!(last(again).await, refusal(Ran::No, Reason::Cancelled));
+        let late = link.open(&order(&link, overtaken)).await.unwrap();
+        assert_eq!(last(late).await, refusal(Ran::No, Reason::Tombstone));
+        assert_eq!(service.state().executions.len(), 1);
+    });
+}
+
+#[test]
+fn full_memory_refuses_work_for_good_and_keeps_what_is_not_saved() {
+    let service = service::start("127.0.0.1:0".parse().unwrap(), 0).unwrap();
+    let sidecar = Sidecar::start("service", service.address, "slots = 1\nretain-max = 1\n");
+    run(|tasks| async move {
+        let link = sidecar.connect(&tasks, 1).await;
+        let first = link.open(&order(&link, call(1, 1))).await.unwrap();
+        assert!(matches!(last(first).await, Frame::Done(_)));
+        let full = refusal(Ran::No, Reason::Full);
+        let second = link.open(&order(&link, call(2, 1))).await.unwrap();
+        assert_eq!(last(second).await, full);
+        let retained = link.call(&Frame::Query(call(1, 1))).await.unwrap();
+        assert!(matches!(retained, Frame::State(wire::State::Retained(_))));
+        link.call(&Frame::Saved(vec![call(1, 1)])).await.unwrap();
+        let again = link.open(&order(&link, call(2, 1))).await.unwrap();
+        assert_eq!(last(again).await, refusal(Ran::No, Reason::Tombstone));
+        let third = link.open(&order(&link, call(3, 1))).await.unwrap();
+        assert!(matches!(last(third).await, Frame::Done(_)));
+        assert_eq!(service.state().executions.len(), 2);
+    });
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -51,6 +51,8 @@
     Release(Program),
     /// Subscribes to load reports; answered by `Load` frames without end.
     Watch,
+    /// The sidecar's epoch, sent before its first load report and whenever it changes.
+    Epoch(Epoch),
     /// A load report of a sidecar.
     Load(Load),
     /// A caller's request that another entry owns; answered by `Head` and `Body` frames.
@@ -89,6 +91,7 @@
             Frame::Saved(_) => "Saved",
             Frame::Release(_) => "Release",
             Frame::Watch => "Watch",
+            Frame::Epoch(_) => "Epoch",
             Frame::Load(_) => "Load",
             Frame::Forward(_) => "Forward",
             Frame::Head(_) => "Head",
@@ -132,6 +135,20 @@
     pub role: Role,
 }
 
+/// A stretch of a sidecar's time; the first is 0. It dates dispatches without comparing clocks.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Epoch(pub u64);
+
+impl Epoch {
+    /// The epoch after this one.
+    pub fn next(self) -> Self {
+        Epoch(self.0 + 1)
+    }
+}
+
 /// The work of a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Work {
@@ -161,6 +178,9 @@
     pub call: Call,
     /// The sidecar's incarnation that the dispatch is meant for; any other rejects it.
     pub sidecar: Incarnation,
+    /// The sidecar's epoch as last heard before the call's intent was recorded; a dispatch that is
+    /// two epochs old is rejected.
+    pub epoch: Epoch,
     /// The account that pays.
     pub account: Account,
     /// The model or service.
@@ -271,6 +291,8 @@
     Cancelled,
     /// Nothing is known of the call.
     Unretained,
+    /// The dispatch was made too long ago.
+    Stale,
 }
 
 impl fmt::Display for Reason {
@@ -286,6 +308,7 @@
             Reason::Target => "the endpoint does not serve the target",
             Reason::Cancelled => "the call was cancelled",
             Reason::Unretained => "nothing is known of the call",
+            Reason::Stale => "the dispatch was made too long ago",
         })
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -26,8 +26,8 @@
 pub use codec::{Decoder, FRAME_MAX_BYTES, encode};
 pub use error::{Error, Result};
 pub use frame::{
-    Accepted, Body, Delta, Dispatch, Done, Forward, Frame, Head, Identity, Load, Ran, Reason,
-    Refused, Resume, Role, State, Usage, Work,
+    Accepted, Body, Delta, Dispatch, Done, Epoch, Forward, Frame, Head, Identity, Load, Ran,
+    Reason, Refused, Resume, Role, State, Usage, Work,
 };
 pub use link::Link;
 pub use server::serve;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,5 +1,6 @@
 //! The client's end of a connection to a peer.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -14,7 +15,7 @@
 use crate::auth::{Key, introduce};
 use crate::connection::CONNECT_TIMEOUT;
 use crate::error::{Error, Result};
-use crate::frame::{Frame, Identity};
+use crate::frame::{Epoch, Frame, Identity};
 use crate::heartbeat::{self, Health};
 use crate::stream::Stream;
 
@@ -27,6 +28,7 @@
     sender: SendRequest<Bytes>,
     peer: Rc<Identity>,
     health: Rc<Health>,
+    epoch: Rc<Cell<Epoch>>,
 }
 
 impl Link {
@@ -79,6 +81,7 @@
             sender,
             peer: Rc::new(peer),
             health,
+            epoch: Rc::default(),
         })
     }
 
@@ -87,6 +90,16 @@
         &self.peer
     }
 
+    /// The peer's epoch as last heard on this connection.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch.get()
+    }
+
+    /// Notes the peer's epoch.
+    pub fn hear(&self, epoch: Epoch) {
+        self.epoch.set(epoch);
+    }
+
     /// Whether both are the same connection.
     pub fn same(&self, other: &Link) -> bool {
         Rc::ptr_eq(&self.health, &other.health)
