--- a/crates/sidecar/tests/process.rs
+++ b/crates/sidecar/tests/process.rs
@@ -50,7 +50,10 @@
         let (stop, stopped) = async_channel::bounded(1);
         let run = move || {
             let log = Logger::root(Discard, o!());
-            let stopped = async move { drop(stopped.recv().await) };
+            let stopped = async move {
+                // Nothing is ever sent: the channel closes when the sidecar is to stop.
+                let _ = stopped.recv().await;
+            };
             sidecar::run(settings, &log, stopped)
         };
         Sidecar {
