--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -16,7 +16,7 @@
 mod status;
 
 pub use error::{Error, Result};
-pub use guard::{Entry, Guard, Verdict};
+pub use guard::{End, Guard, Verdict};
 pub use queue::Queue;
 
 use std::rc::Rc;
@@ -67,8 +67,16 @@
         let calls = calls.clone();
         move |peer, stream| server::exchange(calls.clone(), peer, stream)
     };
-    let serve = wire::serve(executor.clone(), peers, key, identity, handler);
+    let refused = {
+        let calls = calls.clone();
+        move |error: &wire::Error| calls.metrics.count(error.label())
+    };
+    let serve = wire::serve(executor.clone(), peers, key, identity, handler, refused);
     executor.spawn(async move { drop(serve.await) }).detach();
+    let epochs = calls.clone();
+    executor
+        .spawn(async move { epochs.count_epochs().await })
+        .detach();
     executor
         .spawn(status::serve(executor.clone(), status, calls.clone()))
         .detach();
