Membership by own connections, drain, quotas, top and accounts

Cause: a sidecar that had said it was leaving counted as usable for a moment after a reconnection, as its word was kept with the connection; operators could not drain a host; programs-max was read and never enforced.

Change: the board keeps a process's word that it is leaving for its incarnation. ctl drain tells the process over an open connection (Frame::Drain), so that it works in a store outage; leaving entries tell their peers. Accounts have programs-max over all entries (own count plus the peers' last reports), refused with 429 `quota`. ctl top shows programs, queues and slow endpoints with the reason, ctl accounts usage.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -22,10 +22,14 @@
 const PAGE_MAX: u32 = 1_000;
 
 /// What the traffic thread is asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Question {
     /// All programs under way.
     Programs,
+    /// The usage of each account.
+    Accounts,
+    /// Tell a host's process to leave.
+    Drain(Host),
     /// The account of one program.
     Explain(Program),
     /// End a program.
@@ -175,6 +179,12 @@
             (Method::Get, ["v1", "environment", "history", version]) => self.past(version).await,
             (Method::Get, ["v1", "audit"]) => self.audit(request).await,
             (Method::Get, ["v1", "status"]) => Ok(self.status()),
+            (Method::Get, ["v1", "accounts"]) => self.ask(Question::Accounts).await,
+            (Method::Get, ["v1", "top"]) => self.top().await,
+            (Method::Post, ["v1", "hosts", host, "drain"]) => {
+                allow(role, Role::Operator)?;
+                self.drain(request, host).await
+            }
             (Method::Get, ["v1", "programs"]) => self.ask(Question::Programs).await,
             (Method::Get, ["v1", "programs", id, "explain"]) => self.explain(program(id)?).await,
             (Method::Post, ["v1", "programs", id, "end"]) => {
@@ -275,6 +285,31 @@
         self.ask(Question::End(program)).await
     }
 
+    /// `POST /v1/hosts/{host}/drain?author=NAME`. It goes on without the store, as a host that fails
+    /// may have to leave in an outage; the answer tells whether the audit record was written.
+    async fn drain(&self, request: &Request, host: &str) -> Result<Response> {
+        let query: AuthorQuery = request.query().map_err(|_| Error::Malformed("query"))?;
+        let host: Host = host.parse().map_err(|_| Error::NotFound)?;
+        let told = self.question(Question::Drain(host.clone())).await?;
+        let mut told = told.ok_or(Error::NotFound)?;
+        let record = Record {
+            author: query.author,
+            at: self.clock.now(),
+            action: Action::Drain(host),
+        };
+        let audited = audit::write(&self.client, &self.environment, &record).await;
+        told["audited"] = json!(audited.is_ok());
+        Ok(json(200, &told))
+    }
+
+    /// What is under way now: programs of this entry, queues, slow endpoints.
+    async fn top(&self) -> Result<Response> {
+        let programs = self.question(Question::Programs).await?;
+        let mut top = programs.unwrap_or_default();
+        top["endpoints"] = json!(status::endpoints(&self.view.load()));
+        Ok(json(200, &top))
+    }
+
     fn status(&self) -> Response {
         let view = self.view.load();
         let now = self.clock.now();
--- a/crates/admin/src/status.rs
+++ b/crates/admin/src/status.rs
@@ -1,15 +1,17 @@
 //! What an entry shows of its environment: hosts, versions in force, endpoints.
 
-use board::{Member, View};
+use board::{Endpoint, Member, View};
 use platform::api::HostRole;
 use serde_json::{Value, json};
-use units::{Host, Time};
+use units::{Host, Span, Time};
+
+const SLOW_RATIO: u64 = 2;
 
 /// The status of the environment as the entry on host `own` sees it at `now`.
 pub(crate) fn render(view: &View, name: &str, own: &Host, now: Time) -> Value {
     let environment = view.environment.as_ref();
     let since = environment.map(|environment| now.since(environment.since).as_ms());
-    let endpoints: Vec<Value> = view.endpoints.iter().map(endpoint).collect();
+    let endpoints = endpoints(view);
     let entries = view.entries.iter().map(|peer| peer.host.to_string());
     let mut hosts = vec![json!({
         "host": own, "role": HostRole::Entry, "listed": true, "connected": true,
@@ -34,9 +36,28 @@
     })
 }
 
-fn endpoint(endpoint: &board::Endpoint) -> Value {
-    json!({
-        "name": endpoint.name, "host": endpoint.host, "zone": endpoint.zone,
-        "running": endpoint.load.running, "queued": endpoint.load.queued,
-    })
+/// The endpoints that may be given new work, each with the reason why it counts as slow, if it does.
+pub(crate) fn endpoints(view: &View) -> Vec<Value> {
+    let one = |endpoint: &Endpoint| {
+        json!({
+            "name": endpoint.name, "host": endpoint.host, "zone": endpoint.zone,
+            "running": endpoint.load.running, "queued": endpoint.load.queued,
+            "slots": endpoint.slots, "token_us": endpoint.load.token_time.0,
+            "slow": slow(endpoint, &view.endpoints),
+        })
+    };
+    view.endpoints.iter().map(one).collect()
+}
+
+/// Why an endpoint counts as slow among those that serve the same.
+fn slow(endpoint: &Endpoint, all: &[Endpoint]) -> Option<String> {
+    let own = endpoint.load.token_time;
+    let alike = all.iter().filter(|other| other.serves == endpoint.serves);
+    let mut times: Vec<Span> = alike
+        .map(|other| other.load.token_time)
+        .filter(|time| *time > Span(0))
+        .collect();
+    times.sort_unstable();
+    let median = *times.get(times.len().checked_sub(1)? / 2)?;
+    (own.0 >= SLOW_RATIO * median.0).then(|| format!("{own} a token, median of its kind {median}"))
 }
--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use platform::api::HostInfo;
-use units::{Host, Time, Version};
+use units::{Host, Incarnation, Time, Version};
 use wire::{Identity, Load};
 
 use crate::membership;
@@ -19,7 +19,7 @@
     Up(Identity),
     /// The connection to this host was lost.
     Down(Host),
-    /// A load report of the sidecar on this host.
+    /// A load report of the process on this host; an entry's tells only whether it is leaving.
     Load(Host, Load),
     /// An environment document, from the store or a peer.
     Document(Version, String),
@@ -46,6 +46,13 @@
     pub(crate) at: Time,
 }
 
+/// A process that said that it is leaving, and when it last did.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Left {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) at: Time,
+}
+
 /// All that the control thread knows.
 #[derive(Debug)]
 pub struct Board {
@@ -53,6 +60,8 @@
     pub(crate) hosts: Vec<HostInfo>,
     pub(crate) connected: BTreeMap<Host, Connected>,
     pub(crate) reported: BTreeMap<Host, Reported>,
+    /// The processes that said that they are leaving, by host.
+    pub(crate) left: BTreeMap<Host, Left>,
     pub(crate) replica: Replica,
     pub(crate) leaving: bool,
 }
@@ -65,6 +74,7 @@
             hosts: Vec::new(),
             connected: BTreeMap::new(),
             reported: BTreeMap::new(),
+            left: BTreeMap::new(),
             replica: Replica::new(),
             leaving: false,
         }
@@ -76,10 +86,10 @@
     /// If it is a document that is not valid; the board is as before then.
     pub fn observe(&mut self, observation: Observation, now: Time) -> settings::Result<()> {
         match observation {
-            Observation::Hosts(hosts) => membership::list(self, hosts),
+            Observation::Hosts(hosts) => membership::list(self, hosts, now),
             Observation::Up(identity) => membership::up(self, identity, now),
             Observation::Down(host) => membership::down(self, &host),
-            Observation::Load(host, load) => membership::load(self, &host, load),
+            Observation::Load(host, load) => membership::load(self, &host, load, now),
             Observation::Document(version, text) => {
                 self.replica.adopt(version, text, now)?;
             }
--- a/crates/board/src/membership.rs
+++ b/crates/board/src/membership.rs
@@ -6,23 +6,35 @@
 use std::collections::BTreeSet;
 
 use platform::api::{HostInfo, HostRole};
-use units::{Host, Time, Version};
+use units::{Host, Span, Time, Version};
 use wire::{Identity, Load, Role};
 
-use crate::board::{Board, Connected};
+use crate::board::{Board, Connected, Left};
 use crate::view::{Endpoint, Member, Peer};
 
-/// Takes a new list; what is known of hosts that are neither listed nor connected is forgotten.
-pub(crate) fn list(board: &mut Board, hosts: Vec<HostInfo>) {
+/// The word of a process that it is leaving is remembered for so long after its connection has gone.
+const LEFT_KEPT: Span = Span::from_ms(3_600_000);
+
+/// Takes a new list; what is known of hosts that are neither listed nor connected is forgotten, but
+/// for their word that they are leaving, as the list may omit a host for a while.
+pub(crate) fn list(board: &mut Board, hosts: Vec<HostInfo>, now: Time) {
     board.hosts = hosts;
     let (hosts, connected) = (&board.hosts, &board.connected);
     let known =
         |host: &Host| connected.contains_key(host) || hosts.iter().any(|info| info.host == *host);
     board.reported.retain(|host, _| known(host));
+    board
+        .left
+        .retain(|host, left| known(host) || now.since(left.at) < LEFT_KEPT);
 }
 
 pub(crate) fn up(board: &mut Board, identity: Identity, now: Time) {
     let host = identity.host.clone();
+    let left = board.left.get(&host);
+    if left.is_some_and(|left| left.incarnation != identity.incarnation) {
+        // Another process runs on the host now, which has not said it.
+        board.left.remove(&host);
+    }
     board.connected.insert(
         host,
         Connected {
@@ -37,9 +49,19 @@
     board.connected.remove(host);
 }
 
-pub(crate) fn load(board: &mut Board, host: &Host, load: Load) {
-    if let Some(connected) = board.connected.get_mut(host) {
-        connected.load = load;
+pub(crate) fn load(board: &mut Board, host: &Host, load: Load, now: Time) {
+    let Some(connected) = board.connected.get_mut(host) else {
+        return;
+    };
+    connected.load = load;
+    if load.leaving {
+        // A process never takes it back.
+        let incarnation = connected.identity.incarnation;
+        let left = Left {
+            incarnation,
+            at: now,
+        };
+        board.left.insert(host.clone(), left);
     }
 }
 
@@ -73,7 +95,8 @@
         return None;
     };
     let listed = board.hosts.iter().find(|info| info.host == identity.host);
-    if connected.load.leaving || listed.is_some_and(|info| info.leaving) {
+    let said = board.left.contains_key(&identity.host);
+    if said || listed.is_some_and(|info| info.leaving) {
         return None;
     }
     Some(Endpoint {
@@ -117,7 +140,7 @@
         Some(Role::Entry) => HostRole::Entry,
         None => info.map_or(HostRole::Entry, |info| info.role),
     };
-    let said = connected.is_some_and(|connected| connected.load.leaving);
+    let said = board.left.contains_key(host);
     let reported = board.reported.get(host);
     Member {
         host: host.clone(),
--- /dev/null
+++ b/crates/board/tests/membership.rs
@@ -0,0 +1,130 @@
+//! The list of hosts is a hint; own connections and a host's own word decide.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use board::{Board, Observation};
+use platform::api::{HostInfo, HostRole};
+use proptest::prelude::*;
+use units::{Host, Incarnation, Time};
+use wire::{Identity, Load, Role};
+
+const HOSTS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// The list has some hosts, some of them as leaving: it may lag, omit and flap.
+    List(Vec<Option<bool>>),
+    /// A connection to a host is opened.
+    Up(usize),
+    /// The connection to a host is lost.
+    Down(usize),
+    /// The process of a host reports its load and whether it is leaving.
+    Load(usize, bool),
+    /// Another process runs on the host from now on; its connection is lost.
+    Restart(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let host = 0..HOSTS;
+    let listed = prop::collection::vec(prop::option::of(any::<bool>()), HOSTS);
+    prop_oneof![
+        listed.prop_map(Step::List),
+        host.clone().prop_map(Step::Up),
+        host.clone().prop_map(Step::Down),
+        (host.clone(), any::<bool>()).prop_map(|(host, leaving)| Step::Load(host, leaving)),
+        host.prop_map(Step::Restart),
+    ]
+}
+
+fn name(host: usize) -> Host {
+    format!("sidecar-{host}").parse().unwrap()
+}
+
+fn info(host: usize, leaving: bool) -> HostInfo {
+    HostInfo {
+        host: name(host),
+        role: HostRole::Sidecar,
+        address: "127.0.0.1:1".parse().unwrap(),
+        region: "north".parse().unwrap(),
+        zone: "north-1".parse().unwrap(),
+        leaving,
+    }
+}
+
+fn identity(host: usize, incarnation: u64) -> Identity {
+    let HostInfo {
+        address,
+        region,
+        zone,
+        ..
+    } = info(host, false);
+    Identity {
+        host: name(host),
+        incarnation: Incarnation(incarnation),
+        address,
+        region,
+        zone,
+        role: Role::Sidecar {
+            endpoint: "engine".parse().unwrap(),
+            serves: vec!["advisor".parse().unwrap()],
+            slots: 1,
+        },
+    }
+}
+
+proptest! {
+    #[test]
+    fn usable_is_connected_and_leaving_by_nobodys_word(
+        steps in prop::collection::vec(step(), 0..80),
+    ) {
+        let mut board = Board::new("entry".parse().unwrap());
+        let mut list: Vec<Option<bool>> = vec![None; HOSTS];
+        let mut running = [1_u64; HOSTS];
+        let mut connected: BTreeMap<usize, u64> = BTreeMap::new();
+        let mut said: BTreeSet<(usize, u64)> = BTreeSet::new();
+        for step in steps {
+            let observation = match step {
+                Step::List(listed) => {
+                    let infos = listed.iter().enumerate();
+                    let infos = infos.filter_map(|(host, leaving)| Some(info(host, (*leaving)?)));
+                    let observation = Observation::Hosts(infos.collect());
+                    list = listed;
+                    observation
+                }
+                Step::Up(host) => {
+                    connected.insert(host, running[host]);
+                    Observation::Up(identity(host, running[host]))
+                }
+                Step::Restart(host) => {
+                    running[host] += 1;
+                    connected.remove(&host);
+                    Observation::Down(name(host))
+                }
+                Step::Down(host) => {
+                    connected.remove(&host);
+                    Observation::Down(name(host))
+                }
+                Step::Load(host, leaving) => {
+                    if let Some(incarnation) = connected.get(&host)
+                        && leaving
+                    {
+                        said.insert((host, *incarnation));
+                    }
+                    let load = Load { leaving, ..Load::default() };
+                    Observation::Load(name(host), load)
+                }
+            };
+            board.observe(observation, Time(1)).unwrap();
+            let usable: BTreeSet<Host> =
+                board.view().endpoints.into_iter().map(|endpoint| endpoint.host).collect();
+            let expected = connected
+                .iter()
+                .filter(|(host, incarnation)| !said.contains(&(**host, **incarnation)))
+                .filter(|(host, _)| list[**host] != Some(true))
+                .map(|(host, _)| name(*host));
+            prop_assert_eq!(usable, expected.collect());
+        }
+    }
+}
--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -1,12 +1,12 @@
-//! What this entry and its peers know of programs, for operators.
+//! What this entry and its peers know of programs and accounts, for operators.
 
 use std::rc::Rc;
 
 use futures_util::future::join_all;
 use serde_json::{Value, json};
 use smol::future::FutureExt;
-use units::{Program, Span};
-use wire::{Body, Frame, Link, Stream};
+use units::{Host, Program, Span};
+use wire::{Body, Frame, Link, Question, Stream};
 
 use crate::live::Live;
 use crate::traffic::Traffic;
@@ -15,26 +15,47 @@
 
 /// What the owner of a program knows of it, here or at a peer.
 pub(crate) async fn explain(traffic: &Traffic, id: Program) -> Option<Value> {
-    if let Some(account) = local(traffic, id) {
+    if let Some(account) = known(traffic, id) {
         return Some(account);
     }
     let view = traffic.shared.view.load_full();
     let links = view.entries.iter();
     let links: Vec<Link> = links.filter_map(|peer| traffic.link(&peer.host)).collect();
-    let answers = links.iter().map(|link| ask(link, id));
+    let answers = links.iter().map(|link| ask(link, Question::Explain(id)));
     join_all(answers).await.into_iter().flatten().next()
 }
 
-fn local(traffic: &Traffic, id: Program) -> Option<Value> {
+fn known(traffic: &Traffic, id: Program) -> Option<Value> {
     let live = traffic.local(id)?;
     let owner = &traffic.shared.identity.host;
     let program = live.program.borrow();
     Some(admin::from_memory(id, &program, owner))
 }
 
+/// The usage of each account against its limits, here and at all peers as they last reported.
+pub(crate) fn accounts(traffic: &Traffic) -> Value {
+    let mut usages = traffic.usage();
+    traffic.quota.add_peers(&mut usages);
+    let Ok(environment) = traffic.environment() else {
+        return json!({"accounts": []});
+    };
+    let accounts = environment.document.accounts.iter();
+    let accounts: Vec<Value> = accounts
+        .map(|(name, account)| {
+            let usage = usages.get(name).copied().unwrap_or_default();
+            json!({
+                "account": name, "programs": usage.programs, "children": usage.children,
+                "programs_max": account.programs_max, "share": account.share,
+                "calls": usage.calls, "tokens": usage.tokens,
+            })
+        })
+        .collect();
+    json!({"accounts": accounts})
+}
+
 /// Asks a peer, within a bound.
-async fn ask(link: &Link, id: Program) -> Option<Value> {
-    let answer = async { link.call(&Frame::Explain(id)).await.ok() };
+pub(crate) async fn ask(link: &Link, question: Question) -> Option<Value> {
+    let answer = async { link.call(&Frame::Ask(question)).await.ok() };
     let expire = async {
         smol::Timer::after(PEER_TIMEOUT.into()).await;
         None
@@ -45,34 +66,54 @@
     }
 }
 
-/// Answers a peer that asks for a program.
+/// Answers a peer that asks.
 pub(crate) async fn answer(
     traffic: &Traffic,
-    id: Program,
+    question: Question,
     stream: &mut Stream,
 ) -> wire::Result<()> {
-    let frame = match local(traffic, id) {
-        Some(account) => Frame::Body(Body {
-            bytes: account.to_string().into_bytes(),
-        }),
-        None => Frame::Ack,
+    let answer = match question {
+        Question::Explain(id) => known(traffic, id),
+        Question::Usage => Some(json!(traffic.usage())),
     };
-    stream.send(&frame).await?;
+    let body = |value: Value| {
+        let bytes = value.to_string().into_bytes();
+        Frame::Body(Body { bytes })
+    };
+    stream.send(&answer.map_or(Frame::Ack, body)).await?;
     stream.finish()
 }
 
-/// One line about each program, for lists.
-pub(crate) fn list(programs: impl Iterator<Item = Rc<Live>>) -> Value {
-    let summaries: Vec<Value> = programs.map(|live| summary(&live)).collect();
-    json!({"programs": summaries})
+/// Tells a host's process to leave; `None` if there is no connection to it.
+pub(crate) async fn drain(traffic: &Traffic, host: &Host) -> Option<Value> {
+    if *host == traffic.shared.identity.host {
+        traffic.observe(board::Observation::Leaving).await;
+        return Some(json!({"host": host, "told": true}));
+    }
+    let link = traffic.link(host)?;
+    let answer = async { link.call(&Frame::Drain).await.is_ok() };
+    let expire = async {
+        smol::Timer::after(PEER_TIMEOUT.into()).await;
+        false
+    };
+    Some(json!({"host": host, "told": answer.or(expire).await}))
+}
+
+/// One line about each program under way, those that spent most first.
+pub(crate) fn programs(traffic: &Traffic) -> Value {
+    let mut programs = traffic.programs();
+    programs.retain(|live| live.program.borrow().ended().is_none());
+    programs.sort_by_key(|live| std::cmp::Reverse(live.program.borrow().ledger().spent()));
+    let summaries: Vec<Value> = programs.iter().map(summary).collect();
+    json!({"host": traffic.shared.identity.host, "programs": summaries})
 }
 
-fn summary(live: &Live) -> Value {
+fn summary(live: &Rc<Live>) -> Value {
     let program = live.program.borrow();
+    let created = program.created();
     json!({
-        "program": live.id.to_string(), "account": program.created().account,
-        "class": program.created().class, "calls": program.turns().len(),
-        "running": program.is_running(), "created_at": program.created().at,
-        "spent_tokens": program.ledger().spent(),
+        "program": live.id.to_string(), "account": created.account, "class": created.class,
+        "calls": program.turns().len(), "running": program.is_running(),
+        "created_at": created.at, "spent_tokens": program.ledger().spent(),
     })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod forward;
 mod links;
 mod live;
+mod quota;
 mod refusal;
 mod reply;
 mod routing;
--- /dev/null
+++ b/crates/entry/src/quota.rs
@@ -0,0 +1,148 @@
+//! How many programs each account has under way, here and elsewhere, against its limit.
+//!
+//! The limit protects accounts from each other; it is not a budget. What peers have under way is
+//! known as of their last report, so several entries together may exceed it by what they create
+//! between two reports.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+use units::{Account, Host, Span, Tokens};
+use wire::Question;
+
+use crate::account;
+use crate::refusal::{Refusal, Result};
+use crate::traffic::Traffic;
+
+const REPORT_INTERVAL: Span = Span::from_ms(1_000);
+
+/// What an account's programs use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Usage {
+    /// Programs under way, without sub-agents.
+    pub(crate) programs: u64,
+    /// Sub-agents under way.
+    pub(crate) children: u64,
+    /// Calls of programs and sub-agents under way.
+    pub(crate) calls: u64,
+    /// Tokens that they have spent.
+    pub(crate) tokens: Tokens,
+}
+
+impl Usage {
+    fn add(&mut self, other: &Usage) {
+        self.programs += other.programs;
+        self.children += other.children;
+        self.calls += other.calls;
+        self.tokens = self.tokens.plus(other.tokens);
+    }
+}
+
+/// Usage by account.
+pub(crate) type Usages = BTreeMap<Account, Usage>;
+
+/// What is known of accounts beyond the programs of this entry.
+#[derive(Debug, Default)]
+pub(crate) struct Quota {
+    peers: RefCell<HashMap<Host, Usages>>,
+    creating: RefCell<BTreeMap<Account, u64>>,
+}
+
+/// The right to create one program; it counts until it is dropped.
+pub(crate) struct Permit<'a> {
+    quota: &'a Quota,
+    account: Account,
+}
+
+impl Drop for Permit<'_> {
+    fn drop(&mut self) {
+        if let Some(count) = self.quota.creating.borrow_mut().get_mut(&self.account) {
+            *count -= 1;
+        }
+    }
+}
+
+impl Quota {
+    /// Adds what the peers reported.
+    pub(crate) fn add_peers(&self, usages: &mut Usages) {
+        for theirs in self.peers.borrow().values() {
+            for (account, usage) in theirs {
+                usages.entry(account.clone()).or_default().add(usage);
+            }
+        }
+    }
+
+    fn elsewhere(&self, account: &Account) -> u64 {
+        let peers = self.peers.borrow();
+        let usages = peers.values().filter_map(|theirs| theirs.get(account));
+        usages.map(|usage| usage.programs).sum()
+    }
+}
+
+impl Traffic {
+    /// Permits one more program of an account, within its limit.
+    ///
+    /// # Errors
+    /// [`Refusal::Quota`] if the account has as many programs under way as it may.
+    pub(crate) fn permit(&self, account: &Account, limit: u64) -> Result<Permit<'_>> {
+        let here = self.usage().get(account).map_or(0, |usage| usage.programs);
+        let mut all = self.quota.creating.borrow_mut();
+        let creating = all.entry(account.clone()).or_default();
+        if here + *creating + self.quota.elsewhere(account) >= limit {
+            return Err(Refusal::Quota(limit));
+        }
+        *creating += 1;
+        Ok(Permit {
+            quota: &self.quota,
+            account: account.clone(),
+        })
+    }
+
+    /// The usage of each account by the programs that this entry owns.
+    pub(crate) fn usage(&self) -> Usages {
+        let mut usages = Usages::new();
+        for live in self.programs() {
+            let program = live.program.borrow();
+            if program.ended().is_some() {
+                continue;
+            }
+            let created = program.created();
+            let child = u64::from(created.parent.is_some());
+            let usage = Usage {
+                programs: 1 - child,
+                children: child,
+                calls: program.turns().len() as u64,
+                tokens: program.ledger().spent(),
+            };
+            usages
+                .entry(created.account.clone())
+                .or_default()
+                .add(&usage);
+        }
+        usages
+    }
+}
+
+/// Asks the connected entries for their usage at a steady interval.
+pub(crate) async fn keep(traffic: Rc<Traffic>) {
+    loop {
+        let view = traffic.shared.view.load_full();
+        let mut reports = HashMap::new();
+        for peer in &view.entries {
+            let Some(link) = traffic.link(&peer.host) else {
+                continue;
+            };
+            let report = account::ask(&link, Question::Usage).await;
+            let report = report.and_then(|value| serde_json::from_value(value).ok());
+            // A peer that does not answer still has what it last reported.
+            let last = || traffic.quota.peers.borrow().get(&peer.host).cloned();
+            if let Some(report) = report.or_else(last) {
+                reports.insert(peer.host.clone(), report);
+            }
+        }
+        *traffic.quota.peers.borrow_mut() = reports;
+        smol::Timer::after(REPORT_INTERVAL.into()).await;
+    }
+}
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -21,6 +21,8 @@
     Unauthorized,
     /// The account may not use the class.
     Class,
+    /// The account has as many programs under way as it may.
+    Quota(u64),
     /// There is no such program of this account.
     UnknownProgram,
     /// There is no such call.
@@ -53,6 +55,7 @@
             Refusal::TooLarge(_) => 413,
             Refusal::Unauthorized => 401,
             Refusal::Class => 403,
+            Refusal::Quota(_) => 429,
             Refusal::UnknownProgram | Refusal::UnknownCall | Refusal::UnknownPath => 404,
             Refusal::UnknownTarget(_) => 422,
             Refusal::Token => 400,
@@ -75,6 +78,7 @@
             Refusal::TooLarge(_) => "too-large",
             Refusal::Unauthorized => "unauthorized",
             Refusal::Class => "class-not-allowed",
+            Refusal::Quota(_) => "quota",
             Refusal::UnknownProgram => "unknown-program",
             Refusal::UnknownCall => "unknown-call",
             Refusal::UnknownPath => "unknown-path",
@@ -138,6 +142,12 @@
             Refusal::TooLarge(limit) => write!(f, "the body is longer than {limit} bytes"),
             Refusal::Unauthorized => f.write_str("the token is missing or unknown"),
             Refusal::Class => f.write_str("the account may not use this class"),
+            Refusal::Quota(limit) => {
+                write!(
+                    f,
+                    "the account has {limit} programs under way, as many as it may"
+                )
+            }
             Refusal::UnknownProgram => f.write_str("there is no such program"),
             Refusal::UnknownCall => f.write_str("there is no such call"),
             Refusal::UnknownPath => f.write_str("there is no such path"),
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -15,14 +15,16 @@
 use slog::{error, info};
 use smol::LocalExecutor;
 use units::{Account, Class, Host, Incarnation, Program, Span};
-use wire::{Error, Frame, Identity, Key, Link, Stream};
+use wire::{Error, Frame, Identity, Key, Link, Load, Stream};
 
 use crate::control::listen;
 use crate::live::Live;
+use crate::quota::{self, Quota};
 use crate::refusal::{Refusal, Result};
 use crate::{Shared, account, api, documents, forward, links};
 
 const SWEEP_INTERVAL: Span = Span::from_ms(500);
+const LEAVING_POLL: Span = Span::from_ms(200);
 const DRAIN_POLL: Span = Span::from_ms(20);
 
 /// What the traffic thread is started with.
@@ -45,6 +47,7 @@
     pub(crate) rng: RefCell<StdRng>,
     programs: RefCell<HashMap<Program, Rc<Live>>>,
     created: Cell<u64>,
+    pub(crate) quota: Quota,
     observations: Sender<Observation>,
 }
 
@@ -68,6 +71,7 @@
         rng: RefCell::new(StdRng::from_os_rng()),
         programs: RefCell::default(),
         created: Cell::new(0),
+        quota: Quota::default(),
         observations: inputs.observations,
         shared,
     });
@@ -98,6 +102,7 @@
     spawn(Box::pin(serve_peers(traffic.clone(), peers)));
     spawn(Box::pin(links::keep(traffic.clone(), executor.clone())));
     spawn(Box::pin(documents::keep(traffic.clone(), executor.clone())));
+    spawn(Box::pin(quota::keep(traffic.clone())));
     spawn(Box::pin(sweep(traffic.clone())));
     spawn(Box::pin(answer_asks(traffic.clone(), asked)));
     info!(traffic.shared.logger, "ready"; "callers" => %traffic.shared.settings.callers);
@@ -153,16 +158,16 @@
     let served = async {
         match stream.expect().await? {
             Frame::Forward(forward) => forward::receive(&traffic, forward, &mut stream).await,
-            Frame::Explain(id) => account::answer(&traffic, id, &mut stream).await,
+            Frame::Ask(question) => account::answer(&traffic, question, &mut stream).await,
+            Frame::Drain => {
+                traffic.observe(Observation::Leaving).await;
+                acknowledge(&mut stream).await
+            }
             Frame::InForce(version) => documents::answer(&traffic, version, &mut stream).await,
             Frame::Document { version, text } => {
                 documents::receive(&traffic, version, text, &mut stream).await
             }
-            Frame::Watch => {
-                // An entry has no load to report; the open stream shows that it lives.
-                std::future::pending::<()>().await;
-                Ok(())
-            }
+            Frame::Watch => watched(&traffic, &mut stream).await,
             other => Err(Error::Unexpected(other.kind())),
         }
     };
@@ -171,6 +176,25 @@
     }
 }
 
+async fn acknowledge(stream: &mut Stream) -> wire::Result<()> {
+    stream.send(&Frame::Ack).await?;
+    stream.finish()
+}
+
+/// Reports to a peer that this entry is leaving, once it is; it has no other load to report. The open
+/// stream shows that it lives.
+async fn watched(traffic: &Traffic, stream: &mut Stream) -> wire::Result<()> {
+    while !traffic.shared.view.load().leaving {
+        smol::Timer::after(LEAVING_POLL.into()).await;
+    }
+    let load = Load {
+        leaving: true,
+        ..Load::default()
+    };
+    stream.send(&Frame::Load(load)).await?;
+    std::future::pending().await
+}
+
 async fn sweep(traffic: Rc<Traffic>) {
     loop {
         smol::Timer::after(SWEEP_INTERVAL.into()).await;
@@ -206,10 +230,9 @@
 impl Traffic {
     async fn ask(&self, question: Question) -> Option<Value> {
         match question {
-            Question::Programs => {
-                let programs: Vec<Rc<Live>> = self.programs.borrow().values().cloned().collect();
-                Some(account::list(programs.into_iter()))
-            }
+            Question::Programs => Some(account::programs(self)),
+            Question::Accounts => Some(account::accounts(self)),
+            Question::Drain(host) => account::drain(self, &host).await,
             Question::Explain(id) => account::explain(self, id).await,
             Question::End(id) => {
                 let live = self.local(id)?;
@@ -280,6 +303,11 @@
             .cloned()
     }
 
+    /// All programs that this entry owns.
+    pub(crate) fn programs(&self) -> Vec<Rc<Live>> {
+        self.programs.borrow().values().cloned().collect()
+    }
+
     /// A program that this entry owns.
     pub(crate) fn local(&self, id: Program) -> Option<Rc<Live>> {
         self.programs.borrow().get(&id).cloned()
@@ -322,15 +350,15 @@
         }
         let environment = self.environment()?;
         let document = &environment.document;
-        let allowed = document
-            .accounts
-            .get(account)
-            .is_some_and(|a| a.classes.contains(&class));
+        let owner = document.accounts.get(account);
+        let allowed = owner.is_some_and(|owner| owner.classes.contains(&class));
         let settings = document
             .classes
             .get(&class)
             .filter(|_| allowed)
             .ok_or(Refusal::Class)?;
+        let programs_max = owner.map_or(0, |owner| owner.programs_max);
+        let _permit = self.permit(account, programs_max)?;
         let limits = &document.limits;
         let budget = Budget {
             tokens: budget.tokens.min(limits.tokens_max),
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -234,9 +234,14 @@
         }
     }
 
+    /// Refuses new work from now on.
+    pub(crate) fn leave(&self) {
+        self.guard.borrow_mut().leave();
+    }
+
     /// Refuses new work and waits until all calls taken on have ended.
     pub(crate) async fn drain(&self) {
-        self.guard.borrow_mut().leave();
+        self.leave();
         while self.load().running + self.load().queued > 0 {
             smol::Timer::after(DRAIN_POLL.into()).await;
         }
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -54,6 +54,10 @@
             calls.release(program).await;
             stream.send(&Frame::Ack).await?;
         }
+        Frame::Drain => {
+            calls.leave();
+            stream.send(&Frame::Ack).await?;
+        }
         Frame::InForce(version) => document::answer(calls, version, stream).await?,
         Frame::Document { version, text } => {
             document::receive(calls, version, text, stream).await?;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -71,9 +71,10 @@
     /// The version of the environment document in force at the sender, 0 for none; answered by
     /// `InForce`, or by `Document` if the receiver has a higher one.
     InForce(Version),
-    /// Asks the owner of a program what it knows of it; answered by `Body` with JSON, or by `Ack`
-    /// from an entry that does not own it.
-    Explain(Program),
+    /// Asks an entry for an operator; answered by `Body` with JSON, or by `Ack` if it knows nothing.
+    Ask(Question),
+    /// The process is to leave: it takes no new work and finishes what it has; answered by `Ack`.
+    Drain,
 }
 
 impl Frame {
@@ -102,11 +103,21 @@
             Frame::Document { .. } => "Document",
             Frame::Ack => "Ack",
             Frame::InForce(_) => "InForce",
-            Frame::Explain(_) => "Explain",
+            Frame::Ask(_) => "Ask",
+            Frame::Drain => "Drain",
         }
     }
 }
 
+/// What an entry is asked for an operator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Question {
+    /// What it knows of a program that it owns.
+    Explain(Program),
+    /// The usage of each account by the programs that it owns.
+    Usage,
+}
+
 /// What a process does.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Role {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -20,8 +20,8 @@
 pub use codec::{Decoder, FRAME_MAX_BYTES, encode};
 pub use error::{Error, Result};
 pub use frame::{
-    Accepted, Body, Delta, Dispatch, Done, Forward, Frame, Head, Identity, Load, Ran, Reason,
-    Refused, Resume, Role, State, Usage, Work,
+    Accepted, Body, Delta, Dispatch, Done, Forward, Frame, Head, Identity, Load, Question, Ran,
+    Reason, Refused, Resume, Role, State, Usage, Work,
 };
 pub use link::Link;
 pub use server::serve;
--- a/src/commands/ctl/mod.rs
+++ b/src/commands/ctl/mod.rs
@@ -52,6 +52,11 @@
         server: SocketAddr,
         json: bool,
     },
+    Drain {
+        server: SocketAddr,
+        author: String,
+        host: String,
+    },
     End {
         server: SocketAddr,
         author: String,
@@ -66,6 +71,8 @@
     History,
     Audit,
     Programs,
+    Top,
+    Accounts,
     Explain(String),
 }
 
@@ -76,6 +83,8 @@
             Query::History => "/v1/environment/history".into(),
             Query::Audit => "/v1/audit".into(),
             Query::Programs => "/v1/programs".into(),
+            Query::Top => "/v1/top".into(),
+            Query::Accounts => "/v1/accounts".into(),
             Query::Explain(program) => format!("/v1/programs/{program}/explain"),
         }
     }
@@ -86,6 +95,8 @@
             Query::History => render::history(value),
             Query::Audit => render::audit(value),
             Query::Programs => render::programs(value),
+            Query::Top => render::top(value),
+            Query::Accounts => render::accounts(value),
             Query::Explain(_) => render::account(value),
         }
     }
@@ -172,10 +183,20 @@
         apply,
         promote_options(),
         rollout_options(),
+        drain_options(),
         end
     ])
 }
 
+fn drain_options() -> impl Parser<Options> {
+    let (address, name) = (server(), author());
+    let host = positional("HOST").help("The host");
+    construct!(Options::Drain { server(address), author(name), host })
+        .to_options()
+        .descr("Marks a host as leaving: it takes no new work and finishes what it has")
+        .command("drain")
+}
+
 fn promote_options() -> impl Parser<Options> {
     let (address, name) = (server(), author());
     let to = long("to")
@@ -218,10 +239,29 @@
         "Lists the programs of an entry",
         Query::Programs,
     );
-    construct!([changes(), status, history, audit, programs, explain()])
-        .to_options()
-        .descr("Operates an environment")
-        .command("ctl")
+    let top = show(
+        "top",
+        "Shows an entry's programs under way, queues and slow endpoints",
+        Query::Top,
+    );
+    let accounts = show(
+        "accounts",
+        "Shows the usage of each account against its limits",
+        Query::Accounts,
+    );
+    construct!([
+        changes(),
+        status,
+        history,
+        audit,
+        programs,
+        top,
+        accounts,
+        explain()
+    ])
+    .to_options()
+    .descr("Operates an environment")
+    .command("ctl")
 }
 
 pub(crate) fn run(options: Options) -> Result<()> {
@@ -286,6 +326,11 @@
             }
             Ok(())
         }
+        Options::Drain {
+            server,
+            author,
+            host,
+        } => drain(&Server::new(server, TOKEN_VARIABLE), &author, &host),
         Options::End {
             server,
             author,
@@ -302,6 +347,19 @@
     }
 }
 
+fn drain(server: &Server, author: &str, host: &str) -> Result<()> {
+    let path = path(&format!("/v1/hosts/{host}/drain"), &[("author", author)])?;
+    let answer = server.send(Method::Post, &path, None)?;
+    if answer["told"] != true {
+        return Err(Error::Answer("word that the host was told"));
+    }
+    println!("{host} is leaving");
+    if answer["audited"] != true {
+        println!("the audit record could not be written");
+    }
+    Ok(())
+}
+
 fn check(file: &str) -> Result<()> {
     let text = std::fs::read_to_string(file).map_err(Error::File)?;
     let document = Document::parse(file, &text).map_err(Error::Settings)?;
--- a/src/commands/ctl/render.rs
+++ b/src/commands/ctl/render.rs
@@ -229,3 +229,56 @@
     }
     text
 }
+
+/// An entry's programs, the endpoints' queues, and which are slow.
+pub(crate) fn top(top: &Value) -> String {
+    let mut text = programs(top);
+    line!(
+        text,
+        "{:<24} {:>8} {:>8} {:>8}  slow",
+        "endpoint",
+        "running",
+        "slots",
+        "queued"
+    );
+    for endpoint in list(&top["endpoints"]) {
+        line!(
+            text,
+            "{:<24} {:>8} {:>8} {:>8}  {}",
+            plain(&endpoint["name"]),
+            plain(&endpoint["running"]),
+            plain(&endpoint["slots"]),
+            plain(&endpoint["queued"]),
+            plain(&endpoint["slow"]),
+        );
+    }
+    text
+}
+
+/// The usage of each account against its limits.
+pub(crate) fn accounts(accounts: &Value) -> String {
+    let mut text = String::new();
+    line!(
+        text,
+        "{:<24} {:>10} {:>10} {:>10} {:>10} {:>12}",
+        "account",
+        "programs",
+        "at most",
+        "children",
+        "calls",
+        "tokens"
+    );
+    for account in list(&accounts["accounts"]) {
+        line!(
+            text,
+            "{:<24} {:>10} {:>10} {:>10} {:>10} {:>12}",
+            plain(&account["account"]),
+            plain(&account["programs"]),
+            plain(&account["programs_max"]),
+            plain(&account["children"]),
+            plain(&account["calls"]),
+            plain(&account["tokens"]),
+        );
+    }
+    text
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod documents;
 mod explain;
 mod failures;
+mod operators;
 mod whole_path;
 
 /// Defines one test for each named case of a function: `cases!(check; name: argument, ...)`.
--- /dev/null
+++ b/tests/all/operators.rs
@@ -0,0 +1,133 @@
+//! Operators drain hosts and see usage; the host list is only a hint.
+
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::cluster::{Cluster, Config, eventually};
+
+/// Bound for a leaving endpoint to receive no new work, as the users ask: a few seconds.
+const LEAVING_MAX: Duration = Duration::from_secs(3);
+
+/// Bound for a peer's usage to be known.
+const USAGE_MAX: Duration = Duration::from_secs(5);
+
+const TWO_PROGRAMS: &str =
+    "[account small]\ntoken-digest = DIGEST\nclasses = advisor\nprograms-max = 2\n";
+
+fn endpoints(cluster: &Cluster, entry: u16) -> usize {
+    cluster.status(entry)["endpoints"]
+        .as_array()
+        .map_or(0, Vec::len)
+}
+
+#[test]
+fn drained_sidecar_gets_no_new_work_in_a_store_outage_too() {
+    let cluster = Config::new().start();
+    cluster.platform.state().knobs.down = true;
+    let server = cluster.admin_address(0).to_string();
+    let author = ["--author", "rosa"];
+    let drain =
+        |host: &str| cluster.ctl(&[&["drain", "--server", &server], &author[..], &[host]].concat());
+    let drained = drain("sidecar-engine-0");
+    assert!(drained.status.success(), "{drained:?}");
+    eventually(LEAVING_MAX, "both entries know", || {
+        endpoints(&cluster, 0) == 2 && endpoints(&cluster, 1) == 2
+    });
+    cluster.platform.state().knobs.down = false;
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("advisor", 50_000, 20);
+    for seq in 1..=4 {
+        assert!(caller.model(&program, seq, "Which wax?", 4).is_whole());
+    }
+    assert!(cluster.engines[0].state().executions.is_empty());
+    assert!(!drain("sidecar-of-nobody").status.success());
+}
+
+#[test]
+fn drained_entry_is_unready_and_finishes_its_programs() {
+    let cluster = Config::new().with_engines(1).start();
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("advisor", 50_000, 20);
+    let (status, answer) = cluster
+        .operate(1, "POST", "/v1/hosts/entry-0/drain?author=rosa", None)
+        .unwrap();
+    assert_eq!((status, &answer["audited"]), (200, &Value::Bool(true)));
+    eventually(LEAVING_MAX, "not ready", || {
+        let ready = cluster.operate(0, "GET", "/ready", None).unwrap();
+        ready.0 == 503
+    });
+    assert!(caller.model(&program, 1, "Which wax?", 4).is_whole());
+    let body = r#"{"class":"advisor","tokens":100,"calls":1}"#;
+    let (status, refusal) = caller.request("POST", "/v1/programs", Some(body)).unwrap();
+    assert_eq!((status, &refusal["ran"]), (503, &Value::from("no")));
+    let leaving = || {
+        let status = cluster.status(1);
+        let mut hosts = status["hosts"].as_array().into_iter().flatten();
+        hosts.any(|host| host["host"] == "entry-0" && host["leaving"] == true)
+    };
+    eventually(LEAVING_MAX, "the other entry knows", leaving);
+    let (_, audit) = cluster.operate(1, "GET", "/v1/audit", None).unwrap();
+    assert_eq!(audit["records"][1]["action"]["drain"], "entry-0");
+}
+
+#[test]
+fn sidecar_that_the_list_omits_stays_usable() {
+    let cluster = Config::new().with_engines(1).start();
+    let hosts = std::mem::take(&mut cluster.platform.state().hosts);
+    let unlisted = || {
+        let status = cluster.status(0);
+        let hosts = status["hosts"].as_array().cloned().unwrap_or_default();
+        hosts.iter().skip(1).all(|host| host["listed"] == false)
+    };
+    eventually(LEAVING_MAX, "the entry has the empty list", unlisted);
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("advisor", 50_000, 20);
+    assert!(caller.model(&program, 1, "Which wax?", 4).is_whole());
+    cluster.platform.state().hosts = hosts;
+}
+
+#[test]
+fn account_may_have_only_so_many_programs_in_all() {
+    let digest = units::Digest::of(b"small-token").to_string();
+    let document = TWO_PROGRAMS.replace("DIGEST", &digest);
+    let cluster = Config::new()
+        .with_engines(0)
+        .with_document(&document)
+        .start();
+    let (here, there) = (cluster.caller(0, "small"), cluster.caller(1, "small"));
+    let first = here.create("advisor", 100, 5);
+    there.create("advisor", 100, 5);
+    let body = r#"{"class":"advisor","tokens":100,"calls":1}"#;
+    let usage = |entry: u16| {
+        let (_, accounts) = cluster.operate(entry, "GET", "/v1/accounts", None).unwrap();
+        let accounts = accounts["accounts"].as_array().unwrap().clone();
+        let small = accounts
+            .iter()
+            .find(|account| account["account"] == "small");
+        small.unwrap()["programs"].as_u64().unwrap()
+    };
+    eventually(USAGE_MAX, "both entries know both programs", || {
+        usage(0) == 2 && usage(1) == 2
+    });
+    for caller in [&here, &there] {
+        let (status, refusal) = caller.request("POST", "/v1/programs", Some(body)).unwrap();
+        assert_eq!((status, &refusal["code"]), (429, &Value::from("quota")));
+        assert_eq!(refusal["ran"], "no");
+    }
+    assert_eq!(here.end(&first).unwrap().0, 200);
+    assert_eq!(
+        here.request("POST", "/v1/programs", Some(body)).unwrap().0,
+        201
+    );
+    let server = cluster.admin_address(0).to_string();
+    for (command, part) in [
+        ("accounts", "small"),
+        ("top", "service-0"),
+        ("programs", "advisor"),
+    ] {
+        let shown = cluster.ctl(&[command, "--server", &server]);
+        let shown = String::from_utf8(shown.stdout).unwrap();
+        assert!(shown.contains(part), "{command}: {shown}");
+    }
+}
