--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod documents;
 mod explain;
 mod failures;
+mod links;
 mod operators;
 mod whole_path;
 
