--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -160,6 +160,8 @@
     }
 
     fn metrics(&self) -> Response {
+        let view = self.view.load();
+        status::measure(&view, &self.metrics, self.clock.now());
         let mut response = Response::new(StatusCode::Ok);
         response.set_body(self.metrics.render());
         response.insert_header("content-type", "text/plain; version=0.0.4");
--- a/crates/admin/src/status.rs
+++ b/crates/admin/src/status.rs
@@ -3,6 +3,7 @@
 use board::{Endpoint, Member, View};
 use platform::api::HostRole;
 use serde_json::{Value, json};
+use telemetry::Metrics;
 use units::{Host, Span, Time};
 
 const SLOW_RATIO: u64 = 2;
@@ -28,6 +29,23 @@
     })
 }
 
+/// Sets the metrics that show the state of the board.
+pub(crate) fn measure(view: &View, metrics: &Metrics, now: Time) {
+    let version = view.replica.version();
+    let heard = view
+        .replica
+        .heard()
+        .map_or(Span(0), |heard| now.since(heard));
+    let live = view.members.iter().filter(|host| !host.leaving);
+    let unreachable = live.clone().filter(|host| !host.connected).count();
+    let behind = live.filter(|host| host.version < version).count();
+    metrics.set("document-version", version.0 as i64);
+    metrics.set("document-heard-milliseconds", heard.as_ms() as i64);
+    metrics.set("endpoints-count", view.endpoints.len() as i64);
+    metrics.set("hosts-unreachable-count", unreachable as i64);
+    metrics.set("hosts-behind-count", behind as i64);
+}
+
 fn member(member: &Member, now: Time) -> Value {
     json!({
         "host": member.host, "role": member.role, "listed": member.listed,
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -7,6 +7,7 @@
 use log::{Budget, Token};
 use serde::Deserialize;
 use serde_json::json;
+use telemetry::Trace;
 use units::{Account, Calls, Class, Digest, Program, Seq, Span, Target, Tokens};
 use wire::Forward;
 
@@ -106,7 +107,7 @@
     };
     let result = result.await;
     let kind = result.as_ref().map_or_else(Refusal::code, |_| "answered");
-    traffic.shared.metrics.count(kind);
+    traffic.shared.metrics.request(kind);
     let length = traffic.shared.clock.now().since(start);
     traffic.shared.metrics.time("request", length.as_secs_f64());
     respond(&traffic.executor, result)
@@ -119,7 +120,10 @@
             .header(name)
             .map(|values| values.as_str().to_owned())
     };
-    let trace = header("traceparent").unwrap_or_default();
+    let trace = header("traceparent").unwrap_or_else(|| {
+        let share = traffic.shared.settings.process.trace_share;
+        Trace::new().with_share(share).to_string()
+    });
     let authorization = header("authorization").ok_or(Refusal::Unauthorized)?;
     let token = authorization
         .strip_prefix("Bearer ")
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -66,6 +66,7 @@
             live.program.borrow_mut().begin(&request);
             let answer = live.begin(seq);
             let trace = Trace::below(&from.trace);
+            live.trace.set(Some(trace));
             let run = Run {
                 live: live.clone(),
                 request,
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -47,7 +47,7 @@
         time_left: created.deadline.since(traffic.shared.clock.now()),
         priority: policy::rank(precedence, program.ledger().spent()),
         input: input.to_vec(),
-        trace: run.trace.child().to_string().into(),
+        trace: run.trace.to_string().into(),
         tail: Vec::new(),
     }
 }
--- a/crates/entry/src/live.rs
+++ b/crates/entry/src/live.rs
@@ -5,6 +5,7 @@
 
 use log::{Event, Record, Token, Turn};
 use program::Program;
+use telemetry::Trace;
 use units::{Incarnation, Seq};
 use wire::Answer;
 
@@ -26,6 +27,8 @@
     pub(crate) program: RefCell<Program>,
     running: RefCell<Option<(Seq, Rc<Answer<Ending>>)>>,
     pub(crate) ending: Cell<bool>,
+    /// The span of the running call, below which its appends are.
+    pub(crate) trace: Cell<Option<Trace>>,
 }
 
 impl Live {
@@ -35,6 +38,7 @@
             program: RefCell::new(program),
             running: RefCell::default(),
             ending: Cell::new(false),
+            trace: Cell::new(None),
         })
     }
 
@@ -57,6 +61,7 @@
     /// Ends the answer of a call.
     pub(crate) fn finish(&self, answer: &Answer<Ending>, ending: Ending) {
         self.running.borrow_mut().take();
+        self.trace.take();
         answer.finish(ending);
     }
 
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -274,7 +274,13 @@
             .iter()
             .map(|event| live.record(event.clone()))
             .collect();
+        let start = self.shared.clock.now();
         self.append_records(records).await?;
+        if let Some(call) = live.trace.get() {
+            let end = self.shared.clock.now();
+            let append = call.child();
+            append.finish(&self.shared.logger, "append", start, end);
+        }
         let mut program = live.program.borrow_mut();
         events.iter().for_each(|event| program.apply(event));
         Ok(())
@@ -401,7 +407,7 @@
         self.programs.borrow_mut().insert(live.id, live);
         self.shared
             .metrics
-            .set("programs", self.programs.borrow().len() as i64);
+            .set("programs-count", self.programs.borrow().len() as i64);
     }
 
     /// Ends a program and its sub-agents and frees the engines' memory of it.
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use compact_str::{CompactString, ToCompactString};
-use units::{Bytes, Digest, Host, Region, Span, Target, Zone};
+use units::{Bytes, Digest, Host, Rate, Region, Span, Target, Zone};
 
 use crate::error::{Error, Problem, Result};
 use crate::reader::{Reader, Section};
@@ -12,6 +12,8 @@
 const NAME: &str = "a-z, 0-9, '-', '_', '.', at most 64 characters";
 const SPAN: &str = "a whole number with us, ms, s, m or h";
 const SIZE: &str = "a whole number, optionally with k, m or g";
+const SHARE: &str = "a number from 0 to 1";
+const TRACE_SHARE_DEFAULT: Rate = Rate(0.01);
 const TIMING_MIN: Span = Span::from_ms(10);
 const TIMING_MAX: Span = Span::from_ms(3_600_000);
 const HEX: &str = "64 hexadecimal digits";
@@ -42,6 +44,8 @@
     pub key: Digest,
     /// The platform's service.
     pub platform: Platform,
+    /// Share of the traces begun here that are written; those of callers say so themselves.
+    pub trace_share: Rate,
     /// How often and for how long things are done.
     pub timing: Timing,
 }
@@ -215,6 +219,7 @@
     let format = section
         .choice("log-format", &formats)?
         .unwrap_or(Format::Json);
+    let trace_share = trace_share(&section)?;
     let key = section
         .get("key", HEX)
         .map_err(|error| redact(error, "key"))?;
@@ -226,6 +231,7 @@
     };
     section.close()?;
     Ok(Process {
+        trace_share,
         timing: timing(reader.optional("timing"))?,
         host,
         region,
@@ -237,6 +243,15 @@
     })
 }
 
+fn trace_share(section: &Section<'_>) -> Result<Rate> {
+    let share = section.get_or("trace-share", SHARE, TRACE_SHARE_DEFAULT)?;
+    if share.0 <= 1.0 {
+        return Ok(share);
+    }
+    let value = share.to_compact_string();
+    Err(section.invalid("trace-share", &value, "is out of range", SHARE))
+}
+
 fn timing(section: Option<Section<'_>>) -> Result<Timing> {
     let mut timing = Timing {
         document_poll: Span::from_ms(500),
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -118,7 +118,10 @@
     }
 
     async fn run(&self, waiting: Waiting) {
-        let Waiting { dispatch, since } = waiting;
+        let Waiting {
+            mut dispatch,
+            since,
+        } = waiting;
         let Some(answer) = self.guard.borrow().answer(dispatch.call) else {
             return;
         };
@@ -131,6 +134,8 @@
             return;
         }
         let trace = Trace::below(&dispatch.trace);
+        let endpoint = trace.child();
+        dispatch.trace = endpoint.to_string().into();
         let result = self.client.run(&dispatch, &answer).await;
         let end = self.clock.now();
         if let (Ok(usage), Work::Model { .. }) = (&result, &dispatch.work) {
@@ -138,7 +143,8 @@
         }
         self.metrics
             .time("endpoint", end.since(start).as_secs_f64());
-        trace.finish(&self.log, "endpoint", start, end);
+        endpoint.finish(&self.log, "endpoint", start, end);
+        trace.finish(&self.log, "sidecar", since, end);
         if let Err(refused) = &result {
             warn!(self.log, "call failed"; "call" => %dispatch.call, "why" => %refused.reason);
         }
--- a/crates/sidecar/src/endpoint.rs
+++ b/crates/sidecar/src/endpoint.rs
@@ -111,6 +111,7 @@
             .calls
             .request(Method::Post, "/v1/completions")
             .map_err(|_| broken())?;
+        request.insert_header("traceparent", dispatch.trace.as_str());
         request.set_body(Body::from_bytes(body));
         let response = self.calls.send(request).await.map_err(refused)?;
         if !response.status().is_success() {
--- a/crates/sidecar/src/status.rs
+++ b/crates/sidecar/src/status.rs
@@ -29,8 +29,10 @@
         "/ready" if calls.ready() => Response::new(StatusCode::Ok),
         "/ready" => Response::new(StatusCode::ServiceUnavailable),
         "/metrics" => {
-            calls.metrics.set("running", i64::from(load.running));
-            calls.metrics.set("queued", i64::from(load.queued));
+            calls.metrics.set("running-calls", i64::from(load.running));
+            calls.metrics.set("queued-calls", i64::from(load.queued));
+            let version = calls.replica.borrow().version();
+            calls.metrics.set("document-version", version.0 as i64);
             let mut response = Response::new(StatusCode::Ok);
             response.set_body(calls.metrics.render());
             response.insert_header("content-type", "text/plain; version=0.0.4");
--- a/crates/telemetry/src/trace.rs
+++ b/crates/telemetry/src/trace.rs
@@ -3,9 +3,9 @@
 use std::fmt;
 use std::str::FromStr;
 
-use opentelemetry::trace::{SpanId, TraceId};
+use opentelemetry::trace::{SpanId, TraceFlags, TraceId};
 use slog::{Logger, info};
-use units::{Error, Result, Span, Time};
+use units::{Error, Rate, Result, Span, Time};
 
 /// One span of a trace; its text form is a `traceparent` that names it as the parent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,18 +13,28 @@
     trace: TraceId,
     span: SpanId,
     parent: Option<SpanId>,
+    sampled: bool,
 }
 
 impl Trace {
-    /// The first span of a new trace.
+    /// The first span of a new trace, which is written.
     pub fn new() -> Self {
         Trace {
             trace: TraceId::from_bytes(rand::random()),
             span: SpanId::from_bytes(rand::random()),
             parent: None,
+            sampled: true,
         }
     }
 
+    /// Writes only this share of new traces, chosen by their identifier.
+    pub fn with_share(mut self, share: Rate) -> Self {
+        let [a, b, c, d, ..] = self.trace.to_bytes();
+        let position = f64::from(u32::from_be_bytes([a, b, c, d])) / 2_f64.powi(32);
+        self.sampled = position < share.0;
+        self
+    }
+
     /// The span below the one that a `traceparent` names, or a new trace if it is malformed.
     pub fn below(parent: &str) -> Self {
         parent
@@ -34,16 +44,18 @@
 
     /// A span below this one.
     pub fn child(&self) -> Self {
-        let span = SpanId::from_bytes(rand::random());
         Trace {
-            trace: self.trace,
-            span,
+            span: SpanId::from_bytes(rand::random()),
             parent: Some(self.span),
+            ..*self
         }
     }
 
-    /// Writes the finished span as a log line of its own.
+    /// Writes the finished span as a log line of its own, if its trace is sampled.
     pub fn finish(&self, log: &Logger, hop: &'static str, start: Time, end: Time) {
+        if !self.sampled {
+            return;
+        }
         let parent = self
             .parent
             .map_or_else(String::new, |parent| parent.to_string());
@@ -61,7 +73,8 @@
 
 impl fmt::Display for Trace {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "00-{}-{}-01", self.trace, self.span)
+        let flags = u8::from(self.sampled);
+        write!(f, "00-{}-{}-{flags:02x}", self.trace, self.span)
     }
 }
 
@@ -69,15 +82,20 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self> {
-        let mut fields = text.splitn(4, '-');
+        let mut fields = text.splitn(5, '-');
         let mut field = || fields.next().ok_or(Error::Number);
         field()?;
         let trace = TraceId::from_hex(field()?).map_err(|_| Error::Number)?;
         let span = SpanId::from_hex(field()?).map_err(|_| Error::Number)?;
+        let flags = u8::from_str_radix(field()?, 16).map_err(|_| Error::Number)?;
+        if trace == TraceId::INVALID || span == SpanId::INVALID {
+            return Err(Error::Number);
+        }
         Ok(Trace {
             trace,
             span,
             parent: None,
+            sampled: TraceFlags::new(flags).is_sampled(),
         })
     }
 }
--- /dev/null
+++ b/crates/telemetry/tests/metrics.rs
@@ -0,0 +1,59 @@
+//! Names of metrics, and the trace context on the wire.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use telemetry::{Metrics, Trace};
+use units::Rate;
+
+#[test]
+fn names_have_area_thing_and_unit() {
+    let metrics = Metrics::new("entry").unwrap();
+    metrics.request("answered");
+    metrics.count("connect-failed");
+    metrics.count("connect-failed");
+    metrics.count("no metric's name");
+    metrics.set("programs-count", 3);
+    metrics.time("append", 0.004);
+    let text = String::from_utf8(metrics.render()).unwrap();
+    for line in [
+        "balsamhold_entry_requests_total{code=\"answered\"} 1",
+        "balsamhold_entry_connect_failed_total 2",
+        "balsamhold_entry_programs_count 3",
+        "balsamhold_entry_append_seconds_bucket{le=\"0.004\"} 1",
+        "balsamhold_entry_append_seconds_count 1",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line} in\n{text}");
+    }
+}
+
+#[test]
+fn traceparent_round_trips_and_children_stay_in_the_trace() {
+    let caller = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let trace = Trace::below(caller).to_string();
+    assert_eq!((&trace[..36], &trace[52..]), (&caller[..36], "-01"));
+    assert_ne!(trace, caller);
+    assert!(
+        Trace::below(&caller.replace("-01", "-00"))
+            .to_string()
+            .ends_with("-00")
+    );
+    for malformed in [
+        "",
+        "00-xyz",
+        "00-00000000000000000000000000000000-0000000000000000-01",
+    ] {
+        assert!(Trace::below(malformed).to_string().ends_with("-01"));
+    }
+    assert!(
+        Trace::new()
+            .with_share(Rate(0.0))
+            .to_string()
+            .ends_with("-00")
+    );
+    assert!(
+        Trace::new()
+            .with_share(Rate(1.0))
+            .to_string()
+            .ends_with("-01")
+    );
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod explain;
 mod failures;
 mod links;
+mod observability;
 mod operators;
 mod whole_path;
 
--- /dev/null
+++ b/tests/all/observability.rs
@@ -0,0 +1,130 @@
+//! One trace from the caller to the endpoint, and metrics by their documented names.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use http_types::{Body, Method};
+use serde_json::{Value, json};
+
+use crate::cluster::{Cluster, Config, eventually};
+
+/// Bound for log lines to be written.
+const LOG_MAX: Duration = Duration::from_secs(5);
+
+const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
+const CALLER_SPAN: &str = "b7ad6b7169203331";
+const PROCESSES: [&str; 4] = [
+    "entry-0",
+    "entry-1",
+    "sidecar-engine-0",
+    "sidecar-service-0",
+];
+
+/// Sends a request with headers of its own.
+fn send(address: std::net::SocketAddr, request: (Method, &str), call: Option<Value>) -> String {
+    let client = http_io::Client::new(address, LOG_MAX).with_bearer("meche-token");
+    let mut request = client.request(request.0, request.1).unwrap();
+    request.insert_header("traceparent", format!("00-{TRACE}-{CALLER_SPAN}-01"));
+    if let Some(call) = call {
+        request.set_body(Body::from_string(call.to_string()));
+    }
+    let bytes = smol::block_on(client.whole(request)).unwrap();
+    String::from_utf8(bytes).unwrap()
+}
+
+/// Hop and parent by span, of all spans of the test's trace in the logs.
+fn spans(cluster: &Cluster) -> BTreeMap<String, (String, String)> {
+    let logs = PROCESSES.map(|name| cluster.log(name)).concat();
+    let lines = logs
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let spans = lines.filter(|line| line["msg"] == "span" && line["trace"] == TRACE);
+    let text = |span: &Value, key: &str| span[key].as_str().unwrap().to_owned();
+    let span = |span: Value| {
+        (
+            text(&span, "span"),
+            (text(&span, "hop"), text(&span, "parent")),
+        )
+    };
+    spans.map(span).collect()
+}
+
+/// The hops from the caller down to each span without children, sorted.
+fn paths(spans: &BTreeMap<String, (String, String)>) -> Vec<String> {
+    let path = |span: &String| {
+        let mut path = Vec::new();
+        let mut at = span.clone();
+        while at != CALLER_SPAN {
+            let (hop, parent) = spans
+                .get(&at)
+                .unwrap_or_else(|| panic!("no span {at}: {spans:?}"));
+            path.insert(0, hop.clone());
+            at.clone_from(parent);
+        }
+        path.join(">")
+    };
+    let leaf = |span: &&String| !spans.values().any(|(_, parent)| parent == *span);
+    let mut paths: Vec<String> = spans.keys().filter(leaf).map(path).collect();
+    paths.sort();
+    paths
+}
+
+#[test]
+fn spans_of_calls_nest_below_the_callers() {
+    let cluster = Config::new().with_engines(1).start();
+    let program = cluster.caller(0, "meche").create("reorder", 5_000, 20);
+    let path = format!("/v1/programs/{program}/calls");
+    let calls = [
+        json!({"seq": 1, "model": "advisor", "input": "Which wax?", "max_tokens": 4}),
+        json!({"seq": 2, "service": "stock", "input": "reserve 2 pallets"}),
+    ];
+    // Through the entry that does not own the program, so that forwarding is covered.
+    for call in calls {
+        send(cluster.caller_address(1), (Method::Post, &path), Some(call));
+    }
+    let expected = [
+        // The tranche and the turn of the model call; the intent and the turn of the order.
+        "entry>append",
+        "entry>append",
+        "entry>append",
+        "entry>append",
+        "entry>sidecar>endpoint",
+        "entry>sidecar>endpoint",
+    ];
+    eventually(LOG_MAX, "all spans are written", || {
+        spans(&cluster).len() >= 10
+    });
+    assert_eq!(paths(&spans(&cluster)), expected);
+}
+
+#[test]
+fn metrics_have_their_documented_names() {
+    let cluster = Config::new().with_engines(1).start();
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("advisor", 5_000, 20);
+    assert!(caller.model(&program, 1, "Which wax?", 4).is_whole());
+    caller.model(&program, 9, "gap", 4);
+    let metrics = send(cluster.admin_address(0), (Method::Get, "/metrics"), None);
+    for line in [
+        "balsamhold_entry_requests_total{code=\"answered\"} 2",
+        "balsamhold_entry_requests_total{code=\"gap\"} 1",
+        "balsamhold_entry_programs_count 1",
+        "balsamhold_entry_document_version 1",
+        "balsamhold_entry_endpoints_count 2",
+        "balsamhold_entry_hosts_unreachable_count 0",
+        "balsamhold_entry_request_seconds_count 3",
+    ] {
+        assert!(
+            metrics.lines().any(|found| found == line),
+            "{line} in\n{metrics}"
+        );
+    }
+    let page = include_str!("../../docs/operators/metrics.md");
+    let names = metrics.lines().filter(|line| line.starts_with("# TYPE "));
+    for name in names.map(|line| line.split(' ').nth(2).unwrap()) {
+        assert!(
+            page.contains(&format!("`{name}`")),
+            "{name} is not on the operators' page"
+        );
+    }
+}
