--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod links;
 mod live;
 mod owner;
+mod quota;
 mod refusal;
 mod reply;
 mod routing;
--- a/crates/entry/src/live.rs
+++ b/crates/entry/src/live.rs
@@ -6,6 +6,7 @@
 
 use log::{Event, Handle, Record, Token, Turn};
 use program::Program;
+use telemetry::Trace;
 use units::Seq;
 use wire::Answer;
 
@@ -29,6 +30,8 @@
     pub(crate) log: Arc<Handle>,
     running: RefCell<Option<(Seq, Rc<Answer<Ending>>)>>,
     pub(crate) ending: Cell<bool>,
+    /// The span of the running call, below which its appends are.
+    pub(crate) trace: Cell<Option<Trace>>,
 }
 
 impl Live {
@@ -39,6 +42,7 @@
             log,
             running: RefCell::default(),
             ending: Cell::new(false),
+            trace: Cell::new(None),
         })
     }
 
@@ -61,6 +65,7 @@
     /// Ends the answer of a call.
     pub(crate) fn finish(&self, answer: &Answer<Ending>, ending: Ending) {
         self.running.borrow_mut().take();
+        self.trace.take();
         answer.finish(ending);
     }
 
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -133,7 +133,10 @@
     }
 
     async fn run(&self, waiting: Waiting) {
-        let Waiting { dispatch, since } = waiting;
+        let Waiting {
+            mut dispatch,
+            since,
+        } = waiting;
         let Some(answer) = self.guard.borrow().answer(dispatch.call) else {
             return;
         };
@@ -143,6 +146,8 @@
             return;
         }
         let trace = Trace::below(&dispatch.trace);
+        let endpoint = trace.child();
+        dispatch.trace = endpoint.to_string().into();
         let result = self.client.run(&dispatch, &answer).await;
         let end = self.clock.now();
         if let (Ok(usage), Work::Model { .. }) = (&result, &dispatch.work) {
@@ -150,7 +155,8 @@
         }
         self.metrics
             .time("endpoint", end.since(start).as_secs_f64());
-        trace.finish(&self.log, "endpoint", start, end);
+        endpoint.finish(&self.log, "endpoint", start, end);
+        trace.finish(&self.log, "sidecar", since, end);
         if let Err(refused) = &result {
             warn!(self.log, "call failed"; "call" => %dispatch.call, "why" => %refused.reason);
         }
@@ -260,9 +266,14 @@
         }
     }
 
+    /// Refuses new work from now on.
+    pub(crate) fn leave(&self) {
+        self.guard.borrow_mut().leave();
+    }
+
     /// Refuses new work and waits until all calls taken on have ended.
     pub(crate) async fn drain(&self) {
-        self.guard.borrow_mut().leave();
+        self.leave();
         while self.load().running + self.load().queued > 0 {
             smol::Timer::after(DRAIN_POLL.into()).await;
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -14,6 +14,8 @@
 mod explain;
 mod failures;
 mod links;
+mod observability;
+mod operators;
 mod store;
 mod takeover;
 mod whole_path;
