--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -107,7 +107,7 @@
 
 /// The entry at which a program is to be created while this one is leaving or has no log.
 pub(crate) fn substitute(traffic: &Traffic, request: &Request) -> Option<Link> {
-    let needed = traffic.leaving.get() || traffic.log().is_err();
+    let needed = traffic.is_leaving() || traffic.log().is_err();
     if !needed || request.hops > 0 {
         return None;
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,8 @@
 mod live;
 mod outage;
 mod owner;
+mod programs;
+mod quota;
 mod refusal;
 mod reply;
 mod routing;
--- a/crates/entry/src/live.rs
+++ b/crates/entry/src/live.rs
@@ -6,6 +6,7 @@
 
 use log::{Event, Handle, Record, Token, Turn};
 use program::Program;
+use telemetry::Trace;
 use units::{Incarnation, Seq};
 use wire::Answer;
 
@@ -45,6 +46,8 @@
     /// What has been answered and is not in the log yet.
     pub(crate) tail: RefCell<Tail>,
     pub(crate) ending: Cell<bool>,
+    /// The span of the running call, below which its appends are.
+    pub(crate) trace: Cell<Option<Trace>>,
 }
 
 impl Live {
@@ -56,6 +59,7 @@
             running: RefCell::default(),
             tail: RefCell::default(),
             ending: Cell::new(false),
+            trace: Cell::new(None),
         })
     }
 
@@ -83,6 +87,7 @@
     /// Ends the answer of a call.
     pub(crate) fn finish(&self, answer: &Answer<Ending>, ending: Ending) {
         self.running.borrow_mut().take();
+        self.trace.take();
         answer.finish(ending);
     }
 
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -65,7 +65,7 @@
     let Some(host) = sidecar_host(traffic, &route).await else {
         return calls::give_up(traffic, run, route).await;
     };
-    match dispatch::recover(traffic, run, &host, call, &route).await {
+    match dispatch::recover_adopted(traffic, run, host, call, &route).await {
         Dispatched::Done(done) => {
             let work = Work::Service { idempotent: false };
             calls::finish(traffic, run, &work, route, &done).await
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -8,22 +8,25 @@
 use admin::{Ask, Question};
 use async_channel::{Receiver, Sender};
 use board::{Environment, Observation};
-use log::{Budget, Cause, Created, Event, Handle, Parent, Record, Token};
+use log::{Cause, Event, Handle, Record, Token};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::{Value, json};
 use slog::{error, info};
 use smol::LocalExecutor;
-use units::{Account, Class, Host, Incarnation, Program, Span};
-use wire::{Error, Frame, Identity, Key, Link, Stream};
+use smol::future::FutureExt;
+use units::{Host, Incarnation, Program, Span};
+use wire::{Error, Frame, Identity, Key, Link, Load, Stream};
 
 use crate::control::listen;
 use crate::live::Live;
 use crate::owner::Logs;
+use crate::quota::{self, Quota};
 use crate::refusal::{Refusal, Result};
 use crate::{Shared, account, api, documents, drain, forward, links, takeover};
 
 const SWEEP_INTERVAL: Span = Span::from_ms(500);
+const LEAVING_POLL: Span = Span::from_ms(200);
 
 /// What the traffic thread is started with.
 pub(crate) struct Inputs {
@@ -43,14 +46,15 @@
     pub(crate) connecting: RefCell<HashSet<Host>>,
     pub(crate) outstanding: RefCell<HashMap<Host, u32>>,
     pub(crate) rng: RefCell<StdRng>,
-    programs: RefCell<HashMap<Program, Rc<Live>>>,
-    created: Cell<u64>,
+    pub(crate) programs: RefCell<HashMap<Program, Rc<Live>>>,
+    pub(crate) created: Cell<u64>,
     /// Held by each request until its answer has been sent.
     pub(crate) requests: Arc<()>,
     pub(crate) leaving: Cell<bool>,
     /// Whether programs wait for their handover: nothing new begins in them.
     pub(crate) handing_over: Cell<bool>,
     pub(crate) logs: Logs,
+    pub(crate) quota: Quota,
     observations: Sender<Observation>,
 }
 
@@ -70,6 +74,7 @@
         leaving: Cell::new(false),
         handing_over: Cell::new(false),
         logs: Logs::default(),
+        quota: Quota::default(),
         observations: inputs.observations,
         shared,
     });
@@ -100,6 +105,7 @@
     spawn(Box::pin(serve_peers(traffic.clone(), peers)));
     spawn(Box::pin(links::keep(traffic.clone(), executor.clone())));
     spawn(Box::pin(documents::keep(traffic.clone(), executor.clone())));
+    spawn(Box::pin(quota::keep(traffic.clone())));
     spawn(Box::pin(sweep(traffic.clone())));
     spawn(Box::pin(takeover::watch(traffic.clone())));
     spawn(Box::pin(answer_asks(traffic.clone(), asked)));
@@ -132,7 +138,9 @@
     let served = match listen(listener) {
         Ok(listener) => {
             let (executor, key) = (traffic.executor.clone(), traffic.key.clone());
-            wire::serve(executor, listener, key, own, handler).await
+            let metrics = traffic.shared.metrics.clone();
+            let refused = move |error: &Error| metrics.count(error.label());
+            wire::serve(executor, listener, key, own, handler, refused).await
         }
         Err(why) => Err(why),
     };
@@ -149,21 +157,20 @@
                 let _held = traffic.requests.clone();
                 forward::receive(&traffic, forward, &mut stream).await
             }
-            Frame::Adopt(writer) => {
-                traffic.take_over(writer).await;
-                stream.send(&Frame::Ack).await?;
-                stream.finish()
+            Frame::Ask(question) => account::answer(&traffic, question, &mut stream).await,
+            Frame::Drain => {
+                traffic.observe(Observation::Leaving).await;
+                acknowledge(&mut stream).await
             }
-            Frame::Explain(id) => account::answer(&traffic, id, &mut stream).await,
             Frame::InForce(version) => documents::answer(&traffic, version, &mut stream).await,
             Frame::Document { version, text } => {
                 documents::receive(&traffic, version, text, &mut stream).await
             }
-            Frame::Watch => {
-                // An entry has no load to report; the open stream shows that it lives.
-                std::future::pending::<()>().await;
-                Ok(())
+            Frame::Adopt(writer) => {
+                traffic.take_over(writer).await;
+                acknowledge(&mut stream).await
             }
+            Frame::Watch => watched(&traffic, &mut stream).await,
             other => Err(Error::Unexpected(other.kind())),
         }
     };
@@ -172,6 +179,35 @@
     }
 }
 
+async fn acknowledge(stream: &mut Stream) -> wire::Result<()> {
+    stream.send(&Frame::Ack).await?;
+    stream.finish()
+}
+
+/// Reports to a peer that this entry is leaving, once it is; it has no other load to report. The open
+/// stream shows that it lives.
+async fn watched(traffic: &Traffic, stream: &mut Stream) -> wire::Result<()> {
+    let leaving = async {
+        while !traffic.is_leaving() {
+            smol::Timer::after(LEAVING_POLL.into()).await;
+        }
+        true
+    };
+    let gone = async {
+        stream.gone().await;
+        false
+    };
+    if leaving.or(gone).await {
+        let load = Load {
+            leaving: true,
+            ..Load::default()
+        };
+        stream.send(&Frame::Load(load)).await?;
+        stream.gone().await;
+    }
+    Ok(())
+}
+
 async fn sweep(traffic: Rc<Traffic>) {
     loop {
         smol::Timer::after(SWEEP_INTERVAL.into()).await;
@@ -214,10 +250,9 @@
 impl Traffic {
     async fn ask(&self, question: Question) -> Option<Value> {
         match question {
-            Question::Programs => {
-                let programs: Vec<Rc<Live>> = self.programs.borrow().values().cloned().collect();
-                Some(account::list(programs.into_iter()))
-            }
+            Question::Programs => Some(account::programs(self)),
+            Question::Accounts => Some(account::accounts(self)),
+            Question::Drain(host) => account::drain(self, &host).await,
             Question::Explain(id) => account::explain(self, id).await,
             Question::End(id) => {
                 let live = self.local(id)?;
@@ -257,7 +292,13 @@
             .iter()
             .map(|event| live.record(event.clone()))
             .collect();
+        let start = self.shared.clock.now();
         self.append_records(&live.log, records).await?;
+        if let Some(call) = live.trace.get() {
+            let end = self.shared.clock.now();
+            let append = call.child();
+            append.finish(&self.shared.logger, "append", start, end);
+        }
         let mut program = live.program.borrow_mut();
         events.iter().for_each(|event| program.apply(event));
         Ok(())
@@ -295,6 +336,11 @@
             .cloned()
     }
 
+    /// All programs that this entry owns.
+    pub(crate) fn programs(&self) -> Vec<Rc<Live>> {
+        self.programs.borrow().values().cloned().collect()
+    }
+
     /// A program that this entry owns.
     pub(crate) fn local(&self, id: Program) -> Option<Rc<Live>> {
         let programs = self.programs.borrow();
@@ -304,6 +350,11 @@
             .cloned()
     }
 
+    /// Whether this entry takes no new programs.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.get() || self.shared.view.load().leaving
+    }
+
     /// Whether a call of any program is running here.
     pub(crate) fn is_running(&self) -> bool {
         let programs = self.programs.borrow();
@@ -317,140 +368,4 @@
             .borrow_mut()
             .retain(|_, live| !live.log.is_closed());
     }
-
-    /// A new program's identifier.
-    pub(crate) fn next_id(&self, log: &Handle) -> Program {
-        self.created.set(self.created.get() + 1);
-        Program {
-            origin: log.writer(),
-            number: self.created.get(),
-        }
-    }
-
-    /// Creates a program for a caller.
-    pub(crate) async fn create(
-        &self,
-        account: &Account,
-        class: Class,
-        budget: Budget,
-        deadline: Option<Span>,
-    ) -> Result<Rc<Live>> {
-        if self.leaving.get() {
-            return Err(Refusal::Unready);
-        }
-        let environment = self.environment()?;
-        let document = &environment.document;
-        let allowed = document
-            .accounts
-            .get(account)
-            .is_some_and(|a| a.classes.contains(&class));
-        let settings = document
-            .classes
-            .get(&class)
-            .filter(|_| allowed)
-            .ok_or(Refusal::Class)?;
-        let limits = &document.limits;
-        let budget = Budget {
-            tokens: budget.tokens.min(limits.tokens_max),
-            calls: budget.calls.min(limits.calls_max),
-        };
-        let now = self.shared.clock.now();
-        let created = Created {
-            account: account.clone(),
-            class,
-            budget,
-            deadline: now.after(deadline.unwrap_or(settings.deadline).min(settings.deadline)),
-            parent: None,
-            document: environment.version,
-            entry: self.shared.identity.host.clone(),
-            at: now,
-        };
-        let log = self.log()?;
-        let program = program::Program::new(created.clone());
-        let live = Live::new(self.next_id(&log), program, log);
-        self.append(&live, vec![Event::Created(created)]).await?;
-        self.adopt(live.clone());
-        Ok(live)
-    }
-
-    /// The start of a sub-agent of `parent`.
-    pub(crate) fn child(&self, parent: &Live, from: Parent, budget: Budget) -> Result<Created> {
-        let environment = self.environment()?;
-        let program = parent.program.borrow();
-        Ok(Created {
-            budget,
-            parent: Some(from),
-            document: environment.version,
-            entry: self.shared.identity.host.clone(),
-            at: self.shared.clock.now(),
-            ..program.created().clone()
-        })
-    }
-
-    /// Owns a program from now on.
-    pub(crate) fn adopt(&self, live: Rc<Live>) {
-        self.programs.borrow_mut().insert(live.id, live);
-        self.shared
-            .metrics
-            .set("programs", self.programs.borrow().len() as i64);
-    }
-
-    /// Ends a program and its sub-agents and frees the engines' memory of it. Sub-agents end first,
-    /// so that what they leave over is returned before the program's own rest is counted.
-    pub(crate) async fn end(&self, live: &Rc<Live>, cause: Cause) -> Result<()> {
-        if live.program.borrow().ended().is_some() || live.ending.replace(true) {
-            return Ok(());
-        }
-        let ended = self.end_all(live, cause).await;
-        live.ending.set(false);
-        ended?;
-        links::release(self, live.id).await;
-        Ok(())
-    }
-
-    async fn end_all(&self, live: &Rc<Live>, cause: Cause) -> Result<()> {
-        for child in self.children(live.id) {
-            Box::pin(self.end(&child, Cause::Parent)).await?;
-        }
-        let at = self.shared.clock.now();
-        let ended = Event::Ended { cause, at };
-        let Some(parent) = self.parent(live) else {
-            return self.append(live, vec![ended]).await;
-        };
-        let returned = Event::Returned {
-            child: live.id,
-            tokens: live.program.borrow().leftover(),
-        };
-        // In one batch: the leftover is returned if and only if the end is durable.
-        let records = vec![live.record(ended.clone()), parent.record(returned.clone())];
-        self.append_records(&live.log, records).await?;
-        live.program.borrow_mut().apply(&ended);
-        parent.program.borrow_mut().apply(&returned);
-        Ok(())
-    }
-
-    /// The parent of a sub-agent, if it is here and goes on.
-    fn parent(&self, live: &Live) -> Option<Rc<Live>> {
-        let parent = live.program.borrow().created().parent?.program;
-        let parent = self.local(parent)?;
-        let goes_on = parent.program.borrow().ended().is_none();
-        let same_log = parent.log.writer() == live.log.writer();
-        (goes_on && same_log).then_some(parent)
-    }
-
-    fn children(&self, id: Program) -> Vec<Rc<Live>> {
-        let is_child = |live: &&Rc<Live>| {
-            let program = live.program.borrow();
-            program
-                .created()
-                .parent
-                .is_some_and(|parent| parent.program == id)
-        };
-        self.programs
-            .borrow()
-            .values()
-            .filter(is_child)
-            .cloned()
-            .collect()
-    }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,6 +15,8 @@
 mod explain;
 mod failures;
 mod links;
+mod observability;
+mod operators;
 mod outage;
 mod store;
 mod takeover;
