--- a/crates/entry/src/outage.rs
+++ b/crates/entry/src/outage.rs
@@ -64,12 +64,12 @@
 /// Appends a turn in the background; the end of the append is sent.
 fn append(traffic: &Rc<Traffic>, live: &Rc<Live>, turn: &Turn) -> Receiver<Result<()>> {
     let (done, appended) = async_channel::bounded(1);
-    let record = live.record(Event::Turn(turn.clone()));
+    let event = Event::Turn(turn.clone());
     let seq = turn.call.seq;
     let (traffic, live) = (traffic.clone(), live.clone());
     let executor = traffic.executor.clone();
     let append = async move {
-        let result = traffic.append_records(&live.log, vec![record]).await;
+        let result = traffic.commit(&live, &[event]).await;
         if result.is_ok() {
             committed(&traffic, &live, seq);
         }
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -283,24 +283,28 @@
         self.shared.log_handle.load_full().ok_or(Refusal::Unready)
     }
 
-    /// Appends records of `live` and applies them once they are durable.
+    /// Appends events of `live` and applies them once they are durable.
+    pub(crate) async fn append(&self, live: &Live, events: Vec<Event>) -> Result<()> {
+        self.commit(live, &events).await?;
+        let mut program = live.program.borrow_mut();
+        events.iter().for_each(|event| program.apply(event));
+        Ok(())
+    }
+
+    /// Appends events of `live`, as a span of its running call.
     ///
     /// They go to the log that holds the program and to no other: if that one was sealed, another
     /// entry owns the program.
-    pub(crate) async fn append(&self, live: &Live, events: Vec<Event>) -> Result<()> {
-        let records = events
-            .iter()
-            .map(|event| live.record(event.clone()))
-            .collect();
+    pub(crate) async fn commit(&self, live: &Live, events: &[Event]) -> Result<()> {
+        let records = events.iter().map(|event| live.record(event.clone()));
         let start = self.shared.clock.now();
-        self.append_records(&live.log, records).await?;
-        if let Some(call) = live.trace.get() {
+        let call = live.trace.get();
+        self.append_records(&live.log, records.collect()).await?;
+        if let Some(call) = call {
             let end = self.shared.clock.now();
             let append = call.child();
             append.finish(&self.shared.logger, "append", start, end);
         }
-        let mut program = live.program.borrow_mut();
-        events.iter().for_each(|event| program.apply(event));
         Ok(())
     }
 
