entry: a frozen entry that wakes serves nothing stale; requests of a lost owner are repeated

Change: a request lost with its owner is repeated at the successor, and only an answer counts; a thread that has not run for a second has its log checked before it serves.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -15,6 +15,7 @@
 use crate::calls;
 use crate::drain;
 use crate::forward;
+use crate::live::Live;
 use crate::outage;
 use crate::owner::Owner;
 use crate::refusal::{Refusal, Result};
@@ -22,6 +23,8 @@
 use crate::traffic::Traffic;
 
 const HOPS_MAX: u8 = 3;
+/// The lowest HTTP status of a refusal.
+const STATUS_REFUSED: u16 = 400;
 
 /// A request of an authenticated caller.
 #[derive(Clone, Debug)]
@@ -190,18 +193,66 @@
     };
     let after = read_after(traffic, request)?;
     let passed_on = request.hops > 0;
-    let mut owner = traffic.owner(id, after.as_ref(), passed_on).await?;
-    if let Owner::Here(live) = &owner
-        && request.method == Method::Post
-    {
-        drain::wait(traffic, live).await;
-        owner = traffic.owner(id, after.as_ref(), passed_on).await?;
+    match find(traffic, request, id, after.as_ref(), passed_on).await? {
+        Owner::Here(live) => serve_here(traffic, request, &live, after.as_ref()).await,
+        Owner::There(_) if request.hops >= HOPS_MAX => Err(Refusal::Unavailable),
+        Owner::There(link) => match forward::send(traffic, &link, request).await {
+            Err(Refusal::Indeterminate) if !passed_on => {
+                serve_again(traffic, request, id, after.as_ref()).await
+            }
+            result => result,
+        },
     }
-    let live = match owner {
-        Owner::Here(live) => live,
-        Owner::There(_) if request.hops >= HOPS_MAX => return Err(Refusal::Unavailable),
-        Owner::There(link) => return forward::send(traffic, &link, request).await,
+}
+
+/// The owner of a program; a change to a program that is about to be handed over waits for it.
+async fn find(
+    traffic: &Rc<Traffic>,
+    request: &Request,
+    id: Program,
+    after: Option<&Token>,
+    passed_on: bool,
+) -> Result<Owner> {
+    let owner = traffic.owner(id, after, passed_on).await?;
+    match &owner {
+        Owner::Here(live) if request.method == Method::Post => {
+            drain::wait(traffic, live).await;
+            traffic.owner(id, after, passed_on).await
+        }
+        _ => Ok(owner),
+    }
+}
+
+/// Repeats a request whose owner was lost before it answered, at the owner's successor.
+///
+/// A call has a number, so a repeat makes no second call. But the lost owner may have begun it: only
+/// an answer counts, and no refusal proves that it did not run.
+async fn serve_again(
+    traffic: &Rc<Traffic>,
+    request: &Request,
+    id: Program,
+    after: Option<&Token>,
+) -> Result<Reply> {
+    let served = async {
+        match find(traffic, request, id, after, true).await? {
+            Owner::Here(live) => serve_here(traffic, request, &live, after).await,
+            Owner::There(link) => forward::send(traffic, &link, request).await,
+        }
     };
+    served
+        .await
+        .ok()
+        .filter(|reply| reply.status() < STATUS_REFUSED)
+        .ok_or(Refusal::Indeterminate)
+}
+
+/// Serves a request for a program that is here.
+async fn serve_here(
+    traffic: &Rc<Traffic>,
+    request: &Request,
+    live: &Rc<Live>,
+    after: Option<&Token>,
+) -> Result<Reply> {
     if live.program.borrow().created().account != request.account {
         return Err(Refusal::UnknownProgram);
     }
@@ -209,19 +260,19 @@
     match (request.method, request.path.as_str(), request.seq) {
         (Method::Post, "calls", None) => {
             let call = parse_call(request)?;
-            outage::catch_up(traffic, &live, after.as_ref()).await;
-            calls::check_after(&live, after.as_ref())?;
-            calls::call(traffic, &live, call, request).await
+            outage::catch_up(traffic, live, after).await;
+            calls::check_after(live, after)?;
+            calls::call(traffic, live, call, request).await
         }
         (Method::Get, "calls", Some(seq)) => {
-            answers::read(traffic, &live, seq, request.offset).await
+            answers::read(traffic, live, seq, request.offset).await
         }
-        (Method::Get, "history", None) => Ok(answers::history(traffic, &live)),
+        (Method::Get, "history", None) => Ok(answers::history(traffic, live)),
         (Method::Post, "end", None) => {
-            traffic.end(&live, log::Cause::Caller).await?;
+            traffic.end(live, log::Cause::Caller).await?;
             Ok(Reply::Whole(
                 200,
-                json!({"program": id.to_string(), "ended": true}),
+                json!({"program": live.id.to_string(), "ended": true}),
             ))
         }
         _ => Err(Refusal::UnknownPath),
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -69,7 +69,9 @@
 /// Passes a request on again, on the connection that took the place of the lost one.
 async fn repeat(traffic: &Traffic, passed: &Passed) -> Result<(Stream, u16)> {
     let start = traffic.shared.clock.now();
-    while traffic.shared.clock.now().since(start) < RECOVERY_TIMEOUT {
+    while traffic.shared.clock.now().since(start) < RECOVERY_TIMEOUT
+        && !traffic.is_known_sealed(passed.owner)
+    {
         let view = traffic.shared.view.load_full();
         let mut entries = view.entries.iter();
         let owner = entries.find(|peer| peer.incarnation == passed.owner);
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -18,6 +18,9 @@
 /// A request waits so long for a takeover that it needs, then it is refused.
 const TAKEOVER_WAIT: Span = Span::from_ms(2_500);
 const CHAIN_MAX: u32 = 64;
+const PAUSE_MAX: Span = Span::from_ms(1_000);
+const CHECK_TIMEOUT: Span = Span::from_ms(1_000);
+const CLOSE_POLL: Span = Span::from_ms(10);
 
 /// Who owns a program.
 pub(crate) enum Owner {
@@ -80,6 +83,7 @@
         after: Option<&Token>,
         passed_on: bool,
     ) -> Result<Owner> {
+        self.check_after_pause().await;
         if let Some(live) = self.local(id) {
             return Ok(Owner::Here(live));
         }
@@ -109,6 +113,27 @@
         Err(Refusal::Unavailable)
     }
 
+    /// Looks whether the own log has been sealed if this thread has not run for a while: a process
+    /// that was paused must not serve from what it held before.
+    pub(crate) async fn check_after_pause(&self) {
+        if self.shared.clock.now().since(self.ticked.get()) < PAUSE_MAX {
+            return;
+        }
+        if let Ok(log) = self.log() {
+            let expire = async {
+                // Without an answer of the store the appends are fenced all the same.
+                smol::Timer::after(CHECK_TIMEOUT.into()).await;
+                Ok(())
+            };
+            if log.check().or(expire).await.is_err() {
+                while !log.is_closed() {
+                    smol::Timer::after(CLOSE_POLL.into()).await;
+                }
+            }
+        }
+        self.ticked.set(self.shared.clock.now());
+    }
+
     /// A program of logs whose chain of successors leads to this entry's own log.
     async fn inherited(
         self: &Rc<Self>,
@@ -134,7 +159,8 @@
         Err(Refusal::UnknownProgram)
     }
 
-    fn is_known_sealed(&self, writer: Incarnation) -> bool {
+    /// Whether a log is known to be sealed.
+    pub(crate) fn is_known_sealed(&self, writer: Incarnation) -> bool {
         let known = self.logs.known.borrow();
         matches!(known.get(&writer), Some(Place::Sealed(_)))
     }
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -16,6 +16,15 @@
     Lines(u16, Receiver<Vec<u8>>),
 }
 
+impl Reply {
+    /// The HTTP status.
+    pub(crate) fn status(&self) -> u16 {
+        match self {
+            Reply::Whole(status, _) | Reply::Lines(status, _) => *status,
+        }
+    }
+}
+
 /// Writes the lines of a reply.
 #[derive(Clone)]
 pub(crate) struct Lines(Sender<Vec<u8>>);
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -25,6 +25,15 @@
 const SCAN_INTERVAL: Span = Span::from_ms(5_000);
 const ADOPT_RECORDS_MAX: usize = 512;
 
+/// Notes that this thread runs, and checks the log when it had not run for a while.
+pub(crate) async fn tick(traffic: Rc<Traffic>) {
+    loop {
+        smol::Timer::after(WATCH_INTERVAL.into()).await;
+        traffic.check_after_pause().await;
+        traffic.ticked.set(traffic.shared.clock.now());
+    }
+}
+
 /// Takes over the logs of processes that are gone, as soon as their connection is lost.
 pub(crate) async fn watch(traffic: Rc<Traffic>) {
     let mut seen: HashSet<Incarnation> = HashSet::new();
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -15,7 +15,7 @@
 use slog::{error, info};
 use smol::LocalExecutor;
 use smol::future::FutureExt;
-use units::{Host, Incarnation, Program, Span};
+use units::{Host, Incarnation, Program, Span, Time};
 use wire::{Error, Frame, Identity, Key, Link, Load, Stream};
 
 use crate::control::listen;
@@ -54,6 +54,8 @@
     /// Whether programs wait for their handover: nothing new begins in them.
     pub(crate) handing_over: Cell<bool>,
     pub(crate) logs: Logs,
+    /// When this thread was last seen to run.
+    pub(crate) ticked: Cell<Time>,
     pub(crate) quota: Quota,
     observations: Sender<Observation>,
 }
@@ -74,6 +76,7 @@
         leaving: Cell::new(false),
         handing_over: Cell::new(false),
         logs: Logs::default(),
+        ticked: Cell::new(shared.clock.now()),
         quota: Quota::default(),
         observations: inputs.observations,
         shared,
@@ -108,6 +111,7 @@
     spawn(Box::pin(quota::keep(traffic.clone())));
     spawn(Box::pin(sweep(traffic.clone())));
     spawn(Box::pin(takeover::watch(traffic.clone())));
+    spawn(Box::pin(takeover::tick(traffic.clone())));
     spawn(Box::pin(answer_asks(traffic.clone(), asked)));
     info!(traffic.shared.logger, "ready"; "callers" => %traffic.shared.settings.callers);
     // Nothing is ever sent: the channel closes when the process is told to stop.
--- a/crates/log/src/writer.rs
+++ b/crates/log/src/writer.rs
@@ -24,6 +24,7 @@
 enum Order {
     Append(Append),
     Close(Close),
+    Check(Sender<Result<()>>),
 }
 
 /// The end of the log, in favour of a successor.
@@ -76,6 +77,17 @@
         answer.recv().await.map_err(|_| Error::Closed)?
     }
 
+    /// Looks whether the log has been sealed; without an answer of the service it counts as open.
+    ///
+    /// # Errors
+    /// [`Error::Sealed`] if another writer has taken the log over, [`Error::Closed`] afterwards.
+    pub async fn check(&self) -> Result<()> {
+        let (done, answer) = async_channel::bounded(1);
+        let check = Order::Check(done);
+        self.orders.send(check).await.map_err(|_| Error::Closed)?;
+        answer.recv().await.map_err(|_| Error::Closed)?
+    }
+
     /// Seals the log in favour of `successor` once all earlier appends are durable.
     ///
     /// # Errors
@@ -135,12 +147,13 @@
         while let Some(order) = self.next().await? {
             match order {
                 Order::Append(first) => {
-                    if let Some(close) = self.append(first).await?
+                    if let Some(Order::Close(close)) = self.append(first).await?
                         && self.close(close).await?
                     {
                         return Ok(());
                     }
                 }
+                Order::Check(done) => self.answer(done).await?,
                 Order::Close(close) => {
                     if self.close(close).await? {
                         return Ok(());
@@ -162,17 +175,23 @@
             if let Some(order) = order.or(idle).await {
                 return Ok(order);
             }
-            if let Ok(Some(found)) = find(&self.client, self.commit.writer()).await
-                && let State::Sealed(by) = found.row.state
-            {
-                return Err(Error::Sealed(found.row.next, by));
-            }
+            self.check().await?;
+        }
+    }
+
+    /// Looks whether the log has been sealed.
+    async fn check(&self) -> Result<()> {
+        if let Ok(Some(found)) = find(&self.client, self.commit.writer()).await
+            && let State::Sealed(by) = found.row.state
+        {
+            return Err(Error::Sealed(found.row.next, by));
         }
+        Ok(())
     }
 
     /// Commits what has queued up behind `first`; returns an order to close that came after it.
-    async fn append(&mut self, first: Append) -> Result<Option<Close>> {
-        let (group, close) = self.gather(first);
+    async fn append(&mut self, first: Append) -> Result<Option<Order>> {
+        let (group, other) = self.gather(first);
         let records = group
             .iter()
             .flat_map(|append| append.records.clone())
@@ -183,10 +202,27 @@
             // The program's owner may have gone away; the record is durable all the same.
             let _ = append.done.send(share(&result)).await;
         }
-        result.map(|_| close)
+        result?;
+        match other {
+            Some(Order::Check(done)) => {
+                self.answer(done).await?;
+                Ok(None)
+            }
+            other => Ok(other),
+        }
     }
 
-    fn gather(&self, first: Append) -> (Vec<Append>, Option<Close>) {
+    /// Answers a check.
+    async fn answer(&self, done: Sender<Result<()>>) -> Result<()> {
+        let result = self.check().await;
+        // Whoever asked may have gone away.
+        let _ = done
+            .send(result.as_ref().map_or_else(fenced, |()| Ok(())))
+            .await;
+        result
+    }
+
+    fn gather(&self, first: Append) -> (Vec<Append>, Option<Order>) {
         let mut size = first.records.len();
         let mut group = vec![first];
         while size < BATCH_RECORDS_MAX {
@@ -195,7 +231,7 @@
                     size += append.records.len();
                     group.push(append);
                 }
-                Ok(Order::Close(close)) => return (group, Some(close)),
+                Ok(other) => return (group, Some(other)),
                 Err(_) => break,
             }
         }
@@ -251,10 +287,14 @@
 
 /// The result of a batch for one of its appends.
 fn share(result: &Result<Slot>) -> Result<Slot> {
-    match result {
-        Ok(slot) => Ok(*slot),
-        Err(Error::Sealed(slot, by)) => Err(Error::Sealed(*slot, *by)),
-        Err(Error::Successor(writer)) => Err(Error::Successor(*writer)),
-        Err(_) => Err(Error::Closed),
-    }
+    result.as_ref().map_or_else(fenced, |slot| Ok(*slot))
+}
+
+/// The end of the log for one of those who wait for it.
+fn fenced<T>(error: &Error) -> Result<T> {
+    Err(match error {
+        Error::Sealed(slot, by) => Error::Sealed(*slot, *by),
+        Error::Successor(writer) => Error::Successor(*writer),
+        _ => Error::Closed,
+    })
 }
--- a/tests/all/takeover.rs
+++ b/tests/all/takeover.rs
@@ -186,3 +186,25 @@
         newer != old
     });
 }
+
+#[test]
+fn frozen_entry_is_taken_over_and_fenced_when_it_wakes() {
+    let cluster = Config::new().start();
+    let (here, there) = (cluster.caller(0, "meche"), cluster.caller(1, "meche"));
+    let program = here.create("reorder", 20_000, 20);
+    begin_order(&cluster, &program, 500);
+    cluster.pause("entry-0");
+    let answer = insist("the order is answered elsewhere", || {
+        there.service(&program, 1, "stock", ORDER)
+    });
+    assert_eq!(answer.text, format!("done: {ORDER}"), "{answer:?}");
+    assert!(there.service(&program, 2, "stock", ORDER).is_whole());
+    cluster.resume("entry-0");
+    let answer = insist("the woken entry passes the call on", || {
+        here.service(&program, 3, "stock", ORDER)
+    });
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(orders(&cluster), 3);
+    let histories = [&here, &there].map(|caller| caller.history(&program).unwrap().1);
+    assert_eq!(histories[0], histories[1]);
+}
