--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod documents;
 mod failures;
 mod history;
+mod links;
 mod scenario;
 mod scenarios;
 mod whole_path;
