--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -73,6 +73,7 @@
         fleet.wait(|fleet| fleet.operate("GET", "/live", None).is_ok())?;
         fleet.apply(0, 1)?;
         let all = usize::from(sidecars);
+        fleet.wait(|fleet| fleet.operate("GET", "/ready", None).is_ok())?;
         fleet.wait(|fleet| fleet.endpoints().is_ok_and(|seen| seen == all))?;
         Ok(fleet)
     }
