--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -97,6 +97,8 @@
             traffic.shared.metrics.count("log-adopted");
             info!(traffic.shared.logger, "log adopted"; "from" => %writer,
                 "programs" => programs, "length_us" => length.0);
+            let compaction = compact(traffic.clone(), writer);
+            traffic.executor.spawn(compaction).detach();
         }
         Ok(None) => {}
         Err(why) => {
@@ -105,6 +107,16 @@
     }
 }
 
+/// Moves an adopted log out of the table.
+async fn compact(traffic: Rc<Traffic>, writer: Incarnation) {
+    match log::compact_all(&traffic.shared.client, writer).await {
+        Ok(()) => info!(traffic.shared.logger, "log compacted"; "writer" => %writer),
+        Err(why) => {
+            warn!(traffic.shared.logger, "log not compacted"; "writer" => %writer, "error" => %why);
+        }
+    }
+}
+
 /// Whether the log is sealed in favour of this entry, in the end.
 async fn seal(traffic: &Rc<Traffic>, own: &Handle, writer: Incarnation) -> log::Result<bool> {
     let client = &traffic.shared.client;
--- a/crates/log/src/takeover.rs
+++ b/crates/log/src/takeover.rs
@@ -8,6 +8,7 @@
 use units::{Incarnation, Slot, Span};
 
 use crate::batch::{Batch, State, Writer, batch_key, decode, seal, writer_key};
+use crate::compact::{compact, packs, unpack};
 use crate::error::{Error, Result};
 use crate::history::{Histories, inherit};
 
@@ -139,15 +140,31 @@
     let mut wanted = vec![writer];
     let mut seen = HashSet::from([writer]);
     while let Some(next) = wanted.pop() {
-        let batches = insist(async || read(client, next).await).await?;
+        let read = insist(async || batches(client, next).await).await?;
         let sources = insist(async || inherited(client, next).await).await?;
         wanted.extend(sources.iter().filter(|source| seen.insert(**source)));
         heirs.insert(next, sources);
-        logs.insert(next, batches);
+        logs.insert(next, read);
     }
     Ok(inherit(writer, &mut logs, &heirs))
 }
 
+/// Moves a sealed log, and those that it inherited, into objects. Waits while the service is down.
+///
+/// # Errors
+/// [`Error::Corrupt`] if a batch is missing or damaged.
+pub async fn compact_all(client: &Client, writer: Incarnation) -> Result<()> {
+    let mut wanted = vec![writer];
+    while let Some(next) = wanted.pop() {
+        wanted.extend(insist(async || inherited(client, next).await).await?);
+        if insist(async || packs(client, next).await).await?.is_none() {
+            let read = insist(async || batches(client, next).await).await?;
+            compact(client, next, &read).await?;
+        }
+    }
+    Ok(())
+}
+
 /// Repeats a read until the service answers.
 async fn insist<T>(read: impl AsyncFn() -> Result<T>) -> Result<T> {
     loop {
@@ -160,19 +177,47 @@
     }
 }
 
-/// Reads all batches of a sealed log, several ranges of slots at a time.
-async fn read(client: &Client, writer: Incarnation) -> Result<Vec<Batch>> {
+/// Reads all batches of a sealed log, from the table or from objects, several at a time.
+///
+/// # Errors
+/// [`Error::Platform`] if the service gives no answer, [`Error::Corrupt`] if a batch is missing.
+pub async fn batches(client: &Client, writer: Incarnation) -> Result<Vec<Batch>> {
+    if let Some(packs) = packs(client, writer).await? {
+        return read_packs(client, writer, packs).await;
+    }
+    match read_rows(client, writer).await {
+        // Rows may have gone since the look for the objects.
+        Err(Error::Corrupt(slot)) => match packs(client, writer).await? {
+            Some(packs) => read_packs(client, writer, packs).await,
+            None => Err(Error::Corrupt(slot)),
+        },
+        result => result,
+    }
+}
+
+async fn read_packs(client: &Client, writer: Incarnation, packs: u64) -> Result<Vec<Batch>> {
+    let objects = (0..packs).map(|pack| unpack(client, writer, pack));
+    join(objects).await
+}
+
+async fn read_rows(client: &Client, writer: Incarnation) -> Result<Vec<Batch>> {
     let Some(found) = find(client, writer).await? else {
         return Err(Error::Corrupt(Slot(0)));
     };
     let end = found.row.next.0;
     let starts = (0..end).step_by(READ_SLOTS as usize);
-    let ranges = starts.map(|start| read_range(client, writer, start, end));
-    let batches: Vec<Vec<Batch>> = stream::iter(ranges)
+    join(starts.map(|start| read_range(client, writer, start, end))).await
+}
+
+/// Runs reads several at a time and joins what they give, in order.
+async fn join<F: Future<Output = Result<Vec<Batch>>>>(
+    reads: impl Iterator<Item = F>,
+) -> Result<Vec<Batch>> {
+    let parts: Vec<Vec<Batch>> = stream::iter(reads)
         .buffered(READS_PARALLEL)
         .try_collect()
         .await?;
-    Ok(batches.into_iter().flatten().collect())
+    Ok(parts.into_iter().flatten().collect())
 }
 
 async fn read_range(
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,16 +8,21 @@
 
 mod bad_input;
 mod budget;
+mod budgets;
 mod caller;
 mod cluster;
 mod documents;
 mod drain;
 mod explain;
 mod failures;
+mod history;
 mod links;
 mod observability;
 mod operators;
 mod outage;
+mod races;
+mod scenario;
+mod scenarios;
 mod store;
 mod takeover;
 mod whole_path;
