sidecar: drain by GOAWAY, and engine memory by claims

Cause: a sidecar that left cut off orders in flight at its exit, and calls spent all attempts on it while the board lagged; engine memory stayed held when a release was lost or came before a late completion. Ruled out: exit after a wait (no wait is long enough), leases by program (traffic without end), handing unsaved answers over (noted as not built). An open connection is used although the host list no longer has it. Saved and Release go to leaving sidecars.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -11,6 +11,7 @@
 use crate::answers;
 use crate::api::Request;
 use crate::dispatch::{self, Dispatched};
+use crate::links;
 use crate::live::{Ending, Live};
 use crate::refusal::{Refusal, Result};
 use crate::reply::Reply;
@@ -257,14 +258,9 @@
         seq,
         attempt: route.attempt,
     };
-    let view = traffic.shared.view.load_full();
-    let endpoint = view
-        .endpoints
-        .iter()
-        .find(|endpoint| endpoint.incarnation == route.sidecar);
-    if let Some(link) = endpoint.and_then(|endpoint| traffic.link(&endpoint.host)) {
+    if let Some((_, link)) = links::to(traffic, route.sidecar) {
         let notify = async move {
-            // A sidecar that is not told frees the answer when it needs the room.
+            // A sidecar that is not told frees the answer with the program's next one, or its end.
             let _ = link.call(&Frame::Saved(vec![saved])).await;
         };
         traffic.executor.spawn(notify).detach();
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -7,6 +7,7 @@
 use wire::{Dispatch, Done, Epoch, Frame, Link, Ran, Reason, Refused, State, Work};
 
 use crate::calls::Run;
+use crate::links;
 use crate::traffic::Traffic;
 
 const RECOVERY_TIMEOUT: Span = Span::from_ms(3_000);
@@ -57,7 +58,7 @@
 
 /// The sidecar's epoch as last heard: the dispatch is made before its intent is recorded.
 fn epoch(traffic: &Traffic, route: &Route) -> Epoch {
-    find(traffic, route).map_or(Epoch::default(), |(_, link)| link.epoch())
+    links::to(traffic, route.sidecar).map_or(Epoch::default(), |(_, link)| link.epoch())
 }
 
 /// A dispatch that was sent.
@@ -77,7 +78,7 @@
     route: &Route,
     dispatch: Dispatch,
 ) -> Dispatched {
-    let Some((host, link)) = find(traffic, route) else {
+    let Some((host, link)) = links::to(traffic, route.sidecar) else {
         return Dispatched::Refused(refused(Ran::No, Reason::Unreachable));
     };
     if link.epoch() > dispatch.epoch {
@@ -105,27 +106,24 @@
     let result = until(traffic, sent.deadline, exchange(run, &link, &request)).await;
     let dispatched = match result {
         Ok(dispatched) => dispatched,
+        Err(why) if why.is_unserved() => Dispatched::Refused(refused(Ran::No, Reason::Leaving)),
         Err(why) => {
             warn!(traffic.shared.logger, "dispatch broken"; "call" => %sent.call, "error" => %why);
             recover(traffic, run, &sent).await
         }
     };
+    if let Dispatched::Refused(refused) = &dispatched
+        && refused.reason == Reason::Leaving
+    {
+        // The next attempt must not come here, though the board may not know it yet.
+        link.leave();
+    }
     if let Some(count) = traffic.outstanding.borrow_mut().get_mut(&host) {
         *count -= 1;
     }
     dispatched
 }
 
-/// The host of a route's sidecar and the connection to it.
-fn find(traffic: &Traffic, route: &Route) -> Option<(Host, Link)> {
-    let view = traffic.shared.view.load();
-    let mut endpoints = view.endpoints.iter();
-    let endpoint = endpoints.find(|endpoint| endpoint.incarnation == route.sidecar)?;
-    let link = traffic.link(&endpoint.host)?;
-    let same = link.peer().incarnation == route.sidecar;
-    same.then(|| (endpoint.host.clone(), link))
-}
-
 /// Bounds an exchange by the call's deadline.
 async fn until<T>(
     traffic: &Traffic,
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -9,7 +9,7 @@
 use platform::api::HostInfo;
 use smol::LocalExecutor;
 use smol::future::FutureExt;
-use units::{Host, Program, Span};
+use units::{Host, Incarnation, Program, Span};
 use wire::{Backoff, Error, Frame, Link, Result, Role};
 
 use crate::traffic::Traffic;
@@ -31,11 +31,19 @@
     }
 }
 
-/// Keeps the connection to one host until it is no longer listed at this address.
+/// Whether a host is listed at this address; whether it is leaving it says better itself.
+fn is_listed(traffic: &Traffic, info: &HostInfo) -> bool {
+    let view = traffic.shared.view.load();
+    let mut hosts = view.hosts.iter();
+    hosts.any(|listed| listed.host == info.host && listed.address == info.address)
+}
+
+/// Keeps the connection to one host until it is no longer listed at this address. The list is a hint:
+/// an open connection is used to its end.
 async fn keep_one(traffic: Rc<Traffic>, executor: Rc<LocalExecutor<'static>>, info: HostInfo) {
     let mut backoff = Backoff::new();
     let mut current: Option<Link> = None;
-    while traffic.shared.view.load().hosts.contains(&info) {
+    while current.is_some() || is_listed(&traffic, &info) {
         match connect(&traffic, &executor, &info, current.as_ref()).await {
             Ok(link) => {
                 backoff.opened(traffic.shared.clock.now());
@@ -56,7 +64,6 @@
             smol::Timer::after(delay.into()).await;
         }
     }
-    drop_link(&traffic, &info.host, current).await;
     traffic.connecting.borrow_mut().remove(&info.host);
 }
 
@@ -142,20 +149,73 @@
     loop {
         match stream.expect().await? {
             Frame::Epoch(epoch) => link.hear(epoch),
-            Frame::Load(load) => traffic.observe(Observation::Load(host.clone(), load)).await,
+            Frame::Load(load) => {
+                if load.leaving {
+                    link.leave();
+                }
+                traffic.observe(Observation::Load(host.clone(), load)).await;
+            }
+            Frame::Held(programs) => traffic
+                .executor
+                .spawn(answer_for(link.clone(), claims(traffic, programs)))
+                .detach(),
             other => return Err(Error::Unexpected(other.kind())),
         }
     }
 }
 
-/// Tells all sidecars that a program has ended.
-pub(crate) async fn release(traffic: &Traffic, program: Program) {
-    let view = traffic.shared.view.load_full();
-    for endpoint in &view.endpoints {
-        if let Some(link) = traffic.link(&endpoint.host)
-            && link.call(&Frame::Release(program)).await.is_err()
-        {
-            traffic.shared.metrics.count("release-failed");
+/// What this entry knows of programs that a sidecar holds: those that are its own, and those of them
+/// that have ended.
+fn claims(traffic: &Traffic, programs: Vec<Program>) -> (Vec<Program>, Vec<Program>) {
+    let ended = |program: &Program| {
+        let live = traffic.local(*program)?;
+        let ended = live.program.borrow().ended().is_some();
+        Some(ended)
+    };
+    let known = programs
+        .into_iter()
+        .filter_map(|program| Some((program, ended(&program)?)));
+    let (ended, live): (Vec<_>, Vec<_>) = known.partition(|(_, ended)| *ended);
+    let ids = |pairs: Vec<(Program, bool)>| pairs.into_iter().map(|(program, _)| program).collect();
+    (ids(live), ids(ended))
+}
+
+/// Claims live programs and releases ended ones. If it fails, the sidecar asks again.
+async fn answer_for(link: Link, (live, ended): (Vec<Program>, Vec<Program>)) {
+    if !live.is_empty() && link.call(&Frame::Claim(live)).await.is_err() {
+        return;
+    }
+    for program in ended {
+        if link.call(&Frame::Release(program)).await.is_err() {
+            return;
         }
     }
 }
+
+/// The connection to a process, also to one that is leaving.
+pub(crate) fn to(traffic: &Traffic, incarnation: Incarnation) -> Option<(Host, Link)> {
+    let links = traffic.links.borrow();
+    let mut open = links.iter().filter(|(_, link)| !link.is_closed());
+    let (host, link) = open.find(|(_, link)| link.peer().incarnation == incarnation)?;
+    Some((host.clone(), link.clone()))
+}
+
+/// Tells all sidecars that a program has ended. One that does not hear of it asks when it is connected
+/// again.
+pub(crate) fn release(traffic: &Traffic, program: Program) {
+    let is_sidecar = |link: &Link| matches!(link.peer().role, Role::Sidecar { .. });
+    for link in traffic.links.borrow().values() {
+        if !is_sidecar(link) {
+            continue;
+        }
+        let link = link.clone();
+        let metrics = traffic.shared.metrics.clone();
+        let release = async move {
+            if link.call(&Frame::Release(program)).await.is_err() {
+                metrics.count("release-failed");
+            }
+        };
+        // One that does not answer must not delay the others.
+        traffic.executor.spawn(release).detach();
+    }
+}
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -23,7 +23,8 @@
 ) -> Result<Route> {
     let view = traffic.shared.view.load();
     let serving = |endpoint: &&board::Endpoint| {
-        endpoint.serves.contains(target) && traffic.link(&endpoint.host).is_some()
+        let link = traffic.link(&endpoint.host);
+        endpoint.serves.contains(target) && link.is_some_and(|link| !link.is_leaving())
     };
     let endpoints: Vec<&board::Endpoint> = view.endpoints.iter().filter(serving).collect();
     let candidates: Vec<Candidate> = endpoints
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -140,7 +140,8 @@
             let (executor, key) = (traffic.executor.clone(), traffic.key.clone());
             let metrics = traffic.shared.metrics.clone();
             let refused = move |error: &Error| metrics.count(error.label());
-            wire::serve(executor, listener, key, own, handler, refused).await
+            let drain = wire::Drain::new();
+            wire::serve(executor, listener, key, own, handler, refused, drain).await
         }
         Err(why) => Err(why),
     };
@@ -381,7 +382,7 @@
         let ended = self.append(live, vec![Event::Ended { cause, at }]).await;
         live.ending.set(false);
         ended?;
-        links::release(self, live.id).await;
+        links::release(self, live.id);
         for child in self.children(live.id) {
             Box::pin(self.end(&child, Cause::Parent)).await?;
         }
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -86,6 +86,8 @@
     pub peers: SocketAddr,
     /// The address of `/metrics`, `/live` and `/ready`.
     pub status: SocketAddr,
+    /// How long a leaving sidecar waits for its answers to be saved.
+    pub drain_max: Span,
     /// The endpoint.
     pub endpoint: Endpoint,
 }
@@ -161,6 +163,7 @@
         let section = reader.required("sidecar")?;
         let peers = section.get("peer-address", ADDRESS)?;
         let status = section.get("status-address", ADDRESS)?;
+        let drain_max = section.get_or("drain-max", SPAN, Span::from_ms(30_000))?;
         section.close()?;
         let endpoint = endpoint(reader.required("endpoint")?)?;
         reader.close()?;
@@ -168,6 +171,7 @@
             process,
             peers,
             status,
+            drain_max,
             endpoint,
         })
     }
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -1,16 +1,19 @@
 //! The calls of a sidecar: guard, queue and endpoint put together.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
+use event_listener::{Event, EventListener};
 use settings::Sidecar;
 use slog::{Logger, warn};
 use smol::LocalExecutor;
+use smol::future::FutureExt;
 use telemetry::{Metrics, Trace};
 use units::{Bytes, Call, Clock, Digest, Incarnation, Program, Span, Time, Tokens};
 use wire::{Dispatch, Done, Epoch, Load, Ran, Reason, Refused, State, Usage, Work};
 
+use crate::claims::Claims;
 use crate::endpoint::Client;
 use crate::guard::{End, Guard, Verdict};
 use crate::queue::Queue;
@@ -18,6 +21,7 @@
 const QUEUE_MAX: u32 = 1_024;
 const QUEUE_MAX_BYTES: usize = 16 << 20;
 const EPOCH: Span = Span::from_ms(60_000);
+const CLOSE_MAX: Span = Span::from_ms(1_000);
 const DRAIN_POLL: Span = Span::from_ms(20);
 const TOKEN_TIME_WEIGHT: f64 = 0.2;
 
@@ -33,8 +37,12 @@
     client: Client,
     guard: RefCell<Guard>,
     queue: RefCell<Queue>,
+    pub(crate) claims: RefCell<Claims>,
     waiting: RefCell<HashMap<Call, Waiting>>,
     waiting_bytes: Cell<usize>,
+    closing: Cell<bool>,
+    changed: Event,
+    drain_max: Span,
     token_time: Cell<f64>,
     pub(crate) metrics: Metrics,
     log: Logger,
@@ -56,8 +64,12 @@
             client: Client::new(&settings.endpoint),
             guard: RefCell::new(guard),
             queue: RefCell::new(Queue::new(settings.endpoint.slots)),
+            claims: RefCell::default(),
             waiting: RefCell::default(),
             waiting_bytes: Cell::new(0),
+            closing: Cell::new(false),
+            changed: Event::new(),
+            drain_max: settings.drain_max,
             token_time: Cell::new(0.0),
             metrics,
             log,
@@ -66,7 +78,8 @@
     }
 
     /// Takes on a dispatch, or finds the answer of an earlier one.
-    pub(crate) fn dispatch(self: &Rc<Self>, dispatch: Dispatch) -> Verdict {
+    pub(crate) fn dispatch(self: &Rc<Self>, entry: Incarnation, dispatch: Dispatch) -> Verdict {
+        self.claim(entry, &[dispatch.call.program]);
         let room = self.has_room(&dispatch);
         let verdict = self.guard.borrow_mut().dispatch(&dispatch, room);
         match &verdict {
@@ -209,6 +222,7 @@
 
     /// Stops what still runs of a program that has ended and frees all that is held for it.
     pub(crate) async fn release(&self, program: Program) {
+        self.claims.borrow_mut().release(program);
         let running = self.guard.borrow_mut().release(program);
         for call in running {
             self.cancel(call).await;
@@ -217,17 +231,46 @@
     }
 
     /// Frees the engine's memory of a program.
-    async fn free(&self, program: Program) {
+    pub(crate) async fn free(&self, program: Program) {
         if let Err(error) = self.client.release(program).await {
             warn!(self.log, "release failed"; "program" => %program, "error" => %error);
         }
     }
 
+    /// Notes that an entry answers for programs.
+    pub(crate) fn claim(&self, entry: Incarnation, programs: &[Program]) {
+        let mut claims = self.claims.borrow_mut();
+        programs
+            .iter()
+            .for_each(|program| claims.claim(entry, *program));
+    }
+
+    /// The programs for which the engine holds memory.
+    pub(crate) async fn held(&self) -> http_io::Result<BTreeSet<Program>> {
+        self.client.held().await
+    }
+
+    /// The programs of which the guard keeps something until their release.
+    pub(crate) fn remembered(&self) -> Vec<Program> {
+        self.guard.borrow().programs()
+    }
+
+    /// Whether a program was released of late.
+    pub(crate) fn is_released(&self, program: Program) -> bool {
+        self.guard.borrow().is_released(program)
+    }
+
+    /// The time now.
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
     /// Counts epochs without end.
     pub(crate) async fn count_epochs(&self) {
         loop {
             smol::Timer::after(EPOCH.into()).await;
             self.guard.borrow_mut().advance();
+            self.changed.notify(usize::MAX);
         }
     }
 
@@ -248,13 +291,43 @@
         }
     }
 
-    /// Refuses new work and waits until all calls taken on have ended.
-    pub(crate) async fn drain(&self) {
+    /// Refuses new work, and waits until the calls taken on have ended and their answers are saved,
+    /// or nobody has saved them for too long; then ends the connections.
+    pub(crate) async fn drain(&self, connections: &wire::Drain) {
         self.guard.borrow_mut().leave();
-        while self.load().running + self.load().queued > 0 {
+        self.changed.notify(usize::MAX);
+        let busy = || self.load().running + self.load().queued > 0;
+        self.poll_while(busy, None).await;
+        let unsaved = || self.guard.borrow().retained() > Bytes(0);
+        self.poll_while(unsaved, Some(self.drain_max)).await;
+        if unsaved() {
+            warn!(self.log, "answers not saved"; "bytes" => self.guard.borrow().retained().0);
+        }
+        self.closing.set(true);
+        self.changed.notify(usize::MAX);
+        let late = async {
+            smol::Timer::after(CLOSE_MAX.into()).await;
+        };
+        connections.finish().or(late).await;
+    }
+
+    async fn poll_while(&self, condition: impl Fn() -> bool, bound: Option<Span>) {
+        let start = self.clock.now();
+        let late = || bound.is_some_and(|bound| self.clock.now().since(start) >= bound);
+        while condition() && !late() {
             smol::Timer::after(DRAIN_POLL.into()).await;
         }
     }
+
+    /// Whether watches are to end.
+    pub(crate) fn closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Resolves once something has changed, from now on, that watchers are told at once.
+    pub(crate) fn changed(&self) -> EventListener {
+        self.changed.listen()
+    }
 }
 
 fn did_not_run(reason: Reason) -> Refused {
--- a/crates/sidecar/src/endpoint.rs
+++ b/crates/sidecar/src/endpoint.rs
@@ -1,5 +1,7 @@
 //! The endpoint's own protocol: streamed completions of an engine, requests to a plain service.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use http_types::{Body, Method};
 use serde::{Deserialize, Serialize};
 use settings::{Endpoint, Kind};
@@ -189,6 +191,18 @@
         self.order("/v1/kv/release", &named).await
     }
 
+    /// The programs for which the endpoint holds memory.
+    pub(crate) async fn held(&self) -> http_io::Result<BTreeSet<Program>> {
+        if self.kind == Kind::Service {
+            return Ok(BTreeSet::new());
+        }
+        let path = "/v1/kv";
+        let none = None::<&Named>;
+        let held: BTreeMap<String, u64> = self.control.json(Method::Get, path, none).await?;
+        // Names that are no programs are not ours to free.
+        Ok(held.keys().filter_map(|name| name.parse().ok()).collect())
+    }
+
     async fn order(&self, path: &str, named: &Named) -> http_io::Result<()> {
         if self.kind == Kind::Service {
             return Ok(());
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,15 +5,19 @@
 //!   dispatched; a call declared as never to run never runs.
 //! - The endpoint never has more calls than its slots; the rest wait here by rank.
 //! - An answer is retained until an entry says that it is durable.
+//! - The endpoint holds no memory of programs that have ended or that no entry answers for.
 
 mod calls;
+pub mod claims;
 mod endpoint;
 mod error;
 mod guard;
 mod queue;
+mod reconcile;
 mod server;
 mod status;
 
+pub use claims::Claims;
 pub use error::{Error, Result};
 pub use guard::{End, Guard, Verdict};
 pub use queue::Queue;
@@ -26,7 +30,7 @@
 use smol::net::TcpListener;
 use telemetry::Metrics;
 use units::{Clock, Incarnation};
-use wire::{Identity, Key, Role};
+use wire::{Drain, Identity, Key, Role};
 
 use crate::calls::Calls;
 
@@ -70,19 +74,29 @@
         let calls = calls.clone();
         move |error: &wire::Error| calls.metrics.count(error.label())
     };
-    let serve = wire::serve(executor.clone(), peers, key, identity, handler, refused);
+    let connections = Drain::new();
+    let serve = wire::serve(
+        executor.clone(),
+        peers,
+        key,
+        identity,
+        handler,
+        refused,
+        connections.clone(),
+    );
     executor.spawn(async move { drop(serve.await) }).detach();
     let epochs = calls.clone();
     executor
         .spawn(async move { epochs.count_epochs().await })
         .detach();
+    executor.spawn(reconcile::run(calls.clone())).detach();
     executor
         .spawn(status::serve(executor.clone(), status, calls.clone()))
         .detach();
     info!(log, "ready"; "peers" => %settings.peers, "endpoint" => %settings.endpoint.name);
     stop.await;
     info!(log, "draining");
-    calls.drain().await;
+    calls.drain(&connections).await;
     info!(log, "stopped");
     Ok(())
 }
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use smol::future::FutureExt;
-use units::Span;
+use units::{Incarnation, Span};
 use wire::{
     Accepted, Answer, Delta, Error, Frame, Identity, Next, Ran, Reason, Refused, Result, Resume,
     Stream,
@@ -15,15 +15,15 @@
 const LOAD_INTERVAL: Span = Span::from_ms(200);
 
 /// Serves one exchange; a broken one concerns only the peer, which resumes or queries.
-pub(crate) async fn exchange(calls: Rc<Calls>, _peer: Rc<Identity>, mut stream: Stream) {
-    if serve(&calls, &mut stream).await.is_err() {
+pub(crate) async fn exchange(calls: Rc<Calls>, peer: Rc<Identity>, mut stream: Stream) {
+    if serve(&calls, peer.incarnation, &mut stream).await.is_err() {
         calls.metrics.count("exchange-broken");
     }
 }
 
-async fn serve(calls: &Rc<Calls>, stream: &mut Stream) -> Result<()> {
+async fn serve(calls: &Rc<Calls>, peer: Incarnation, stream: &mut Stream) -> Result<()> {
     match stream.expect().await? {
-        Frame::Dispatch(dispatch) => match calls.dispatch(dispatch) {
+        Frame::Dispatch(dispatch) => match calls.dispatch(peer, dispatch) {
             Verdict::Run(answer) | Verdict::Attach(answer) => {
                 let queued = calls.load().queued;
                 stream.send(&Frame::Accepted(Accepted { queued })).await?;
@@ -54,7 +54,16 @@
             calls.release(program).await;
             stream.send(&Frame::Ack).await?;
         }
-        Frame::Watch => watch(calls, stream).await?,
+        Frame::Claim(programs) => {
+            calls.claim(peer, &programs);
+            stream.send(&Frame::Ack).await?;
+        }
+        Frame::Watch => {
+            calls.claims.borrow_mut().watch(peer);
+            let end = watch(calls, stream).await;
+            calls.claims.borrow_mut().unwatch(peer);
+            end?;
+        }
         other => return Err(Error::Unexpected(other.kind())),
     }
     stream.finish()
@@ -81,11 +90,14 @@
     }
 }
 
-/// Sends a load report whenever the load has changed.
+/// Sends a load report whenever the load has changed, and asks for programs that nobody claims; ends when the sidecar does.
 async fn watch(calls: &Calls, stream: &mut Stream) -> Result<()> {
     let mut sent = None;
     let mut told = None;
-    loop {
+    let mut asked = None;
+    while !calls.closing() {
+        // It is listened for before the state is read, so that no change is missed.
+        let changed = calls.changed();
         let epoch = calls.epoch();
         if told != Some(epoch) {
             stream.send(&Frame::Epoch(epoch)).await?;
@@ -96,12 +108,21 @@
             stream.send(&Frame::Load(load)).await?;
             sent = Some(load);
         }
-        let wait = async {
+        let unclaimed = calls.claims.borrow().ask(asked, calls.now());
+        if !unclaimed.is_empty() {
+            stream.send(&Frame::Held(unclaimed)).await?;
+            asked = Some(calls.now());
+        }
+        let interval = async {
             smol::Timer::after(LOAD_INTERVAL.into()).await;
+        };
+        let wait = async {
+            interval.or(changed).await;
             Ok(())
         };
         wait.or(gone(stream)).await?;
     }
+    Ok(())
 }
 
 /// Fails once the peer has gone away, so that a wait for something else pins no stream.
--- a/crates/sidecar/tests/process.rs
+++ b/crates/sidecar/tests/process.rs
@@ -14,7 +14,7 @@
 use async_channel::Sender;
 use slog::{Discard, Logger, o};
 use smol::LocalExecutor;
-use standins::service;
+use standins::{engine, service};
 use units::{Call, Incarnation, Program, Seq, Span};
 use wire::{Dispatch, Frame, Identity, Key, Link, Ran, Reason, Refused, Role, Stream, Work};
 
@@ -42,7 +42,7 @@
         let text = format!(
             "[process]\nhost = sidecar-0\nregion = north\nzone = north-1\nenvironment = trial\n\
              key = {key}\n[platform]\naddress = 127.0.0.1:9\n\
-             [sidecar]\npeer-address = {peers}\nstatus-address = {}\n\
+             [sidecar]\npeer-address = {peers}\nstatus-address = {}\ndrain-max = 100ms\n\
              [endpoint]\nname = endpoint-0\nkind = {kind}\naddress = {endpoint}\nserves = stock advisor\n{more}",
             free(),
         );
@@ -198,3 +198,40 @@
         assert_eq!(service.state().executions.len(), 2);
     });
 }
+
+/// Bound for engine memory of an ended program to be freed.
+const RELEASE_MAX: Duration = Duration::from_secs(5);
+
+/// Reads a watch until the sidecar asks for programs; each report before it is passed over.
+async fn asked(watch: &mut Stream) -> Vec<Program> {
+    loop {
+        if let Frame::Held(programs) = watch.expect().await.unwrap() {
+            return programs;
+        }
+    }
+}
+
+#[test]
+fn engine_memory_that_nobody_claims_is_freed_after_a_restart() {
+    let engine = engine::start("127.0.0.1:0".parse().unwrap(), engine::Config::default()).unwrap();
+    let (live, gone) = (call(1, 1).program, call(2, 1).program);
+    for program in [live, gone] {
+        let held = engine::Cached::default();
+        engine.state().cache.insert(program.to_string(), held);
+    }
+    let sidecar = Sidecar::start("engine", engine.address, "");
+    run(|tasks| async move {
+        let link = sidecar.connect(&tasks, 1).await;
+        let mut watch = link.open(&Frame::Watch).await.unwrap();
+        assert_eq!(asked(&mut watch).await, [live, gone]);
+        let ack = link.call(&Frame::Claim(vec![live])).await.unwrap();
+        assert_eq!(ack, Frame::Ack);
+        let holds = |program: Program| engine.state().cache.contains_key(&program.to_string());
+        eventually(RELEASE_MAX, "the unclaimed is freed", || !holds(gone)).await;
+        assert!(holds(live));
+        // The entry goes away, and its claim with it.
+        drop(watch);
+        link.close();
+        eventually(RELEASE_MAX, "the orphan is freed", || !holds(live)).await;
+    });
+}
--- a/crates/wire/examples/reconnect.rs
+++ b/crates/wire/examples/reconnect.rs
@@ -21,7 +21,7 @@
 use smol::net::TcpListener;
 use standins::link::{self, Direction};
 use units::{Clock, Incarnation, Span};
-use wire::{Backoff, Frame, Identity, Key, Link, Role, Stream, serve};
+use wire::{Backoff, Drain, Frame, Identity, Key, Link, Role, Stream, serve};
 
 const CLIENTS: usize = 390;
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -60,7 +60,16 @@
 async fn listen(tasks: Executor, address: SocketAddr) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
     let own = identity("server", address);
-    serve(tasks, listener, Key::new([1; 32]), own, hold, |_| {}).await
+    serve(
+        tasks,
+        listener,
+        Key::new([1; 32]),
+        own,
+        hold,
+        |_| {},
+        Drain::new(),
+    )
+    .await
 }
 
 /// Keeps one client connected, noting its attempts; returns once connected.
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -7,6 +7,8 @@
 pub enum Error {
     /// No connection could be opened: nothing was sent.
     Connect(std::io::Error),
+    /// The connection was lost before the exchange was opened: nothing was sent.
+    Unopened(h2::Error),
     /// The connection or the stream broke.
     Http2(h2::Error),
     /// The peer does not hold the shared key.
@@ -28,6 +30,16 @@
 }
 
 impl Error {
+    /// Whether the exchange was not served and never will be: it was not opened, or the peer said so
+    /// as it drained.
+    pub fn is_unserved(&self) -> bool {
+        match self {
+            Error::Connect(_) | Error::Unopened(_) => true,
+            Error::Http2(error) => error.is_go_away() && error.is_remote(),
+            _ => false,
+        }
+    }
+
     /// The name under which a connection that ended like this is counted.
     pub fn label(&self) -> &'static str {
         match self {
@@ -43,6 +55,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Error::Connect(error) => write!(f, "cannot connect: {error}"),
+            Error::Unopened(error) => write!(f, "connection was lost before: {error}"),
             Error::Http2(error) => write!(f, "connection failed: {error}"),
             Error::Authentication => f.write_str("peer does not hold the shared key"),
             Error::Decode(error) => write!(f, "cannot decode frame: {error}"),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -49,8 +49,13 @@
     Saved(Vec<Call>),
     /// The program has ended: its engine memory is to be freed; answered by `Ack`.
     Release(Program),
-    /// Subscribes to load reports; answered by `Load` frames without end.
+    /// Subscribes to a sidecar's reports; answered by `Epoch`, `Load` and `Held` frames without end.
     Watch,
+    /// Programs that are held at a sidecar and that no entry claims. An entry claims those that it
+    /// owns and releases those that have ended.
+    Held(Vec<Program>),
+    /// The sender owns these programs; answered by `Ack`.
+    Claim(Vec<Program>),
     /// The sidecar's epoch, sent before its first load report and whenever it changes.
     Epoch(Epoch),
     /// A load report of a sidecar.
@@ -91,6 +96,8 @@
             Frame::Saved(_) => "Saved",
             Frame::Release(_) => "Release",
             Frame::Watch => "Watch",
+            Frame::Held(_) => "Held",
+            Frame::Claim(_) => "Claim",
             Frame::Epoch(_) => "Epoch",
             Frame::Load(_) => "Load",
             Frame::Forward(_) => "Forward",
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,5 +30,5 @@
     Reason, Refused, Resume, Role, State, Usage, Work,
 };
 pub use link::Link;
-pub use server::serve;
+pub use server::{Drain, serve};
 pub use stream::Stream;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -29,6 +29,7 @@
     peer: Rc<Identity>,
     health: Rc<Health>,
     epoch: Rc<Cell<Epoch>>,
+    leaving: Rc<Cell<bool>>,
 }
 
 impl Link {
@@ -82,6 +83,7 @@
             peer: Rc::new(peer),
             health,
             epoch: Rc::default(),
+            leaving: Rc::default(),
         })
     }
 
@@ -100,6 +102,16 @@
         self.epoch.set(epoch);
     }
 
+    /// Whether the peer has said on this connection that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Notes that the peer is leaving.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
     /// Whether both are the same connection.
     pub fn same(&self, other: &Link) -> bool {
         Rc::ptr_eq(&self.health, &other.health)
@@ -148,10 +160,12 @@
 }
 
 async fn open(sender: &SendRequest<Bytes>) -> Result<Stream> {
-    let mut sender = sender.clone().ready().await?;
+    let sender = sender.clone().ready().await;
+    let mut sender = sender.map_err(Error::Unopened)?;
     let request = http::Request::post("http://peer/")
         .body(())
         .map_err(|_| Error::Ended)?;
-    let (response, body) = sender.send_request(request, false)?;
+    let opened = sender.send_request(request, false);
+    let (response, body) = opened.map_err(Error::Unopened)?;
     Ok(Stream::client(body, response))
 }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,11 +1,12 @@
 //! The server's end of connections from peers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
 
 use async_compat::Compat;
 use bytes::Bytes;
+use event_listener::Event;
 use h2::RecvStream;
 use h2::server::SendResponse;
 use smol::LocalExecutor;
@@ -26,6 +27,59 @@
 
 type Peer = Rc<RefCell<Option<Rc<Identity>>>>;
 
+/// Ends the connections of a server without cutting off an exchange: each client is told which of its
+/// exchanges were the last to be served, so that it knows that later ones were not.
+#[derive(Debug, Default)]
+pub struct Drain {
+    started: Cell<bool>,
+    connections: Cell<usize>,
+    changed: Event,
+}
+
+impl Drain {
+    /// A server that serves.
+    pub fn new() -> Rc<Self> {
+        Rc::default()
+    }
+
+    /// Accepts no more connections, and no more exchanges on those that are open; resolves once all
+    /// have ended.
+    pub async fn finish(&self) {
+        self.started.set(true);
+        self.changed.notify(usize::MAX);
+        self.until(|drain| drain.connections.get() == 0).await;
+    }
+
+    async fn started(&self) {
+        self.until(|drain| drain.started.get()).await;
+    }
+
+    async fn until(&self, condition: impl Fn(&Self) -> bool) {
+        loop {
+            let listener = self.changed.listen();
+            if condition(self) {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    fn count(self: &Rc<Self>) -> Counted {
+        self.connections.set(self.connections.get() + 1);
+        Counted(self.clone())
+    }
+}
+
+/// A connection that is counted.
+struct Counted(Rc<Drain>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+        self.0.changed.notify(usize::MAX);
+    }
+}
+
 /// The server of one process.
 #[derive(Clone, Debug)]
 struct Server<H, R> {
@@ -34,11 +88,12 @@
     own: Identity,
     handler: H,
     refused: R,
+    drain: Rc<Drain>,
 }
 
 /// Accepts peers on `listener`: each exchange is a call of `handler` with the peer's identity and
 /// the stream, as a task of `executor`. `refused` is told why a connection was refused or broke.
-/// Returns only if the listener fails.
+/// Returns once `drain` is begun, or if the listener fails.
 pub async fn serve<H, F, R>(
     executor: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
@@ -46,6 +101,7 @@
     own: Identity,
     handler: H,
     refused: R,
+    drain: Rc<Drain>,
 ) -> std::io::Result<()>
 where
     H: Fn(Rc<Identity>, Stream) -> F + Clone + 'static,
@@ -58,11 +114,21 @@
         own,
         handler,
         refused,
+        drain: drain.clone(),
     };
     loop {
-        let (stream, _) = listener.accept().await?;
+        let accept = async { listener.accept().await.map(Some) };
+        let stop = async {
+            drain.started().await;
+            Ok(None)
+        };
+        let Some((stream, _)) = accept.or(stop).await? else {
+            return Ok(());
+        };
         let server = server.clone();
+        let counted = drain.count();
         let connection = async move {
+            let _counted = counted;
             // A peer that breaks off or cannot authenticate concerns nobody else.
             if let Err(error) = server.connection(stream).await {
                 (server.refused)(&error);
@@ -111,7 +177,24 @@
         peer: &Peer,
     ) -> Result<()> {
         let mut first = true;
-        while let Some(accepted) = connection.accept().await {
+        let mut draining = false;
+        loop {
+            let stop = async {
+                if draining {
+                    std::future::pending::<()>().await;
+                }
+                self.drain.started().await;
+                None
+            };
+            let accept = async { Some(connection.accept().await) };
+            let Some(next) = accept.or(stop).await else {
+                draining = true;
+                connection.graceful_shutdown();
+                continue;
+            };
+            let Some(accepted) = next else {
+                return Ok(());
+            };
             let (request, respond) = accepted?;
             let stream = answer(request, respond)?;
             let known = peer.borrow().clone();
@@ -126,7 +209,6 @@
                 return Err(Error::Authentication);
             }
         }
-        Ok(())
     }
 
     /// Authenticates the client on the connection's first stream.
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -15,7 +15,7 @@
 use smol::net::TcpListener;
 use standins::link::{self, Direction};
 use units::{Call, Incarnation, Program};
-use wire::{Error, Frame, Identity, Key, Link, Role, State, Stream, serve};
+use wire::{Drain, Error, Frame, Identity, Key, Link, Role, State, Stream, serve};
 
 fn identity(host: &str, address: std::net::SocketAddr) -> Identity {
     Identity {
@@ -49,7 +49,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let own = identity("server", address);
-        let run = serve(tasks.clone(), listener, server, own, answer, |_| {});
+        let run = serve(
+            tasks.clone(),
+            listener,
+            server,
+            own,
+            answer,
+            |_| {},
+            Drain::new(),
+        );
         tasks.spawn(async move { drop(run.await) }).detach();
         let own = identity("client", address);
         check(Link::connect(&tasks, address, &client, &own).await).await;
@@ -104,7 +112,15 @@
         };
         let refused = move |error: &Error| labels.refused.borrow_mut().push(error.label());
         let (key, own) = (Key::new([1; 32]), identity("server", address));
-        let run = serve(tasks.clone(), listener, key, own, wait, refused);
+        let run = serve(
+            tasks.clone(),
+            listener,
+            key,
+            own,
+            wait,
+            refused,
+            Drain::new(),
+        );
         tasks.spawn(async move { drop(run.await) }).detach();
         check(tasks, address, seen).await;
     }));
@@ -159,3 +175,69 @@
         assert_eq!(*seen.refused.borrow(), ["peer-unauthenticated"; 2]);
     });
 }
+
+#[test]
+fn drained_server_tells_served_exchanges_from_others() {
+    let executor = Rc::new(LocalExecutor::new());
+    let tasks = executor.clone();
+    smol::block_on(executor.run(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let relay = link::start("127.0.0.1:0".parse().unwrap(), address).unwrap();
+        let (drain, key) = (Drain::new(), Key::new([1; 32]));
+        let served = Rc::new(Cell::new(0));
+        let count = served.clone();
+        let hold = move |_: Rc<Identity>, mut stream: Stream| {
+            let count = count.clone();
+            async move {
+                stream.expect().await.unwrap();
+                count.set(count.get() + 1);
+                stream.gone().await;
+            }
+        };
+        let own = identity("server", address);
+        let run = serve(
+            tasks.clone(),
+            listener,
+            key.clone(),
+            own,
+            hold,
+            |_| {},
+            drain.clone(),
+        );
+        let server = tasks.spawn(run);
+        let own = identity("client", address);
+        let link = Link::connect(&tasks, relay.address, &key, &own)
+            .await
+            .unwrap();
+        let mut running = link.open(&Frame::Watch).await.unwrap();
+        eventually(SERVER_CLOSE_MAX, || served.get() == 1).await;
+        let finish = drain.clone();
+        let finished = tasks.spawn(async move { finish.finish().await });
+        server.await.unwrap();
+        // New exchanges end as not served, whether or not the client has heard of the drain.
+        let mut unserved = 0;
+        while unserved < 3 {
+            let answer = async { link.call(&Frame::Query(Call::default())).await };
+            let expire = async {
+                smol::Timer::after(Duration::from_millis(20)).await;
+                Err(Error::Timeout)
+            };
+            match answer.or(expire).await {
+                Err(Error::Timeout) => assert!(served.get() < 100, "never told"),
+                Err(error) => {
+                    assert!(error.is_unserved(), "{error}");
+                    unserved += 1;
+                }
+                Ok(frame) => panic!("{frame:?}"),
+            }
+        }
+        relay.cut();
+        let lost = running.expect().await.unwrap_err();
+        assert!(
+            !lost.is_unserved(),
+            "a served exchange counts as not served: {lost:?}"
+        );
+        finished.await;
+    }));
+}
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -74,6 +74,12 @@
         self
     }
 
+    /// Uses this many plain services.
+    pub fn with_services(mut self, services: u16) -> Self {
+        self.services = services;
+        self
+    }
+
     /// Uses engines of this speed and size.
     pub fn with_engine(mut self, engine: engine::Config) -> Self {
         self.engine = engine;
--- a/tests/all/failures.rs
+++ b/tests/all/failures.rs
@@ -1,6 +1,6 @@
 //! What callers see when processes fail.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use standins::engine;
 
@@ -115,3 +115,39 @@
         assert!(!log.contains("meche-token") && !log.contains("operator-token"));
     }
 }
+
+/// Bound for the same with the owner killed: takeover (3 s), idle timeout (1 s), release (5 s).
+const ORPHAN_MAX: Duration = Duration::from_secs(9);
+
+#[test]
+fn engine_memory_is_freed_though_sidecar_and_owner_were_killed() {
+    let mut cluster = Config::new()
+        .with_engines(1)
+        .with_document("[limits]\nidle-timeout = 1s\n")
+        .start();
+    let caller = cluster.caller(0, "meche");
+    let held = |cluster: &crate::cluster::Cluster| cluster.engines[0].state().cache.len();
+    // The sidecar is away when the program ends, and hears nothing of it.
+    let program = caller.create("advisor", 5_000, 20);
+    assert!(caller.model(&program, 1, "Which wax?", 8).is_whole());
+    assert_eq!(held(&cluster), 1);
+    cluster.kill("sidecar-engine-0");
+    assert_eq!(caller.end(&program).map(|(status, _)| status), Some(200));
+    cluster.restart("sidecar-engine-0");
+    let restarted = Instant::now();
+    let what = "memory is freed after the sidecar's kill";
+    eventually(RELEASE_MAX, what, || held(&cluster) == 0);
+    println!("freed {:?} after the restart", restarted.elapsed());
+    // The owner and the sidecar go at once, and the caller never comes back.
+    cluster.eventually_sees(0, 2);
+    let program = caller.create("advisor", 5_000, 20);
+    assert!(caller.model(&program, 1, "Which wax?", 8).is_whole());
+    assert_eq!(held(&cluster), 1);
+    cluster.kill("entry-0");
+    cluster.kill("sidecar-engine-0");
+    cluster.restart("sidecar-engine-0");
+    let restarted = Instant::now();
+    let what = "memory is freed after both were killed";
+    eventually(ORPHAN_MAX, what, || held(&cluster) == 0);
+    println!("freed {:?} after the restart", restarted.elapsed());
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod bad_input;
 mod caller;
 mod cluster;
+mod drain;
 mod failures;
 mod links;
 mod whole_path;
