wire, sidecar: fenced orders; bounded decoding

Cause: nothing kept an old order from an engine that ignores fencing numbers; a short encoding of a list could take eight times the frame limit in memory, and an unauthenticated peer could send a frame of 8 MiB. Ruled out: a check at the process that orders (it may be paused); always checking at the sidecar (an engine's own memory survives the sidecar). Change: Frame::Order and Ordered, sidecar::Gate, order endpoints of the engine stand-in (checks_fences); lists of at most 65,536 items, 16 KiB before authentication, nothing kept after an error.

--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -12,11 +12,12 @@
 use smol::future::FutureExt;
 use telemetry::{Metrics, Trace};
 use units::{Bytes, Call, Clock, Digest, Incarnation, Program, Span, Time, Tokens};
-use wire::{Dispatch, Done, Epoch, Load, Ran, Reason, Refused, State, Usage, Work};
+use wire::{Dispatch, Done, Epoch, Load, Order, Ordered, Ran, Reason, Refused, State, Usage, Work};
 
 use crate::claims::Claims;
 use crate::endpoint::Client;
 use crate::guard::{End, Guard, Verdict};
+use crate::orders::Orders;
 use crate::queue::Queue;
 
 const QUEUE_MAX: u32 = 1_024;
@@ -36,6 +37,7 @@
 pub(crate) struct Calls {
     executor: Rc<LocalExecutor<'static>>,
     client: Client,
+    orders: Orders,
     guard: RefCell<Guard>,
     queue: RefCell<Queue>,
     pub(crate) claims: RefCell<Claims>,
@@ -65,6 +67,7 @@
         Rc::new(Calls {
             executor,
             client: Client::new(&settings.endpoint),
+            orders: Orders::new(settings.endpoint.checks_fences),
             guard: RefCell::new(guard),
             queue: RefCell::new(Queue::new(settings.endpoint.slots)),
             claims: RefCell::default(),
@@ -248,6 +251,15 @@
         }
     }
 
+    /// Has the engine carry out an order, unless it is too old.
+    pub(crate) async fn order(&self, order: &Order) -> Ordered {
+        let ordered = self.orders.order(&self.client, order).await;
+        if matches!(ordered, Ordered::Fenced(_)) {
+            self.metrics.count("order-fenced");
+        }
+        ordered
+    }
+
     /// Notes that an entry answers for programs.
     pub(crate) fn claim(&self, entry: Incarnation, programs: &[Program]) {
         let mut claims = self.claims.borrow_mut();
--- a/crates/sidecar/src/claims.rs
+++ b/crates/sidecar/src/claims.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use units::{Incarnation, Program, Span, Time};
+use wire::LIST_MAX;
 
 /// Time for which a program may be held without a claim.
 pub const GRACE: Span = Span::from_ms(3_000);
@@ -93,6 +94,7 @@
             waited.is_none_or(|waited| waited >= interval)
         };
         let unclaimed = self.unclaimed.iter().filter(|(_, since)| due(since));
-        unclaimed.map(|(program, _)| *program).collect()
+        let programs = unclaimed.map(|(program, _)| *program);
+        programs.take(LIST_MAX).collect()
     }
 }
--- a/crates/sidecar/src/endpoint.rs
+++ b/crates/sidecar/src/endpoint.rs
@@ -9,10 +9,12 @@
 use smol::io::BufReader;
 use smol::stream::StreamExt;
 use units::{Call, Program, Span, Tokens};
-use wire::{Answer, Dispatch, Ran, Reason, Refused, Usage, Work};
+use wire::{Action, Answer, Dispatch, Fence, Order, Ordered, Ran, Reason, Refused, Usage, Work};
 
 use crate::guard::End;
 
+const ORDERS: &str = "/v1/orders";
+const CONFLICT: u16 = 409;
 const CONTROL_TIMEOUT: Span = Span::from_ms(2_000);
 const ANSWER_MAX_BYTES: usize = 4 << 20;
 
@@ -56,6 +58,47 @@
     user: Option<String>,
 }
 
+/// An order as the engine takes it.
+#[derive(Serialize)]
+struct Command<'a> {
+    fence: Fence,
+    action: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    model: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    adapter: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'a str>,
+}
+
+impl<'a> From<&'a Order> for Command<'a> {
+    fn from(order: &'a Order) -> Self {
+        let (action, model, adapter, role) = match &order.action {
+            Action::Load(model) => ("load", Some(model.as_str()), None, None),
+            Action::Adapter(model, adapter) => (
+                "adapter",
+                Some(model.as_str()),
+                Some(adapter.as_str()),
+                None,
+            ),
+            Action::Role(role) => ("role", None, None, Some(role.as_str())),
+        };
+        Command {
+            fence: order.fence,
+            action,
+            model,
+            adapter,
+            role,
+        }
+    }
+}
+
+/// The number of the engine's last order.
+#[derive(Deserialize)]
+struct Fenced {
+    fence: Option<Fence>,
+}
+
 /// The client of one endpoint.
 #[derive(Debug)]
 pub(crate) struct Client {
@@ -192,6 +235,35 @@
         self.order("/v1/kv/release", &named).await
     }
 
+    /// Sends an order to the engine.
+    pub(crate) async fn carry_out(&self, order: &Order) -> Ordered {
+        if self.kind == Kind::Service {
+            return Ordered::Refused(Refused {
+                ran: Ran::No,
+                reason: Reason::Target,
+            });
+        }
+        let sent: http_io::Result<Fenced> = self
+            .control
+            .json(Method::Post, ORDERS, Some(&Command::from(order)))
+            .await;
+        match sent {
+            Ok(_) => Ordered::Done,
+            Err(http_io::Error::Status(CONFLICT, body)) => match serde_json::from_slice(&body) {
+                Ok(Fenced { fence: Some(fence) }) => Ordered::Fenced(fence),
+                _ => Ordered::Refused(broken()),
+            },
+            Err(error) => Ordered::Refused(refused(error)),
+        }
+    }
+
+    /// The number of the engine's last order.
+    pub(crate) async fn last_order(&self) -> http_io::Result<Option<Fence>> {
+        let none = None::<&Named>;
+        let last: Fenced = self.control.json(Method::Get, ORDERS, none).await?;
+        Ok(last.fence)
+    }
+
     /// The programs for which the endpoint holds memory.
     pub(crate) async fn held(&self) -> http_io::Result<BTreeSet<Program>> {
         if self.kind == Kind::Service {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,6 +5,7 @@
 //!   dispatched; a call declared as never to run never runs.
 //! - The endpoint never has more calls than its slots; the rest wait here by rank.
 //! - An answer is retained until an entry says that it is durable.
+//! - An endpoint that ignores fencing numbers gets no order with a lower one than before.
 //! - The endpoint holds no memory of programs that have ended or that no entry answers for.
 
 mod calls;
@@ -13,6 +14,7 @@
 mod endpoint;
 mod error;
 mod guard;
+mod orders;
 mod queue;
 mod reconcile;
 mod server;
@@ -21,6 +23,7 @@
 pub use claims::Claims;
 pub use error::{Error, Result};
 pub use guard::{End, Guard, Verdict};
+pub use orders::Gate;
 pub use queue::Queue;
 
 use std::rc::Rc;
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -55,6 +55,10 @@
             calls.release(program).await;
             stream.send(&Frame::Ack).await?;
         }
+        Frame::Order(order) => {
+            let ordered = calls.order(&order).await;
+            stream.send(&Frame::Ordered(ordered)).await?;
+        }
         Frame::Claim(programs) => {
             calls.claim(peer, &programs);
             stream.send(&Frame::Ack).await?;
--- a/crates/sidecar/tests/process.rs
+++ b/crates/sidecar/tests/process.rs
@@ -16,7 +16,10 @@
 use smol::LocalExecutor;
 use standins::{engine, service};
 use units::{Call, Incarnation, Program, Seq, Span};
-use wire::{Dispatch, Frame, Identity, Key, Link, Ran, Reason, Refused, Role, Stream, Work};
+use wire::{
+    Action, Dispatch, Fence, Frame, Identity, Key, Link, Order, Ordered, Ran, Reason, Refused,
+    Role, Stream, Work,
+};
 
 const START_MAX: Duration = Duration::from_secs(5);
 const POLL: Duration = Duration::from_millis(5);
@@ -235,3 +238,59 @@
         eventually(RELEASE_MAX, "the orphan is freed", || !holds(live)).await;
     });
 }
+
+/// Gives an order to load a model and returns what became of it.
+async fn load(link: &Link, fence: u64, model: &str) -> Ordered {
+    let order = Order {
+        fence: Fence(fence),
+        action: Action::Load(model.parse().unwrap()),
+    };
+    match link.call(&Frame::Order(order)).await.unwrap() {
+        Frame::Ordered(ordered) => ordered,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Old orders reach no engine, whether it checks them or not, before and after a sidecar's restart.
+fn check_fences(checks: bool) {
+    let config = engine::Config {
+        checks_fences: checks,
+        ..engine::Config::default()
+    };
+    let engine = engine::start("127.0.0.1:0".parse().unwrap(), config).unwrap();
+    let fences = if checks { "checked" } else { "ignored" };
+    let start = || {
+        let more = format!("fences = {fences}\n");
+        Sidecar::start("engine", engine.address, &more)
+    };
+    let sidecar = start();
+    run(|tasks| async move {
+        let link = sidecar.connect(&tasks, 1).await;
+        assert_eq!(load(&link, 5, "advisor").await, Ordered::Done);
+        assert_eq!(load(&link, 5, "advisor").await, Ordered::Done);
+        assert_eq!(load(&link, 5, "other").await, Ordered::Fenced(Fence(5)));
+        assert_eq!(load(&link, 4, "advisor").await, Ordered::Fenced(Fence(5)));
+    });
+    let sidecar = start();
+    run(|tasks| async move {
+        let link = sidecar.connect(&tasks, 1).await;
+        assert_eq!(load(&link, 4, "advisor").await, Ordered::Fenced(Fence(5)));
+        assert_eq!(load(&link, 6, "other").await, Ordered::Done);
+    });
+    let orders = engine.state().orders.clone();
+    let taken: Vec<u64> = orders
+        .iter()
+        .filter_map(|order| order["fence"].as_u64())
+        .collect();
+    assert_eq!(taken, [5, 5, 6]);
+}
+
+#[test]
+fn old_orders_are_refused_by_the_sidecar() {
+    check_fences(false);
+}
+
+#[test]
+fn refusal_of_an_engine_that_checks_is_passed_on() {
+    check_fences(true);
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -36,6 +36,8 @@
     pub event_tokens: u64,
     /// Factor by which all times grow, in percent: 100 is full speed.
     pub slow_percent: u64,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fences: bool,
 }
 
 impl Default for Config {
@@ -47,6 +49,7 @@
             cache_tokens: 200_000,
             event_tokens: 4,
             slow_percent: 100,
+            checks_fences: false,
         }
     }
 }
@@ -68,6 +71,8 @@
     pub prefilled: u64,
     /// Prompt tokens that were found in the cache.
     pub reused: u64,
+    /// Orders carried out, in order of arrival.
+    pub orders: Vec<Value>,
     cancelled: HashSet<String>,
     waiting: BTreeMap<(u64, u64), ()>,
     arrivals: u64,
@@ -132,6 +137,13 @@
             json(&value!({}))
         }
         (Method::Get, "/v1/kv") => json(&held(&lock(&state))),
+        (Method::Post, "/v1/orders") => {
+            let Some(order) = read_json::<Value>(&mut request).await else {
+                return Response::new(StatusCode::BadRequest);
+            };
+            take_order(&mut lock(&state), order)
+        }
+        (Method::Get, "/v1/orders") => json(&value!({"fence": fence(&lock(&state))})),
         (Method::Get, "/v1/load") => {
             let state = lock(&state);
             json(&value!({"running": state.running, "waiting": state.waiting.len()}))
@@ -147,6 +159,26 @@
     }
 }
 
+/// The highest fencing number of an order that was carried out.
+fn fence(state: &State) -> Option<u64> {
+    let fences = state.orders.iter();
+    fences.filter_map(|order| order["fence"].as_u64()).max()
+}
+
+/// Carries out an order, unless its number is old and this engine checks.
+fn take_order(state: &mut State, order: Value) -> Response {
+    let last = fence(state);
+    let again = state.orders.last() == Some(&order);
+    if state.config.checks_fences && order["fence"].as_u64() <= last && !again {
+        let mut response = json(&value!({"fence": last}));
+        response.set_status(StatusCode::Conflict);
+        return response;
+    }
+    let answer = json(&value!({"fence": order["fence"]}));
+    state.orders.push(order);
+    answer
+}
+
 fn held(state: &State) -> BTreeMap<String, usize> {
     state
         .cache
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -32,17 +32,34 @@
 }
 
 /// Cuts a stream of bytes into frames.
-#[derive(Debug, Default)]
+///
+/// After [`next_frame`](Self::next_frame) it holds no more than one frame of the longest length that
+/// it allows, and nothing after an error.
+#[derive(Debug)]
 pub struct Decoder {
     buffer: BytesMut,
+    payload_max: usize,
 }
 
 impl Decoder {
+    /// A decoder of frames whose payload is at most `payload_max`, and at most [`FRAME_MAX_BYTES`].
+    pub fn new(payload_max: usize) -> Self {
+        Decoder {
+            buffer: BytesMut::new(),
+            payload_max: payload_max.min(FRAME_MAX_BYTES),
+        }
+    }
+
     /// Appends received bytes.
     pub fn extend(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Bytes of an incomplete frame.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether no incomplete frame is buffered.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
@@ -53,6 +70,14 @@
     /// # Errors
     /// A wrong version, a length over the limit or a malformed payload; the stream is then useless.
     pub fn next_frame(&mut self) -> Result<Option<Frame>> {
+        let next = self.decode();
+        if next.is_err() {
+            self.buffer = BytesMut::new();
+        }
+        next
+    }
+
+    fn decode(&mut self) -> Result<Option<Frame>> {
         if self.buffer.len() < HEADER_BYTES {
             return Ok(None);
         }
@@ -61,7 +86,7 @@
             return Err(Error::Version(version));
         }
         let length = (&self.buffer[1..HEADER_BYTES]).get_u32() as usize;
-        if length > FRAME_MAX_BYTES {
+        if length > self.payload_max {
             return Err(Error::TooLarge(length));
         }
         if self.buffer.len() < HEADER_BYTES + length {
@@ -74,3 +99,9 @@
         Ok(Some(frame))
     }
 }
+
+impl Default for Decoder {
+    fn default() -> Self {
+        Decoder::new(FRAME_MAX_BYTES)
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -10,6 +10,9 @@
     Tokens, Version, Zone,
 };
 
+use crate::list::bounded;
+use crate::order::{Order, Ordered};
+
 /// One message of an exchange.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -46,16 +49,20 @@
     /// What the sidecar knows of a call.
     State(State),
     /// These answers are durable elsewhere and need not be retained; answered by `Ack`.
-    Saved(Vec<Call>),
+    Saved(#[serde(deserialize_with = "bounded")] Vec<Call>),
     /// The program has ended: its engine memory is to be freed; answered by `Ack`.
     Release(Program),
+    /// Has the endpoint's engine do something; answered by `Ordered`.
+    Order(Order),
+    /// What became of an order.
+    Ordered(Ordered),
     /// Subscribes to a sidecar's reports; answered by `Epoch`, `Load` and `Held` frames without end.
     Watch,
     /// Programs that are held at a sidecar and that no entry claims. An entry claims those that it
     /// owns and releases those that have ended.
-    Held(Vec<Program>),
+    Held(#[serde(deserialize_with = "bounded")] Vec<Program>),
     /// The sender owns these programs; answered by `Ack`.
-    Claim(Vec<Program>),
+    Claim(#[serde(deserialize_with = "bounded")] Vec<Program>),
     /// The sidecar's epoch, sent before its first load report and whenever it changes.
     Epoch(Epoch),
     /// A load report of a sidecar.
@@ -105,6 +112,8 @@
             Frame::State(_) => "State",
             Frame::Saved(_) => "Saved",
             Frame::Release(_) => "Release",
+            Frame::Order(_) => "Order",
+            Frame::Ordered(_) => "Ordered",
             Frame::Watch => "Watch",
             Frame::Held(_) => "Held",
             Frame::Claim(_) => "Claim",
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,8 @@
 mod frame;
 mod heartbeat;
 mod link;
+mod list;
+mod order;
 mod server;
 mod stream;
 
@@ -30,5 +32,7 @@
     Ran, Reason, Refused, Resume, Role, State, Usage, Work,
 };
 pub use link::Link;
+pub use list::LIST_MAX;
+pub use order::{Action, Fence, Order, Ordered};
 pub use server::{Drain, serve};
 pub use stream::Stream;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -24,6 +24,7 @@
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
 const STREAMS_MAX: u32 = 10_000;
+const HELLO_MAX_BYTES: usize = 16 << 10;
 
 type Peer = Rc<RefCell<Option<Rc<Identity>>>>;
 
@@ -203,6 +204,7 @@
                 self.executor.spawn(exchange).detach();
             } else if first {
                 first = false;
+                let stream = stream.with_payload_max(HELLO_MAX_BYTES);
                 let handshake = self.clone().handshake(stream, peer.clone());
                 self.executor.spawn(handshake).detach();
             } else {
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -37,6 +37,14 @@
         }
     }
 
+    /// Allows frames of at most `payload_max` bytes only.
+    pub(crate) fn with_payload_max(mut self, payload_max: usize) -> Self {
+        if let Receiver::Open(_, decoder) = &mut self.receiver {
+            *decoder = Decoder::new(payload_max);
+        }
+        self
+    }
+
     /// Sends one frame, waiting while the peer's window is full.
     pub async fn send(&mut self, frame: &Frame) -> Result<()> {
         let mut bytes = encode(frame)?;
