--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -40,6 +40,7 @@
 struct State {
     connections: Mutex<Vec<Arc<Connection>>>,
     accepted: AtomicU64,
+    relayed: AtomicU64,
     delay_us: AtomicU64,
 }
 
@@ -103,6 +104,11 @@
         self.state.delay_us.store(delay_us, Ordering::Relaxed);
     }
 
+    /// Bytes relayed so far, both ways.
+    pub fn relayed(&self) -> u64 {
+        self.state.relayed.load(Ordering::Relaxed)
+    }
+
     /// Connections accepted so far.
     pub fn accepted(&self) -> u64 {
         self.state.accepted.load(Ordering::Relaxed)
@@ -150,6 +156,7 @@
     let mut buffer = vec![0; CHUNK_BYTES];
     loop {
         let length = end.read(&mut buffer).await.unwrap_or(0);
+        state.relayed.fetch_add(length as u64, Ordering::Relaxed);
         let delay = Duration::from_micros(state.delay_us.load(Ordering::Relaxed));
         let chunk = (Instant::now() + delay, buffer[..length].to_vec());
         if chunks.send(chunk).await.is_err() || length == 0 {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,16 +7,21 @@
 )]
 
 mod bad_input;
+mod budgets;
 mod caller;
 mod cluster;
 mod documents;
 mod drain;
 mod explain;
 mod failures;
+mod history;
 mod leave;
 mod links;
 mod observability;
 mod operators;
+mod races;
+mod scenario;
+mod scenarios;
 mod store;
 mod takeover;
 mod whole_path;
