Settings: misspelt names at their line, secrets hidden, documents render to themselves

Cause: a misspelt required key was reported as missing without its line; `[class a]` with two spaces silently replaced `[class a]`; an error showed the value of a malformed token digest, which operators may have pasted the token into, and Debug of the process settings showed the shared key; an address in use named no file or key.

Change: names within two edits of a missing one are reported where they stand; repeated names are duplicates; Section::secret and settings::Secret hide values; addresses in use are errors of the settings with file, line and key, exit 2, before anything starts; undefined classes name the nearest. Exit 2 is for settings only; other failures of a process exit 1.

--- a/crates/entry/src/documents.rs
+++ b/crates/entry/src/documents.rs
@@ -17,7 +17,6 @@
 use crate::traffic::Traffic;
 
 const SCAN_INTERVAL: Span = Span::from_ms(100);
-const EXCHANGE_TIMEOUT: Span = Span::from_ms(1_000);
 
 /// What is known of one peer's copy.
 #[derive(Clone, Copy, Default)]
@@ -65,7 +64,7 @@
 /// One exchange with one peer, within a bound.
 async fn exchange(traffic: Rc<Traffic>, peers: Peers, host: Host, link: Link) {
     let expire = async {
-        smol::Timer::after(EXCHANGE_TIMEOUT.into()).await;
+        smol::Timer::after(traffic.shared.settings.process.timing.peer_timeout.into()).await;
         Err(Error::Timeout)
     };
     let result = compare(&traffic, &link).or(expire).await;
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -6,13 +6,12 @@
 use units::{Bytes, Calls, Digest, Rate, Span, Target, Tokens};
 
 use crate::error::{Problem, Result};
-use crate::reader::{Reader, Section};
+use crate::reader::{HEX, Reader, Section, nearest};
 
 const NAME: &str = "a-z, 0-9, '-', '_', '.', at most 64 characters";
 const SPAN: &str = "a whole number with us, ms, s, m or h";
 const NUMBER: &str = "a whole number";
 const RATE: &str = "a number, 0 or more";
-const HEX: &str = "64 hexadecimal digits";
 
 /// A checked environment document.
 #[derive(Clone, Debug, PartialEq)]
@@ -127,8 +126,9 @@
         let mut renamed = String::with_capacity(text.len());
         for line in text.split_inclusive('\n') {
             let bare = line.trim();
-            if bare.starts_with('[') {
-                inside = bare == "[environment]";
+            if let Some(section) = bare.strip_prefix('[') {
+                let section = section.strip_suffix(']').unwrap_or_default();
+                inside = section.trim() == "environment";
             }
             let key = bare.split(['=', ':']).next().unwrap_or_default().trim();
             if inside && key == "name" {
@@ -145,7 +145,10 @@
         for (name, account) in &self.accounts {
             for class in &account.classes {
                 if !self.classes.contains_key(class) {
-                    let problem = Problem::Undefined(class.to_compact_string(), "class".into());
+                    let known = self.classes.keys().map(|known| known.to_compact_string());
+                    let near = nearest(class.as_str(), &known.collect());
+                    let class = class.to_compact_string();
+                    let problem = Problem::Undefined(class, "class".into(), near);
                     return Err(reader.error(&format!("account {name}"), "classes", problem));
                 }
             }
@@ -179,8 +182,10 @@
     let mut all = BTreeMap::new();
     for (name, section) in reader.named(kind, NAME)? {
         let value = read(&section)?;
+        if all.insert(name, value).is_some() {
+            return Err(section.error("", Problem::Duplicate));
+        }
         section.close()?;
-        all.insert(name, value);
     }
     Ok(all)
 }
@@ -193,8 +198,9 @@
 }
 
 fn account(section: &Section<'_>) -> Result<Account> {
+    let token = section.secret("token-digest")?;
     Ok(Account {
-        token: section.get("token-digest", HEX)?,
+        token: token.ok_or_else(|| section.missing("token-digest", HEX))?,
         classes: section.list("classes", NAME)?,
         share: section.get_or("share", NUMBER, 1)?,
         programs_max: section.get_or("programs-max", NUMBER, 10_000)?,
@@ -209,10 +215,8 @@
 
 fn service(section: &Section<'_>) -> Result<Service> {
     let words = [("yes", true), ("no", false)];
-    let idempotent = section.choice("idempotent", &words)?;
-    let missing = || section.error("idempotent", Problem::MissingKey);
     Ok(Service {
-        idempotent: idempotent.ok_or_else(missing)?,
+        idempotent: section.required_choice("idempotent", &words)?,
     })
 }
 
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -28,8 +28,8 @@
     Syntax(CompactString),
     /// The section is missing.
     MissingSection,
-    /// The key is missing.
-    MissingKey,
+    /// The key is missing: what is allowed.
+    MissingKey(CompactString),
     /// The section is unknown; the nearest valid one.
     UnknownSection(CompactString),
     /// The key is unknown; the nearest valid one.
@@ -38,8 +38,8 @@
     Duplicate,
     /// The value is not allowed: value, reason, what is allowed.
     Value(CompactString, CompactString, CompactString),
-    /// The value names something that the document does not define: value, kind.
-    Undefined(CompactString, CompactString),
+    /// The value names something that the document does not define: value, kind, nearest valid one.
+    Undefined(CompactString, CompactString, CompactString),
 }
 
 impl fmt::Display for Error {
@@ -65,15 +65,21 @@
             Problem::Unreadable(why) => write!(f, "cannot be read: {why}"),
             Problem::Syntax(why) => write!(f, "is not INI: {why}"),
             Problem::MissingSection => f.write_str("is a required section and missing"),
-            Problem::MissingKey => f.write_str("is a required key and missing"),
+            Problem::MissingKey(allowed) => {
+                write!(f, "is a required key and missing; allowed: {allowed}")
+            }
             Problem::UnknownSection(near) => write!(f, "is an unknown section; nearest: {near}"),
             Problem::UnknownKey(near) => write!(f, "is an unknown key; nearest: {near}"),
             Problem::Duplicate => f.write_str("is there twice"),
             Problem::Value(value, why, allowed) => {
                 write!(f, "= {value:?} {why}; allowed: {allowed}")
             }
-            Problem::Undefined(value, kind) => {
-                write!(f, "names {value:?}, which is no {kind} of this document")
+            Problem::Undefined(value, kind, near) => {
+                write!(f, "names {value:?}, which is no {kind} of this document")?;
+                match near.as_str() {
+                    "" => Ok(()),
+                    near => write!(f, "; nearest: {near}"),
+                }
             }
         }
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,7 +10,10 @@
 mod error;
 mod process;
 mod reader;
+mod render;
 
 pub use document::{Account, Class, Document, Limits, Model, Policy, Service};
 pub use error::{Error, Problem, Result};
-pub use process::{Admin, Endpoint, Entry, Format, Kind, Platform, Process, Sidecar, Timing};
+pub use process::{
+    Admin, Endpoint, Entry, Format, Kind, Platform, Process, Secret, Sidecar, Timing, reject,
+};
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -1,12 +1,13 @@
 //! Settings of one process.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use compact_str::{CompactString, ToCompactString};
 use units::{Bytes, Digest, Host, Rate, Region, Span, Target, Zone};
 
 use crate::error::{Error, Problem, Result};
-use crate::reader::{Reader, Section};
+use crate::reader::{HEX, Reader, Section, line};
 
 const ADDRESS: &str = "IP:PORT";
 const NAME: &str = "a-z, 0-9, '-', '_', '.', at most 64 characters";
@@ -16,7 +17,6 @@
 const TRACE_SHARE_DEFAULT: Rate = Rate(0.01);
 const TIMING_MIN: Span = Span::from_ms(10);
 const TIMING_MAX: Span = Span::from_ms(3_600_000);
-const HEX: &str = "64 hexadecimal digits";
 
 /// How log lines look.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +27,23 @@
     Terminal,
 }
 
+/// 32 secret bytes; never shown.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct Secret(Digest);
+
+impl Secret {
+    /// The bytes.
+    pub fn bytes(&self) -> &[u8; 32] {
+        self.0.bytes()
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
 /// What all processes have.
 #[derive(Clone, Debug)]
 pub struct Process {
@@ -40,8 +57,8 @@
     pub environment: CompactString,
     /// How log lines look.
     pub format: Format,
-    /// The key shared by the environment's processes: 32 bytes, secret.
-    pub key: Digest,
+    /// The key shared by the environment's processes.
+    pub key: Secret,
     /// The platform's service.
     pub platform: Platform,
     /// Share of the traces begun here that are written; those of callers say so themselves.
@@ -57,6 +74,8 @@
     pub document_poll: Span,
     /// Time between exchanges of document versions with each peer.
     pub document_exchange: Span,
+    /// Bound of one question to a peer.
+    pub peer_timeout: Span,
     /// Time between reads of the host list.
     pub hosts_poll: Span,
     /// A process that has heard neither the store nor a peer for this long is not ready.
@@ -152,10 +171,11 @@
         let body_max = section.get_or("body-max", SIZE, Bytes(1 << 20))?;
         section.close()?;
         let section = reader.required("admin")?;
+        let operator = section.secret("operator-token-digest")?;
         let admin = Admin {
             address: section.get("address", ADDRESS)?,
-            operator: section.get("operator-token-digest", HEX)?,
-            viewer: section.maybe("viewer-token-digest", HEX)?,
+            operator: operator.ok_or_else(|| section.missing("operator-token-digest", HEX))?,
+            viewer: section.secret("viewer-token-digest")?,
         };
         section.close()?;
         reader.close()?;
@@ -199,6 +219,23 @@
     }
 }
 
+/// The refusal of a value that reads well and cannot be used, for example an address in use.
+pub fn reject(file: &str, section: &str, key: &str, value: &str, why: &str) -> Error {
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    let problem = Problem::Value(
+        value.into(),
+        why.into(),
+        "a free address of this host".into(),
+    );
+    Error {
+        file: file.into(),
+        line: line(&text, section, key),
+        section: section.into(),
+        key: key.into(),
+        problem: Box::new(problem),
+    }
+}
+
 fn read(file: &str) -> Result<String> {
     std::fs::read_to_string(file).map_err(|error| Error {
         file: file.into(),
@@ -220,9 +257,11 @@
         .choice("log-format", &formats)?
         .unwrap_or(Format::Json);
     let trace_share = trace_share(&section)?;
-    let key = section
-        .get("key", HEX)
-        .map_err(|error| redact(error, "key"))?;
+    let key = Secret(
+        section
+            .secret("key")?
+            .ok_or_else(|| section.missing("key", HEX))?,
+    );
     section.close()?;
     let section = reader.required("platform")?;
     let platform = Platform {
@@ -256,6 +295,7 @@
     let mut timing = Timing {
         document_poll: Span::from_ms(500),
         document_exchange: Span::from_ms(1_000),
+        peer_timeout: Span::from_ms(1_000),
         hosts_poll: Span::from_ms(500),
         stale_after: Span::from_ms(5_000),
     };
@@ -276,29 +316,26 @@
     };
     timing.document_poll = get("document-poll", timing.document_poll)?;
     timing.document_exchange = get("document-exchange", timing.document_exchange)?;
+    timing.peer_timeout = get("peer-timeout", timing.peer_timeout)?;
     timing.hosts_poll = get("hosts-poll", timing.hosts_poll)?;
     timing.stale_after = get("stale-after", timing.stale_after)?;
+    let heard = timing.document_poll.max(timing.document_exchange);
+    if timing.stale_after.0 < 2 * heard.0 {
+        let value = timing.stale_after.to_compact_string();
+        let allowed = "at least twice document-poll and document-exchange";
+        return Err(section.invalid("stale-after", &value, "is too short", allowed));
+    }
     section.close()?;
     Ok(timing)
 }
 
-/// Takes the value of a secret out of an error.
-fn redact(mut error: Error, key: &str) -> Error {
-    if error.key == key
-        && let Problem::Value(value, _, _) = &mut *error.problem
-    {
-        *value = "(secret)".into();
-    }
-    error
-}
-
 fn endpoint(section: Section<'_>) -> Result<Endpoint> {
     let kinds = [("engine", Kind::Engine), ("service", Kind::Service)];
     let fences = [("checked", true), ("ignored", false)];
-    let kind = section.choice("kind", &kinds)?;
+    let kind = section.required_choice("kind", &kinds)?;
     let serves: Vec<Target> = section.list("serves", NAME)?;
     if serves.is_empty() {
-        return Err(section.error("serves", Problem::MissingKey));
+        return Err(section.missing("serves", "models or services, separated by spaces"));
     }
     let slots = section.get_or("slots", "1 to 4096", 8)?;
     if !(1..=4096).contains(&slots) {
@@ -311,7 +348,7 @@
     }
     let endpoint = Endpoint {
         name: section.get("name", NAME)?,
-        kind: kind.ok_or_else(|| section.error("kind", Problem::MissingKey))?,
+        kind,
         address: section.get("address", ADDRESS)?,
         serves,
         slots,
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -7,9 +7,15 @@
 
 use compact_str::{CompactString, ToCompactString, format_compact};
 use ini::{Ini, ParseOption};
+use units::Digest;
 
 use crate::error::{Error, Problem, Result};
 
+const MISSPELT_MAX: usize = 2;
+
+/// What is allowed for keys and digests.
+pub(crate) const HEX: &str = "64 hexadecimal digits";
+
 /// An INI text of which every section and key must be asked for.
 pub(crate) struct Reader<'a> {
     file: &'a str,
@@ -82,28 +88,8 @@
         }
     }
 
-    /// The line of a key, else of its section, else 0; the last one where there are two.
     fn line(&self, section: &str, key: &str) -> usize {
-        let mut current = "";
-        let mut found = 0;
-        for (index, line) in self.text.lines().enumerate() {
-            let line = line.trim();
-            if let Some(name) = line
-                .strip_prefix('[')
-                .and_then(|rest| rest.strip_suffix(']'))
-            {
-                current = name.trim();
-                if current == section {
-                    found = index + 1;
-                }
-            } else if current == section && !key.is_empty() {
-                let name = line.split(['=', ':']).next().unwrap_or("").trim();
-                if name == key {
-                    found = index + 1;
-                }
-            }
-        }
-        found
+        line(self.text, section, key)
     }
 
     pub(crate) fn optional(&'a self, name: &str) -> Option<Section<'a>> {
@@ -117,8 +103,18 @@
     }
 
     pub(crate) fn required(&'a self, name: &str) -> Result<Section<'a>> {
-        self.optional(name)
-            .ok_or_else(|| self.error(name, "", Problem::MissingSection))
+        self.optional(name).ok_or_else(|| self.missing(name))
+    }
+
+    /// The error for a section that is missing: it may be there under a misspelt name.
+    fn missing(&self, name: &str) -> Error {
+        let known = self.sections.borrow();
+        let unknown = self.ini.sections().flatten();
+        let mut unknown = unknown.filter(|section| !known.contains(*section));
+        match unknown.find(|section| is_misspelt(section, name)) {
+            Some(found) => self.error(found, "", Problem::UnknownSection(name.into())),
+            None => self.error(name, "", Problem::MissingSection),
+        }
     }
 
     /// The sections called `<kind> <name>`, with their names.
@@ -196,7 +192,7 @@
         T::Err: Display,
     {
         self.maybe(key, allowed)?
-            .ok_or_else(|| self.error(key, Problem::MissingKey))
+            .ok_or_else(|| self.missing(key, allowed))
     }
 
     /// The value of a key with a default.
@@ -232,8 +228,33 @@
         if let Some((_, choice)) = words.iter().find(|(word, _)| *word == value) {
             return Ok(Some(*choice));
         }
-        let allowed: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
-        Err(self.invalid(key, &value, "is unknown", &allowed.join(", ")))
+        Err(self.invalid(key, &value, "is unknown", &allowed(words)))
+    }
+
+    /// A key or the digest of a token; an error does not show the value, which may be the token.
+    pub(crate) fn secret(&self, key: &str) -> Result<Option<Digest>> {
+        self.maybe(key, HEX).map_err(|mut error| {
+            if let Problem::Value(value, ..) = &mut *error.problem {
+                *value = "(secret)".into();
+            }
+            error
+        })
+    }
+
+    /// The value of a required key that is one of a few words.
+    pub(crate) fn required_choice<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Result<T> {
+        let choice = self.choice(key, words)?;
+        choice.ok_or_else(|| self.missing(key, &allowed(words)))
+    }
+
+    /// The error for a key that is missing: it may be there misspelt.
+    pub(crate) fn missing(&self, key: &str, allowed: &str) -> Error {
+        let properties = self.reader.ini.section(Some(self.name.as_str()));
+        let mut keys = properties.into_iter().flat_map(|all| all.iter());
+        match keys.find(|(found, _)| is_misspelt(found, key)) {
+            Some((found, _)) => self.error(found, Problem::UnknownKey(key.into())),
+            None => self.error(key, Problem::MissingKey(allowed.into())),
+        }
     }
 
     pub(crate) fn invalid(&self, key: &str, value: &str, why: &str, allowed: &str) -> Error {
@@ -263,7 +284,38 @@
     }
 }
 
-fn nearest(word: &str, known: &BTreeSet<CompactString>) -> CompactString {
+/// The line of a key, else of its section, else 0; the last one where there are two.
+pub(crate) fn line(text: &str, section: &str, key: &str) -> usize {
+    let mut current = "";
+    let mut found = 0;
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(name) = line
+            .strip_prefix('[')
+            .and_then(|rest| rest.strip_suffix(']'))
+        {
+            current = name.trim();
+            if current == section {
+                found = index + 1;
+            }
+        } else if current == section && !key.is_empty() {
+            let name = line.split(['=', ':']).next().unwrap_or("").trim();
+            if name == key {
+                found = index + 1;
+            }
+        }
+    }
+    found
+}
+
+/// The words of a choice, for errors.
+fn allowed<T>(words: &[(&str, T)]) -> String {
+    let words: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+    words.join(", ")
+}
+
+/// The known word with the smallest edit distance; empty if there is none.
+pub(crate) fn nearest(word: &str, known: &BTreeSet<CompactString>) -> CompactString {
     known
         .iter()
         .min_by_key(|candidate| edit_distance(word, candidate))
@@ -271,6 +323,12 @@
         .unwrap_or_default()
 }
 
+/// Whether a word is probably meant to be the `wanted` one.
+fn is_misspelt(word: &str, wanted: &str) -> bool {
+    let distance = edit_distance(word, wanted);
+    distance > 0 && distance <= MISSPELT_MAX
+}
+
 /// The Levenshtein distance of two words.
 fn edit_distance(left: &str, right: &str) -> usize {
     let right: Vec<char> = right.chars().collect();
--- /dev/null
+++ b/crates/settings/src/render.rs
@@ -0,0 +1,87 @@
+//! A document as text.
+
+use std::fmt;
+
+use units::Target;
+
+use crate::document::{Account, Class, Document, Limits, Model, Policy, Service};
+
+/// The document in INI with every key: parsing it gives the same document.
+impl fmt::Display for Document {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "[environment]\nname = {}", self.name)?;
+        self.classes.iter().try_for_each(|one| class(f, one))?;
+        self.accounts.iter().try_for_each(|one| account(f, one))?;
+        self.models.iter().try_for_each(|one| model(f, one))?;
+        self.services.iter().try_for_each(|one| service(f, one))?;
+        limits(f, &self.limits)?;
+        policy(f, &self.policy)
+    }
+}
+
+// Each part is taken to pieces, so that a field that is not rendered does not compile.
+
+fn class(f: &mut fmt::Formatter<'_>, (name, class): (&units::Class, &Class)) -> fmt::Result {
+    let Class {
+        precedence,
+        deadline,
+    } = class;
+    writeln!(f, "\n[class {name}]\nprecedence = {precedence}")?;
+    writeln!(f, "deadline = {deadline}")
+}
+
+fn account(
+    f: &mut fmt::Formatter<'_>,
+    (name, account): (&units::Account, &Account),
+) -> fmt::Result {
+    let Account {
+        token,
+        classes,
+        share,
+        programs_max,
+    } = account;
+    let classes: Vec<&str> = classes.iter().map(units::Class::as_str).collect();
+    writeln!(f, "\n[account {name}]\ntoken-digest = {token}")?;
+    writeln!(f, "classes = {}", classes.join(" "))?;
+    writeln!(f, "share = {share}")?;
+    writeln!(f, "programs-max = {programs_max}")
+}
+
+fn model(f: &mut fmt::Formatter<'_>, (name, model): (&Target, &Model)) -> fmt::Result {
+    let Model { context } = model;
+    writeln!(f, "\n[model {name}]\ncontext = {context}")
+}
+
+fn service(f: &mut fmt::Formatter<'_>, (name, service): (&Target, &Service)) -> fmt::Result {
+    let Service { idempotent } = service;
+    let idempotent = if *idempotent { "yes" } else { "no" };
+    writeln!(f, "\n[service {name}]\nidempotent = {idempotent}")
+}
+
+fn limits(f: &mut fmt::Formatter<'_>, limits: &Limits) -> fmt::Result {
+    let Limits {
+        tokens_max,
+        calls_max,
+        idle_timeout,
+        loop_limit,
+        tranche,
+        commit_wait,
+    } = limits;
+    writeln!(f, "\n[limits]\ntokens-max = {tokens_max}")?;
+    writeln!(f, "calls-max = {calls_max}")?;
+    writeln!(f, "idle-timeout = {idle_timeout}")?;
+    writeln!(f, "loop-limit = {loop_limit}")?;
+    writeln!(f, "tranche = {tranche}")?;
+    writeln!(f, "commit-wait = {commit_wait}")
+}
+
+fn policy(f: &mut fmt::Formatter<'_>, policy: &Policy) -> fmt::Result {
+    let Policy {
+        hedge_budget,
+        retry_budget,
+        link_rate,
+    } = policy;
+    writeln!(f, "\n[policy]\nhedge-budget = {hedge_budget}")?;
+    writeln!(f, "retry-budget = {retry_budget}")?;
+    writeln!(f, "link-rate = {link_rate}")
+}
--- /dev/null
+++ b/crates/settings/tests/document.rs
@@ -0,0 +1,97 @@
+//! A document that is accepted renders and parses to itself.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use proptest::prelude::*;
+use settings::Document;
+
+/// A name as operators write it.
+fn name() -> impl Strategy<Value = String> {
+    "[a-z0-9._-]{1,12}"
+}
+
+fn span() -> impl Strategy<Value = String> {
+    (
+        0_u64..10_000_000,
+        prop::sample::select(vec!["us", "ms", "s", "m", "h"]),
+    )
+        .prop_map(|(number, unit)| format!("{number}{unit}"))
+}
+
+fn keys() -> impl Strategy<Value = String> {
+    let limits = (
+        any::<u64>(),
+        any::<u64>(),
+        span(),
+        any::<u32>(),
+        any::<u64>(),
+        span(),
+    );
+    let limits = limits.prop_map(|(tokens, calls, idle, repeats, tranche, wait)| {
+        format!(
+            "[limits]\ntokens-max = {tokens}\ncalls-max={calls}\n idle-timeout = {idle}\n\
+             ; a comment\nloop-limit = {repeats}\ntranche = {tranche}\ncommit-wait : {wait}\n"
+        )
+    });
+    let policy = (0.0..1e9, 0.0..1.0_f64, 0_u64..1 << 20);
+    let policy = policy.prop_map(|(hedge, retry, rate)| {
+        format!("[policy]\nhedge-budget = {hedge}\nretry-budget = {retry}\nlink-rate = {rate}k\n")
+    });
+    (prop::option::of(limits), prop::option::of(policy))
+        .prop_map(|(limits, policy)| limits.unwrap_or_default() + &policy.unwrap_or_default())
+}
+
+/// A document as an operator may write it, with one class that all accounts may use.
+fn document() -> impl Strategy<Value = String> {
+    let account = (name(), any::<[u8; 32]>(), any::<u32>(), any::<u64>());
+    let targets = prop::collection::btree_map(name(), any::<Option<bool>>(), 0..6);
+    let parts = (name(), name(), any::<u32>(), span(), targets, keys());
+    (parts, prop::collection::vec(account, 0..4)).prop_filter_map("names are there once", join)
+}
+
+type Parts = (
+    String,
+    String,
+    u32,
+    String,
+    std::collections::BTreeMap<String, Option<bool>>,
+    String,
+);
+
+type Account = (String, [u8; 32], u32, u64);
+
+fn join((parts, accounts): (Parts, Vec<Account>)) -> Option<String> {
+    let (environment, class, precedence, deadline, targets, keys) = parts;
+    let mut text = format!(
+        "[environment]\nname={environment}\n[class {class}]\nprecedence = {precedence}\n\
+         deadline = {deadline}\n"
+    );
+    for (account, token, share, programs) in accounts {
+        let token = units::Digest::of(&token);
+        text += &format!(
+            "[account {account}]\ntoken-digest = {token}\nclasses = {class}\nshare = {share}\n\
+             programs-max = {programs}\n"
+        );
+    }
+    for (target, idempotent) in targets {
+        text += &match idempotent {
+            None => format!("[model {target}]\n"),
+            Some(true) => format!("[service {target}]\nidempotent = yes\n"),
+            Some(false) => format!("[service {target}]\nidempotent = no\n"),
+        };
+    }
+    let text = text + &keys;
+    Document::parse("document", &text).is_ok().then_some(text)
+}
+
+proptest! {
+    #[test]
+    fn accepted_document_renders_back_to_itself(text in document(), other in name()) {
+        let document = Document::parse("document", &text).unwrap();
+        let rendered = document.to_string();
+        prop_assert_eq!(&Document::parse("rendered", &rendered).unwrap(), &document);
+        let renamed = Document::rename(&text, &other);
+        let renamed = Document::parse("renamed", &renamed).unwrap();
+        prop_assert_eq!(renamed, Document { name: other.into(), ..document });
+    }
+}
--- a/src/commands/ctl/mod.rs
+++ b/src/commands/ctl/mod.rs
@@ -26,6 +26,7 @@
 #[derive(Clone)]
 pub(crate) enum Options {
     Check {
+        kind: Kind,
         file: String,
     },
     Digest,
@@ -64,6 +65,27 @@
     },
 }
 
+/// What kind of file is checked.
+#[derive(Clone, Copy)]
+pub(crate) enum Kind {
+    Document,
+    Entry,
+    Sidecar,
+}
+
+impl std::str::FromStr for Kind {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        match text {
+            "document" => Ok(Kind::Document),
+            "entry" => Ok(Kind::Entry),
+            "sidecar" => Ok(Kind::Sidecar),
+            _ => Err("allowed: document, entry, sidecar"),
+        }
+    }
+}
+
 /// What can be shown.
 #[derive(Clone)]
 pub(crate) enum Query {
@@ -155,10 +177,14 @@
 }
 
 fn changes() -> impl Parser<Options> {
-    let file = self::file();
-    let check = construct!(Options::Check { file })
+    let kind = long("kind")
+        .help("What the file is: document, entry or sidecar")
+        .argument("KIND")
+        .fallback(Kind::Document);
+    let file = positional("FILE").help("Environment document, or settings of a process");
+    let check = construct!(Options::Check { kind, file })
         .to_options()
-        .descr("Checks an environment document without a server")
+        .descr("Checks an environment document or settings without a server")
         .command("check");
     let digest = pure(Options::Digest)
         .to_options()
@@ -266,7 +292,7 @@
 
 pub(crate) fn run(options: Options) -> Result<()> {
     match options {
-        Options::Check { file } => check(&file),
+        Options::Check { kind, file } => check(kind, &file),
         Options::Digest => digest(),
         Options::Apply {
             server,
@@ -360,10 +386,17 @@
     Ok(())
 }
 
-fn check(file: &str) -> Result<()> {
+fn check(kind: Kind, file: &str) -> Result<()> {
     let text = std::fs::read_to_string(file).map_err(Error::File)?;
-    let document = Document::parse(file, &text).map_err(Error::Settings)?;
-    println!("{file}: valid document of environment {}", document.name);
+    let what = match kind {
+        Kind::Document => Document::parse(file, &text)
+            .map(|document| format!("document of environment {}", document.name)),
+        Kind::Entry => settings::Entry::parse(file, &text)
+            .map(|entry| format!("settings of an entry on host {}", entry.process.host)),
+        Kind::Sidecar => settings::Sidecar::parse(file, &text)
+            .map(|sidecar| format!("settings of a sidecar on host {}", sidecar.process.host)),
+    };
+    println!("{file}: valid {}", what.map_err(Error::Settings)?);
     Ok(())
 }
 
--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{Parser, construct, long};
 
-use crate::commands::{Error, Result, output, stop};
+use crate::commands::{Error, Result, output, stop, unusable};
 
 /// Arguments of `balsamhold entry`.
 pub(crate) struct Options {
@@ -22,5 +22,15 @@
 pub(crate) fn run(options: &Options) -> Result<()> {
     let settings = settings::Entry::load(&options.settings).map_err(Error::Settings)?;
     let log = telemetry::root(output(settings.process.format));
-    ::entry::run(settings, &log, stop::signal()?).map_err(Error::Entry)
+    let addresses = [
+        ("entry", "caller-address", settings.callers),
+        ("entry", "peer-address", settings.peers),
+        ("admin", "address", settings.admin.address),
+    ];
+    ::entry::run(settings, &log, stop::signal()?).map_err(|error| match error {
+        ::entry::Error::Listen(address, why) => {
+            unusable(&options.settings, &addresses, address, &why)
+        }
+        error => Error::Entry(error),
+    })
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -117,19 +117,36 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("balsamhold: {error}");
-            let invalid = matches!(
-                error,
-                Error::Settings(_) | Error::Entry(_) | Error::Sidecar(_)
-            );
-            if invalid {
-                ExitCode::from(EXIT_INVALID)
-            } else {
-                ExitCode::FAILURE
+            match error {
+                Error::Settings(_) => ExitCode::from(EXIT_INVALID),
+                _ => ExitCode::FAILURE,
             }
         }
     }
 }
 
+/// An address of the settings: its section, its key and itself.
+pub(crate) type Address = (&'static str, &'static str, std::net::SocketAddr);
+
+/// The error for an address that cannot be listened on, with its place in the settings file.
+pub(crate) fn unusable(
+    file: &str,
+    addresses: &[Address],
+    address: std::net::SocketAddr,
+    why: &std::io::Error,
+) -> Error {
+    let place = addresses.iter().find(|(.., known)| *known == address);
+    let (section, key) = place.map_or(("", ""), |(section, key, _)| (*section, *key));
+    let why = format!("cannot be listened on: {why}");
+    Error::Settings(settings::reject(
+        file,
+        section,
+        key,
+        &address.to_string(),
+        &why,
+    ))
+}
+
 /// The log output that settings ask for.
 pub(crate) fn output(format: settings::Format) -> telemetry::Output {
     match format {
--- a/src/commands/sidecar.rs
+++ b/src/commands/sidecar.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{Parser, construct, long};
 
-use crate::commands::{Error, Result, output, stop};
+use crate::commands::{Error, Result, output, stop, unusable};
 
 /// Arguments of `balsamhold sidecar`.
 pub(crate) struct Options {
@@ -22,5 +22,14 @@
 pub(crate) fn run(options: &Options) -> Result<()> {
     let settings = settings::Sidecar::load(&options.settings).map_err(Error::Settings)?;
     let log = telemetry::root(output(settings.process.format));
-    ::sidecar::run(settings, &log, stop::signal()?).map_err(Error::Sidecar)
+    let addresses = [
+        ("sidecar", "peer-address", settings.peers),
+        ("sidecar", "status-address", settings.status),
+    ];
+    ::sidecar::run(settings, &log, stop::signal()?).map_err(|error| match error {
+        ::sidecar::Error::Listen(address, why) => {
+            unusable(&options.settings, &addresses, address, &why)
+        }
+        error => Error::Sidecar(error),
+    })
 }
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -10,11 +10,11 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
+use ::settings::Document;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use platform::api::{HostInfo, HostRole};
 use serde_json::{Value, json};
-use settings::Document;
 use standins::{Handle, engine, link, platform as table, service};
 use units::Digest;
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod links;
 mod observability;
 mod operators;
+mod settings;
 mod whole_path;
 
 /// Defines one test for each named case of a function: `cases!(check; name: argument, ...)`.
--- /dev/null
+++ b/tests/all/settings.rs
@@ -0,0 +1,206 @@
+//! Settings and documents that are not acceptable: what is wrong and where, exit 2, nothing started.
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use ::settings::{Document, Entry, Sidecar};
+
+use crate::cases;
+use crate::cluster::{Config, document};
+
+const ENTRY: &str = "[process]\nhost = entry-a\nregion = north\nzone = north-1\n\
+    environment = trial\nkey = 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\n\
+    [platform]\naddress = 127.0.0.1:1\n\
+    [entry]\ncaller-address = 127.0.0.1:0\npeer-address = 127.0.0.1:0\n\
+    [admin]\naddress = 127.0.0.1:0\noperator-token-digest = \
+    00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\n";
+
+/// A change of a valid text, and the error that it must cause.
+struct Case {
+    from: &'static str,
+    to: &'static str,
+    error: &'static str,
+}
+
+fn entry_error(case: Case) {
+    assert!(ENTRY.contains(case.from));
+    let error = Entry::parse("entry.ini", &ENTRY.replace(case.from, case.to)).unwrap_err();
+    assert_eq!(error.to_string(), case.error);
+}
+
+cases! { entry_error;
+    unknown_key: Case {
+        from: "caller-address", to: "caller-adress",
+        error: "entry.ini:10: [entry] caller-adress is an unknown key; nearest: caller-address",
+    },
+    missing_key: Case {
+        from: "caller-address = 127.0.0.1:0\n", to: "",
+        error: "entry.ini:9: [entry] caller-address is a required key and missing; allowed: \
+                IP:PORT",
+    },
+    misspelt_section: Case {
+        from: "[platform]", to: "[plattform]",
+        error: "entry.ini:7: [plattform] is an unknown section; nearest: platform",
+    },
+    unknown_section: Case {
+        from: "[admin]", to: "[entri]\n[admin]",
+        error: "entry.ini:12: [entri] is an unknown section; nearest: entry",
+    },
+    nearest_key: Case {
+        from: "zone =", to: "log-formt = json\nzone =",
+        error: "entry.ini:4: [process] log-formt is an unknown key; nearest: log-format",
+    },
+    missing_section: Case {
+        from: "[platform]\naddress = 127.0.0.1:1\n", to: "",
+        error: "entry.ini: [platform] is a required section and missing",
+    },
+    duplicate_section: Case {
+        from: "[admin]", to: "[entry]\n[admin]",
+        error: "entry.ini:12: [entry] is there twice",
+    },
+    duplicate_key: Case {
+        from: "zone = north-1", to: "zone = north-1\nzone = north-2",
+        error: "entry.ini:5: [process] zone is there twice",
+    },
+    bad_name: Case {
+        from: "entry-a", to: "Entry",
+        error: "entry.ini:2: [process] host = \"Entry\" has a character other than a-z, 0-9, '-', \
+                '_' and '.'; allowed: a-z, 0-9, '-', '_', '.', at most 64 characters",
+    },
+    bad_unit: Case {
+        from: "address = 127.0.0.1:1\n", to: "address = 127.0.0.1:1\ntimeout = 3 days\n",
+        error: "entry.ini:9: [platform] timeout = \"3 days\" has an unknown unit; allowed: a whole \
+                number with us, ms, s, m or h",
+    },
+    bad_choice: Case {
+        from: "zone =", to: "log-format = xml\nzone =",
+        error: "entry.ini:4: [process] log-format = \"xml\" is unknown; allowed: json, terminal",
+    },
+    short_stale_after: Case {
+        from: "[admin]", to: "[timing]\nstale-after = 1s\n[admin]",
+        error: "entry.ini:13: [timing] stale-after = \"1s\" is too short; allowed: at least twice \
+                document-poll and document-exchange",
+    },
+    trace_share: Case {
+        from: "zone =", to: "trace-share = 1.5\nzone =",
+        error: "entry.ini:4: [process] trace-share = \"1.5\" is out of range; allowed: a number \
+                from 0 to 1",
+    },
+    secret_key_is_not_shown: Case {
+        from: "key = 0011", to: "key = correct-horse",
+        error: "entry.ini:6: [process] key = \"(secret)\" is not a number in range; allowed: 64 \
+                hexadecimal digits",
+    },
+    token_in_place_of_its_digest_is_not_shown: Case {
+        from: "operator-token-digest = 0011", to: "operator-token-digest = hunter2-0011",
+        error: "entry.ini:14: [admin] operator-token-digest = \"(secret)\" is not a number in \
+                range; allowed: 64 hexadecimal digits",
+    },
+}
+
+fn document_error(case: Case) {
+    let text = document("");
+    assert!(text.contains(case.from));
+    let error = Document::parse("trial.ini", &text.replacen(case.from, case.to, 1)).unwrap_err();
+    assert_eq!(error.to_string(), case.error);
+}
+
+cases! { document_error;
+    undefined_class: Case {
+        from: "classes = reorder advisor", to: "classes = reorder adviser",
+        error: "trial.ini:11: [account meche] classes names \"adviser\", which is no class of this \
+                document; nearest: advisor",
+    },
+    class_twice: Case {
+        from: "[class advisor]", to: "[class  reorder]",
+        error: "trial.ini:6: [class  reorder] is there twice",
+    },
+    service_that_is_a_model: Case {
+        from: "[service stock]", to: "[service advisor]",
+        error: "trial.ini:18: [service advisor] is there twice",
+    },
+    idempotency_not_said: Case {
+        from: "[service stock]\nidempotent = no\n", to: "[service stock]\n",
+        error: "trial.ini:18: [service stock] idempotent is a required key and missing; allowed: \
+                yes, no",
+    },
+}
+
+#[test]
+fn secrets_have_no_debug() {
+    let entry = Entry::parse("entry.ini", ENTRY).unwrap();
+    assert!(format!("{:?}", entry.process).contains("Secret(..)"));
+    assert!(!format!("{:?}", entry.process).contains("00112233"));
+    assert!(Sidecar::parse("entry.ini", ENTRY).is_err());
+}
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_balsamhold"))
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let file = directory.join(format!("{}-{name}", std::process::id()));
+    std::fs::write(&file, text).unwrap();
+    file
+}
+
+#[test]
+fn port_in_use_is_an_error_of_the_settings_and_nothing_is_started() {
+    let cluster = Config::new().with_entries(1).with_engines(0).start();
+    let rows = cluster.platform.state().rows.len();
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let text = ENTRY
+        .replace(
+            "[admin]\naddress = 127.0.0.1:0",
+            &format!("[admin]\naddress = {address}"),
+        )
+        .replace("127.0.0.1:1\n", &format!("{}\n", cluster.platform.address));
+    let file = file("port.ini", &text);
+    let output = run(&["entry", "--settings", file.to_str().unwrap()]);
+    std::fs::remove_file(&file).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let error = String::from_utf8(output.stderr).unwrap();
+    let expected = format!(":13: [admin] address = \"{address}\" cannot be listened on");
+    assert!(error.contains(&expected), "{error}");
+    let opened = |rows: usize| cluster.platform.state().rows.len() - rows;
+    assert_eq!(opened(rows), 0);
+}
+
+#[test]
+fn check_finds_the_place_without_a_server() {
+    let text = document("[limits]\nidle-timeout = soon\n");
+    let file = file("check.ini", &text);
+    let path = file.to_str().unwrap();
+    let output = run(&["ctl", "check", path]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(
+        String::from_utf8(output.stderr)
+            .unwrap()
+            .contains("[limits] idle-timeout")
+    );
+    std::fs::write(&file, ENTRY).unwrap();
+    let output = run(&["ctl", "check", "--kind", "entry", path]);
+    assert!(output.status.success(), "{output:?}");
+    std::fs::remove_file(&file).unwrap();
+}
+
+fn says(case: (&[&str], &str)) {
+    let output = run(case.0);
+    assert!(output.status.success(), "{output:?}");
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains(case.1), "{text}");
+}
+
+cases! { says;
+    help: (&["--help"], "Schedules agent programs"),
+    help_of_ctl: (&["ctl", "--help"], "rollout"),
+    help_of_promote: (&["ctl", "promote", "--help"], "TARGET"),
+    version: (&["--version"], env!("CARGO_PKG_VERSION")),
+    completions: (&["--bpaf-complete-style-bash"], "balsamhold"),
+}
