--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -27,6 +27,8 @@
     Heard,
     /// The peer on this host has this version of the document in force.
     InForce(Host, Version),
+    /// This process has an open log, or has none.
+    Log(bool),
     /// This process is leaving.
     Leaving,
 }
@@ -63,6 +65,7 @@
     /// The processes that said that they are leaving, by host.
     pub(crate) left: BTreeMap<Host, Left>,
     pub(crate) replica: Replica,
+    pub(crate) log: bool,
     pub(crate) leaving: bool,
 }
 
@@ -76,6 +79,7 @@
             reported: BTreeMap::new(),
             left: BTreeMap::new(),
             replica: Replica::new(),
+            log: false,
             leaving: false,
         }
     }
@@ -99,6 +103,7 @@
                 let reported = Reported { version, at: now };
                 self.reported.insert(host, reported);
             }
+            Observation::Log(open) => self.log = open,
             Observation::Leaving => self.leaving = true,
         }
         Ok(())
@@ -118,6 +123,7 @@
             endpoints: membership::endpoints(self),
             entries: membership::entries(self),
             members: membership::members(self),
+            log: self.log,
             leaving: self.leaving,
         }
     }
--- a/crates/board/src/view.rs
+++ b/crates/board/src/view.rs
@@ -25,6 +25,8 @@
     pub entries: Vec<Peer>,
     /// All other hosts that are listed or connected.
     pub members: Vec<Member>,
+    /// Whether this process has an open log.
+    pub log: bool,
     /// Whether this process is leaving.
     pub leaving: bool,
 }
--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -87,7 +87,7 @@
 /// Tells a host's process to leave; `None` if there is no connection to it.
 pub(crate) async fn drain(traffic: &Traffic, host: &Host) -> Option<Value> {
     if *host == traffic.shared.identity.host {
-        traffic.observe(board::Observation::Leaving).await;
+        traffic.leave().await;
         return Some(json!({"host": host, "told": true}));
     }
     let link = traffic.link(host)?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,14 +13,18 @@
 mod control;
 mod dispatch;
 mod documents;
+mod drain;
 mod error;
 mod forward;
 mod links;
 mod live;
+mod owner;
 mod quota;
 mod refusal;
 mod reply;
 mod routing;
+mod settle;
+mod takeover;
 mod traffic;
 
 pub use error::{Error, Result};
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,12 +10,15 @@
 mod caller;
 mod cluster;
 mod documents;
+mod drain;
 mod explain;
 mod failures;
 mod links;
 mod observability;
 mod operators;
 mod settings;
+mod store;
+mod takeover;
 mod whole_path;
 
 /// Defines one test for each named case of a function: `cases!(check; name: argument, ...)`.
