--- a/tests/all/documents.rs
+++ b/tests/all/documents.rs
@@ -66,6 +66,8 @@
     assert_eq!(cluster.apply(1, &document(TWO_MINUTES)), Ok(2));
     eventually_agreed(&cluster, 0, 2);
     cluster.platform.state().rows.extend(old);
+    // Versions go on from the one in force, not from the store's.
+    assert_eq!(cluster.apply(1, &document("")), Err(409));
     cluster.kill("entry-1");
     cluster.restart("entry-1");
     eventually(
@@ -74,6 +76,8 @@
         || version(&cluster, 1) == Some(2),
     );
     eventually_agreed(&cluster, 0, 2);
+    assert_eq!(cluster.apply(2, &document("")), Ok(3));
+    eventually_agreed(&cluster, 1, 3);
 }
 
 #[test]
--- a/tests/all/explain.rs
+++ b/tests/all/explain.rs
@@ -137,3 +137,30 @@
     let path = "/v1/programs/0123456789abcdef-1/explain";
     assert_eq!(cluster.operate(0, "GET", path, None).unwrap().0, 404);
 }
+
+/// Bound for a program of an entry that is gone to go on elsewhere.
+const TAKEOVER_MAX: Duration = Duration::from_secs(15);
+
+#[test]
+fn takeover_is_told_with_its_origin() {
+    let mut cluster = Config::new().with_engines(1).start();
+    let (here, there) = (cluster.caller(0, "meche"), cluster.caller(1, "meche"));
+    let program = here.create("reorder", 20_000, 20);
+    assert!(here.model(&program, 1, "Which braid?", 8).is_whole());
+    cluster.kill("entry-0");
+    eventually(TAKEOVER_MAX, "the program goes on elsewhere", || {
+        there.model(&program, 2, "And which wax?", 8).is_whole()
+    });
+    let account = account(&cluster, 1, &program).unwrap();
+    assert_eq!(account["owner"], "entry-1");
+    let lines = account["events"].as_array().unwrap();
+    let takeover = lines
+        .iter()
+        .position(|line| line["event"] == "taken over")
+        .unwrap();
+    let detail = lines[takeover]["detail"].as_str().unwrap();
+    assert!(detail.starts_with("from entry-0 (log "), "{detail}");
+    assert_eq!(lines[takeover]["host"], "entry-1");
+    let hosts = |lines: &[Value], host: &str| lines.iter().all(|line| line["host"] == host);
+    assert!(hosts(&lines[..takeover], "entry-0") && hosts(&lines[takeover..], "entry-1"));
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 
 mod bad_input;
 mod caller;
+mod caller_api;
 mod cluster;
 mod documents;
 mod drain;
