--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -48,13 +48,13 @@
     pub(crate) rng: RefCell<StdRng>,
     programs: RefCell<HashMap<Program, Rc<Live>>>,
     created: Cell<u64>,
-    pub(crate) quota: Quota,
     /// Held by each request until its answer has been sent.
     pub(crate) requests: Arc<()>,
     pub(crate) leaving: Cell<bool>,
     /// Whether programs wait for their handover: nothing new begins in them.
     pub(crate) handing_over: Cell<bool>,
     pub(crate) logs: Logs,
+    pub(crate) quota: Quota,
     observations: Sender<Observation>,
 }
 
@@ -70,11 +70,11 @@
         rng: RefCell::new(StdRng::from_os_rng()),
         programs: RefCell::default(),
         created: Cell::new(0),
-        quota: Quota::default(),
         requests: Arc::new(()),
         leaving: Cell::new(false),
         handing_over: Cell::new(false),
         logs: Logs::default(),
+        quota: Quota::default(),
         observations: inputs.observations,
         shared,
     });
@@ -159,7 +159,7 @@
             }
             Frame::Ask(question) => account::answer(&traffic, question, &mut stream).await,
             Frame::Drain => {
-                traffic.leave().await;
+                traffic.observe(Observation::Leaving).await;
                 acknowledge(&mut stream).await
             }
             Frame::InForce(version) => documents::answer(&traffic, version, &mut stream).await,
@@ -187,8 +187,8 @@
 /// Reports to a peer that this entry is leaving, once it is; it has no other load to report. The open
 /// stream shows that it lives.
 async fn watched(traffic: &Traffic, stream: &mut Stream) -> wire::Result<()> {
-    let left = async {
-        while !traffic.leaving.get() {
+    let leaving = async {
+        while !traffic.is_leaving() {
             smol::Timer::after(LEAVING_POLL.into()).await;
         }
         true
@@ -197,7 +197,7 @@
         stream.gone().await;
         false
     };
-    if left.or(gone).await {
+    if leaving.or(gone).await {
         let load = Load {
             leaving: true,
             ..Load::default()
@@ -256,12 +256,6 @@
         }
     }
 
-    /// Accepts no new program from now on; those that are here go on.
-    pub(crate) async fn leave(&self) {
-        self.leaving.set(true);
-        self.observe(Observation::Leaving).await;
-    }
-
     /// Tells the control thread something.
     pub(crate) async fn observe(&self, observation: Observation) {
         // The control thread ends only with the process.
@@ -350,6 +344,11 @@
             .cloned()
     }
 
+    /// Whether this entry takes no new programs.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.get() || self.shared.view.load().leaving
+    }
+
     /// Whether a call of any program is running here.
     pub(crate) fn is_running(&self) -> bool {
         let programs = self.programs.borrow();
@@ -381,7 +380,7 @@
         budget: Budget,
         deadline: Option<Span>,
     ) -> Result<Rc<Live>> {
-        if self.leaving.get() {
+        if self.is_leaving() {
             return Err(Refusal::Unready);
         }
         let environment = self.environment()?;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -73,13 +73,13 @@
     /// The version of the environment document in force at the sender, 0 for none; answered by
     /// `InForce`, or by `Document` if the receiver has a higher one.
     InForce(Version),
+    /// The log of this writer was sealed in favour of the receiver's, which is to adopt its programs;
+    /// answered by `Ack`.
+    Adopt(Incarnation),
     /// Asks an entry for an operator; answered by `Body` with JSON, or by `Ack` if it knows nothing.
     Ask(Question),
     /// The process is to leave: it takes no new work and finishes what it has; answered by `Ack`.
     Drain,
-    /// The log of this writer was sealed in favour of the receiver's, which is to adopt its programs;
-    /// answered by `Ack`.
-    Adopt(Incarnation),
 }
 
 impl Frame {
@@ -109,9 +109,9 @@
             Frame::Document { .. } => "Document",
             Frame::Ack => "Ack",
             Frame::InForce(_) => "InForce",
+            Frame::Adopt(_) => "Adopt",
             Frame::Ask(_) => "Ask",
             Frame::Drain => "Drain",
-            Frame::Adopt(_) => "Adopt",
         }
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 )]
 
 mod bad_input;
+mod budgets;
 mod caller;
 mod caller_api;
 mod cluster;
@@ -14,9 +15,13 @@
 mod drain;
 mod explain;
 mod failures;
+mod history;
 mod links;
 mod observability;
 mod operators;
+mod races;
+mod scenario;
+mod scenarios;
 mod settings;
 mod store;
 mod takeover;
--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -58,10 +58,18 @@
         ready.0 == 503
     });
     assert!(caller.model(&program, 1, "Which wax?", 4).is_whole());
-    // A new program is created at another entry.
-    let elsewhere = caller.create("advisor", 100, 1);
-    assert_eq!(cluster.explain(&elsewhere).unwrap()["owner"], "entry-1");
-    assert_eq!(cluster.explain(&program).unwrap()["owner"], "entry-0");
+    let body = r#"{"class":"advisor","tokens":100,"calls":1}"#;
+    let (status, created) = caller.request("POST", "/v1/programs", Some(body)).unwrap();
+    assert_eq!(status, 201, "{created}");
+    let other = created["program"].as_str().unwrap();
+    let owned = |entry: u16| {
+        let (_, programs) = cluster.operate(entry, "GET", "/v1/programs", None).unwrap();
+        programs.to_string().contains(other)
+    };
+    assert!(
+        owned(1) && !owned(0),
+        "a new program goes to an entry that stays"
+    );
     let leaving = || {
         let status = cluster.status(1);
         let mut hosts = status["hosts"].as_array().into_iter().flatten();
