Administration API: pages, reasons at /ready, end through any entry, roles tested

Cause: ctl end worked only at the owner and left an audit record for programs that nobody knew; history and audit stopped at 1,000 rows without saying so; /ready did not say why; drain and end took an empty author; roles had no test.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -7,16 +7,15 @@
 use board::{Observation, View};
 use http_types::{Method, Request, Response, StatusCode};
 use platform::Client;
-use serde::Deserialize;
 use serde_json::{Value, json};
 use telemetry::Metrics;
 use units::{Clock, Digest, Host, Program, Span, Time, Version};
 
 use crate::audit::{Action, Record};
-use crate::document::{Accepted, Change, Promoted, accept, current, history, past};
+use crate::document::{Accepted, Change, accept, current, history, past};
 use crate::error::{Error, Result};
 use crate::response::{json, refuse};
-use crate::{account, audit, status};
+use crate::{account, audit, query, status};
 
 const DOCUMENT_MAX_BYTES: u64 = 4 << 20;
 const PAGE_MAX: u32 = 1_000;
@@ -70,54 +69,6 @@
     pub clock: Clock,
 }
 
-#[derive(Deserialize)]
-struct HistoryQuery {
-    #[serde(default)]
-    after: u64,
-}
-
-#[derive(Deserialize)]
-struct AuditQuery {
-    #[serde(default)]
-    since_us: u64,
-}
-
-#[derive(Deserialize)]
-struct AuthorQuery {
-    #[serde(default)]
-    author: String,
-}
-
-#[derive(Deserialize)]
-struct AcceptQuery {
-    base: u64,
-    author: String,
-    promoted_from: Option<String>,
-    promoted_version: Option<u64>,
-    promoted_digest: Option<String>,
-}
-
-impl AcceptQuery {
-    /// Where the document is promoted from: all three parts or none.
-    fn promoted(&self) -> Result<Option<Promoted>> {
-        let malformed = Error::Malformed("a promotion needs its origin, version and digest");
-        let parts = (
-            &self.promoted_from,
-            self.promoted_version,
-            &self.promoted_digest,
-        );
-        match parts {
-            (None, None, None) => Ok(None),
-            (Some(from), Some(version), Some(digest)) => Ok(Some(Promoted {
-                environment: from.clone(),
-                version: Version(version),
-                digest: digest.parse().map_err(|_| malformed)?,
-            })),
-            _ => Err(malformed),
-        }
-    }
-}
-
 /// A past version without its text.
 fn summary(accepted: &Accepted) -> Value {
     json!({
@@ -150,13 +101,12 @@
 
     fn ready(&self) -> Response {
         let view = self.view.load();
-        let fresh = view.replica.is_fresh(self.stale_after, self.clock.now());
-        let ready = fresh && view.log && !view.leaving;
-        Response::new(if ready {
-            StatusCode::Ok
-        } else {
-            StatusCode::ServiceUnavailable
-        })
+        let reasons = status::unready(&view, self.stale_after, self.clock.now());
+        let status = if reasons.is_empty() { 200 } else { 503 };
+        json(
+            status,
+            &json!({"ready": reasons.is_empty(), "reasons": reasons}),
+        )
     }
 
     fn metrics(&self) -> Response {
@@ -230,36 +180,36 @@
 
     /// `GET /v1/environment/history?after=N`: who changed the document, without its texts.
     async fn history(&self, request: &Request) -> Result<Response> {
-        let query: HistoryQuery = request.query().map_err(|_| Error::Malformed("query"))?;
+        let query: query::History = query::read(request, "after=VERSION")?;
         let after = Version(query.after);
         let all = history(&self.client, &self.environment, after, PAGE_MAX).await?;
         let versions: Vec<Value> = all.iter().map(summary).collect();
         Ok(json(200, &json!({"versions": versions})))
     }
 
-    /// `GET /v1/audit?since_us=T`: every change by an operator.
+    /// `GET /v1/audit?since_us=T&after=KEY`: every change by an operator, a page at a time.
     async fn audit(&self, request: &Request) -> Result<Response> {
-        let query: AuditQuery = request.query().map_err(|_| Error::Malformed("query"))?;
-        let since = Time(query.since_us);
-        let records = audit::read(&self.client, &self.environment, since, PAGE_MAX).await?;
-        Ok(json(200, &json!({"records": records})))
+        let query: query::Audit = query::read(request, "since_us=TIME or after=KEY")?;
+        let start = audit::Start {
+            since: Time(query.since_us),
+            after: query.after,
+        };
+        let page = audit::read(&self.client, &self.environment, start, PAGE_MAX).await?;
+        Ok(json(200, &page))
     }
 
     /// `PUT /v1/environment?base=N&author=NAME` with the document as the body; a promoted document
     /// names its origin too.
     async fn accept(&self, request: &mut Request) -> Result<Response> {
-        let malformed = Error::Malformed("query needs base=VERSION and author=NAME");
-        let query: AcceptQuery = request.query().map_err(|_| malformed)?;
-        if query.author.is_empty() {
-            return Err(Error::Malformed("query needs author=NAME"));
-        }
+        let query: query::Accept =
+            query::read(request, "query needs base=VERSION and author=NAME")?;
         let body = http_io::read_body(request, DOCUMENT_MAX_BYTES).await;
         let body = body.map_err(|_| Error::Malformed("body is too long or broke off"))?;
         let text = String::from_utf8(body).map_err(|_| Error::Malformed("body is not UTF-8"))?;
         let change = Change {
             base: Version(query.base),
             promoted: query.promoted()?,
-            author: query.author,
+            author: query.author.0,
             text,
         };
         let now = self.clock.now();
@@ -274,12 +224,14 @@
         Ok(json(200, &json!({"version": version})))
     }
 
-    /// `POST /v1/programs/{id}/end?author=NAME`. The end needs the store, so the audit record does
-    /// not hold it back.
+    /// `POST /v1/programs/{id}/end?author=NAME`, wherever the program is. The end needs the store,
+    /// so the audit record does not hold it back.
     async fn end(&self, request: &Request, program: Program) -> Result<Response> {
-        let query: AuthorQuery = request.query().map_err(|_| Error::Malformed("query"))?;
+        let query: query::Operator = query::read(request, "query needs author=NAME")?;
+        let known = self.question(Question::Explain(program)).await?;
+        known.ok_or(Error::NotFound)?;
         let record = Record {
-            author: query.author,
+            author: query.author.0,
             at: self.clock.now(),
             action: Action::End(program),
         };
@@ -290,12 +242,12 @@
     /// `POST /v1/hosts/{host}/drain?author=NAME`. It goes on without the store, as a host that fails
     /// may have to leave in an outage; the answer tells whether the audit record was written.
     async fn drain(&self, request: &Request, host: &str) -> Result<Response> {
-        let query: AuthorQuery = request.query().map_err(|_| Error::Malformed("query"))?;
+        let query: query::Operator = query::read(request, "query needs author=NAME")?;
         let host: Host = host.parse().map_err(|_| Error::NotFound)?;
         let told = self.question(Question::Drain(host.clone())).await?;
         let mut told = told.ok_or(Error::NotFound)?;
         let record = Record {
-            author: query.author,
+            author: query.author.0,
             at: self.clock.now(),
             action: Action::Drain(host),
         };
--- a/crates/admin/src/audit.rs
+++ b/crates/admin/src/audit.rs
@@ -86,15 +86,36 @@
     Ok(())
 }
 
-/// The records in the order of time from `since` on, at most `limit`.
-pub async fn read(
-    client: &Client,
-    environment: &str,
-    since: Time,
-    limit: u32,
-) -> Result<Vec<Record>> {
+/// Where a page of records begins.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Start {
+    /// At this time,
+    pub since: Time,
+    /// or after this place, which the page before named.
+    pub after: Option<String>,
+}
+
+/// Records in the order of time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Page {
+    /// The records.
+    pub records: Vec<Record>,
+    /// The place after which there may be more.
+    pub next: Option<String>,
+}
+
+/// A page of at most `limit` records.
+pub async fn read(client: &Client, environment: &str, start: Start, limit: u32) -> Result<Page> {
     let prefix = prefix(environment);
-    let after = format!("{prefix}{:016x}", since.0);
+    let since = format!("{:016x}", start.since.0);
+    let after = format!("{prefix}{}", start.after.unwrap_or(since));
     let rows = client.rows(&prefix, &after, limit).await?;
-    rows.iter().map(|row| decode(&row.value.0)).collect()
+    let full = rows.len() == limit as usize;
+    let last = rows.last().filter(|_| full);
+    let next = last.and_then(|row| Some(row.key.strip_prefix(&prefix)?.to_owned()));
+    let records = rows.iter().map(|row| decode(&row.value.0));
+    Ok(Page {
+        records: records.collect::<Result<_>>()?,
+        next,
+    })
 }
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -9,12 +9,13 @@
 mod audit;
 mod document;
 mod error;
+mod query;
 mod response;
 mod status;
 
 pub use account::{from_log, from_memory};
 pub use api::{Admin, Ask, Question};
-pub use audit::{Action, Record, read as audit};
+pub use audit::{Action, Page, Record, Start, read as audit};
 pub use document::{
     ACCEPTED_KEY, Accepted, Change, Promoted, accept, current, history, past, version,
 };
--- a/crates/admin/src/status.rs
+++ b/crates/admin/src/status.rs
@@ -29,6 +29,20 @@
     })
 }
 
+/// Why this process is not ready at `now`; empty if it is.
+pub(crate) fn unready(view: &View, stale_after: Span, now: Time) -> Vec<&'static str> {
+    let known = view.environment.is_some();
+    let stale = known && !view.replica.is_fresh(stale_after, now);
+    let reasons = [
+        (!known, "no environment document"),
+        (stale, "neither store nor peers heard"),
+        (!view.log, "no open log"),
+        (view.leaving, "leaving"),
+    ];
+    let holding = reasons.iter().filter(|(holds, _)| *holds);
+    holding.map(|(_, reason)| *reason).collect()
+}
+
 /// Sets the metrics that show the state of the board.
 pub(crate) fn measure(view: &View, metrics: &Metrics, now: Time) {
     let version = view.replica.version();
--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use futures_util::future::join_all;
+use log::Cause;
 use serde_json::{Value, json};
 use smol::future::FutureExt;
 use units::{Host, Program, Span};
@@ -18,10 +19,15 @@
     if let Some(account) = known(traffic, id) {
         return Some(account);
     }
+    ask_peers(traffic, Question::Explain(id)).await
+}
+
+/// Asks all connected entries; the answer of the one that knows.
+async fn ask_peers(traffic: &Traffic, question: Question) -> Option<Value> {
     let view = traffic.shared.view.load_full();
     let links = view.entries.iter();
     let links: Vec<Link> = links.filter_map(|peer| traffic.link(&peer.host)).collect();
-    let answers = links.iter().map(|link| ask(link, Question::Explain(id)));
+    let answers = links.iter().map(|link| ask(link, question));
     join_all(answers).await.into_iter().flatten().next()
 }
 
@@ -32,6 +38,20 @@
     Some(admin::from_memory(id, &program, owner))
 }
 
+/// Ends a program here or at the peer that owns it; `None` if nobody that answers does.
+pub(crate) async fn end(traffic: &Traffic, id: Program) -> Option<Value> {
+    if let Some(ended) = end_here(traffic, id).await {
+        return Some(ended);
+    }
+    ask_peers(traffic, Question::End(id)).await
+}
+
+async fn end_here(traffic: &Traffic, id: Program) -> Option<Value> {
+    let live = traffic.local(id)?;
+    let ended = traffic.end(&live, Cause::Operator).await.is_ok();
+    Some(json!({"program": id.to_string(), "ended": ended}))
+}
+
 /// The usage of each account against its limits, here and at all peers as they last reported.
 pub(crate) fn accounts(traffic: &Traffic) -> Value {
     let mut usages = traffic.usage();
@@ -75,6 +95,7 @@
     let answer = match question {
         Question::Explain(id) => known(traffic, id),
         Question::Usage => Some(json!(traffic.usage())),
+        Question::End(id) => end_here(traffic, id).await,
     };
     let body = |value: Value| {
         let bytes = value.to_string().into_bytes();
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -11,7 +11,7 @@
 use log::{Budget, Cause, Created, Event, Handle, Parent, Record, Token};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use serde_json::{Value, json};
+use serde_json::Value;
 use slog::{error, info};
 use smol::LocalExecutor;
 use smol::future::FutureExt;
@@ -248,11 +248,7 @@
             Question::Accounts => Some(account::accounts(self)),
             Question::Drain(host) => account::drain(self, &host).await,
             Question::Explain(id) => account::explain(self, id).await,
-            Question::End(id) => {
-                let live = self.local(id)?;
-                let ended = self.end(&live, Cause::Operator).await.is_ok();
-                Some(json!({"program": id.to_string(), "ended": ended}))
-            }
+            Question::End(id) => account::end(self, id).await,
         }
     }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -123,6 +123,8 @@
     Explain(Program),
     /// The usage of each account by the programs that it owns.
     Usage,
+    /// Whether it has ended a program that it owns, as an operator wants.
+    End(Program),
 }
 
 /// What a process does.
--- a/src/commands/ctl/mod.rs
+++ b/src/commands/ctl/mod.rs
@@ -1,5 +1,6 @@
 //! `balsamhold ctl`: the operators' tool.
 
+mod pages;
 mod promote;
 mod render;
 mod rollout;
@@ -20,6 +21,7 @@
 
 const TOKEN_VARIABLE: &str = "BALSAMHOLD_TOKEN";
 const TARGET_TOKEN_VARIABLE: &str = "BALSAMHOLD_TARGET_TOKEN";
+const AUDIT_SPAN: Span = Span::from_ms(24 * 3_600_000);
 const ROLLOUT_TIMEOUT: Span = Span::from_ms(30_000);
 
 /// Arguments of `balsamhold ctl`.
@@ -90,8 +92,8 @@
 #[derive(Clone)]
 pub(crate) enum Query {
     Status,
-    History,
-    Audit,
+    History(Option<u64>),
+    Audit(Span),
     Programs,
     Top,
     Accounts,
@@ -102,8 +104,8 @@
     fn path(&self) -> String {
         match self {
             Query::Status => "/v1/status".into(),
-            Query::History => "/v1/environment/history".into(),
-            Query::Audit => "/v1/audit".into(),
+            Query::History(_) => "/v1/environment/history".into(),
+            Query::Audit(_) => "/v1/audit".into(),
             Query::Programs => "/v1/programs".into(),
             Query::Top => "/v1/top".into(),
             Query::Accounts => "/v1/accounts".into(),
@@ -111,11 +113,20 @@
         }
     }
 
+    /// What a server answers, all pages of it.
+    fn fetch(&self, server: &Server) -> Result<Value> {
+        match self {
+            Query::History(after) => pages::history(server, &self.path(), *after),
+            Query::Audit(span) => pages::audit(server, &self.path(), *span),
+            _ => server.get(&self.path()),
+        }
+    }
+
     fn render(&self, value: &Value) -> String {
         match self {
             Query::Status => render::status(value),
-            Query::History => render::history(value),
-            Query::Audit => render::audit(value),
+            Query::History(_) => render::history(value),
+            Query::Audit(_) => render::audit(value),
             Query::Programs => render::programs(value),
             Query::Top => render::top(value),
             Query::Accounts => render::accounts(value),
@@ -176,6 +187,40 @@
     .command("explain")
 }
 
+fn history() -> impl Parser<Options> {
+    let (server, json) = (server(), json());
+    let query = long("after")
+        .help("Lists the versions after this one; by default the last 50")
+        .argument("VERSION")
+        .optional()
+        .map(Query::History);
+    construct!(Options::Show {
+        query,
+        server,
+        json
+    })
+    .to_options()
+    .descr("Lists the accepted documents")
+    .command("history")
+}
+
+fn audit() -> impl Parser<Options> {
+    let (server, json) = (server(), json());
+    let query = long("since")
+        .help("How far to look back, for example 36h; by default 24h")
+        .argument("SPAN")
+        .fallback(AUDIT_SPAN)
+        .map(Query::Audit);
+    construct!(Options::Show {
+        query,
+        server,
+        json
+    })
+    .to_options()
+    .descr("Lists the changes by operators")
+    .command("audit")
+}
+
 fn changes() -> impl Parser<Options> {
     let kind = long("kind")
         .help("What the file is: document, entry or sidecar")
@@ -258,8 +303,6 @@
         "Shows the document in force at each host, and the endpoints",
         Query::Status,
     );
-    let history = show("history", "Lists the accepted documents", Query::History);
-    let audit = show("audit", "Lists all changes by operators", Query::Audit);
     let programs = show(
         "programs",
         "Lists the programs of an entry",
@@ -278,8 +321,8 @@
     construct!([
         changes(),
         status,
-        history,
-        audit,
+        history(),
+        audit(),
         programs,
         top,
         accounts,
@@ -344,7 +387,7 @@
             server,
             json,
         } => {
-            let value = Server::new(server, TOKEN_VARIABLE).get(&query.path())?;
+            let value = query.fetch(&Server::new(server, TOKEN_VARIABLE))?;
             if json {
                 println!("{value:#}");
             } else {
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -24,9 +24,14 @@
 pub const START_MAX: Duration = Duration::from_secs(10);
 
 const POLL: Duration = Duration::from_millis(20);
-const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+/// The key that the environment's processes share.
+pub const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 const OPERATOR: &str = "operator-token";
 
+/// The token of viewers.
+pub const VIEWER: &str = "viewer-token";
+
 static CLUSTERS: AtomicU16 = AtomicU16::new(0);
 
 /// Waits for a condition; fails the test if it does not hold within `bound`.
@@ -217,9 +222,11 @@
         let address = self.address;
         let settings = format!(
             "{}[entry]\ncaller-address = {address}:{callers}\npeer-address = {address}:{peers}\n\
-             body-max = 64k\n[admin]\naddress = {address}:{admin}\noperator-token-digest = {}\n",
+             body-max = 64k\n[admin]\naddress = {address}:{admin}\noperator-token-digest = {}\n\
+             viewer-token-digest = {}\n",
             self.process_settings(&name, index),
             Digest::of(OPERATOR.as_bytes()),
+            Digest::of(VIEWER.as_bytes()),
         );
         self.add(&name, "entry", &settings);
         self.host_info(&name, HostRole::Entry, peers, index)
--- a/tests/all/documents.rs
+++ b/tests/all/documents.rs
@@ -1,6 +1,6 @@
 //! An accepted document is in force everywhere within seconds and never reverts.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use units::Digest;
@@ -24,9 +24,11 @@
 #[track_caller]
 fn eventually_agreed(cluster: &Cluster, entry: u16, version: u64) {
     let what = format!("version {version} in force everywhere, seen from entry {entry}");
+    let start = Instant::now();
     eventually(IN_FORCE_MAX, &what, || {
         agreed(cluster, entry) == Some(version)
     });
+    println!("{what}: after {} ms", start.elapsed().as_millis());
 }
 
 fn version(cluster: &Cluster, entry: u16) -> Option<u64> {
--- a/tests/all/observability.rs
+++ b/tests/all/observability.rs
@@ -6,7 +6,7 @@
 use http_types::{Body, Method};
 use serde_json::{Value, json};
 
-use crate::cluster::{Cluster, Config, eventually};
+use crate::cluster::{Cluster, Config, KEY, eventually};
 
 /// Bound for log lines to be written.
 const LOG_MAX: Duration = Duration::from_secs(5);
@@ -128,3 +128,38 @@
         );
     }
 }
+
+#[test]
+fn secrets_get_into_no_log_metric_or_refusal() {
+    const INPUT: &str = "reserve for Mme Perrine";
+    let cluster = Config::new().with_engines(1).start();
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("reorder", 5_000, 20);
+    assert!(caller.service(&program, 1, "stock", INPUT).is_whole());
+    assert!(caller.model(&program, 2, INPUT, 4).is_whole());
+    let mut shown = caller.model(&program, 9, INPUT, 4).end.to_string();
+    let stranger = cluster.caller(0, "stranger");
+    let path = format!("/v1/programs/{program}/calls");
+    let refusal = stranger.request("POST", &path, Some(INPUT)).unwrap();
+    assert_eq!(refusal.0, 401);
+    shown += &refusal.1.to_string();
+    shown += &send(cluster.admin_address(0), (Method::Get, "/metrics"), None);
+    shown += &PROCESSES.map(|name| cluster.log(name)).concat();
+    for path in ["status", "top", "accounts", "programs", "audit"] {
+        let path = format!("/v1/{path}");
+        shown += &cluster
+            .operate(0, "GET", &path, None)
+            .unwrap()
+            .1
+            .to_string();
+    }
+    for secret in [
+        INPUT,
+        "meche-token",
+        "stranger-token",
+        "operator-token",
+        KEY,
+    ] {
+        assert!(!shown.contains(secret), "{secret}");
+    }
+}
--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -4,7 +4,9 @@
 
 use serde_json::Value;
 
-use crate::cluster::{Cluster, Config, eventually};
+use crate::caller::request;
+use crate::cases;
+use crate::cluster::{Cluster, Config, VIEWER, eventually};
 
 /// Bound for a leaving endpoint to receive no new work, as the users ask: a few seconds.
 const LEAVING_MAX: Duration = Duration::from_secs(3);
@@ -140,3 +142,74 @@
         assert!(shown.contains(part), "{command}: {shown}");
     }
 }
+
+#[test]
+fn program_is_ended_through_any_entry_and_the_end_is_on_record() {
+    let cluster = Config::new().with_engines(0).start();
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("advisor", 100, 5);
+    let server = cluster.admin_address(1).to_string();
+    let command = ["end", "--server", &server, "--author", "rosa"];
+    let end = |program: &str| cluster.ctl(&[&command[..], &[program]].concat());
+    assert!(end(&program).status.success());
+    assert!(!end("0123456789abcdef-1").status.success());
+    let account = cluster.explain(&program).unwrap();
+    assert_eq!(account["ended"]["cause"], "operator");
+    let shown = cluster.ctl(&["audit", "--json", "--server", &server]);
+    let shown: Value = serde_json::from_slice(&shown.stdout).unwrap();
+    let records = shown["records"].as_array().unwrap();
+    assert_eq!(records.len(), 2);
+    assert_eq!(records[1]["action"]["end"], program);
+    let shown = cluster.ctl(&["history", "--server", &server]);
+    assert_eq!(String::from_utf8(shown.stdout).unwrap().lines().count(), 1);
+}
+
+/// A request with a token, and the code and message that it must be refused with.
+struct Case {
+    token: &'static str,
+    method: &'static str,
+    path: &'static str,
+    code: (u16, &'static str),
+}
+
+fn refused(cases: &[Case]) {
+    let cluster = Config::new().with_entries(1).with_engines(0).start();
+    for case in cases {
+        let address = cluster.admin_address(0);
+        let answer = request(address, case.token, case.method, case.path, Some(""));
+        let (status, refusal) = answer.unwrap();
+        let code = refusal["code"].as_str().unwrap_or_default();
+        assert_eq!((status, code), case.code, "{} {}", case.method, case.path);
+        assert_eq!(refusal["changed"], "no");
+    }
+    let (status, _) = request(cluster.admin_address(0), VIEWER, "GET", "/v1/status", None).unwrap();
+    assert_eq!(status, 200);
+    assert_eq!(cluster.status(0)["version"], 1);
+}
+
+const ACCEPT: &str = "/v1/environment?base=1&author=rosa";
+
+cases! { refused;
+    roles_are_kept_apart: &[
+        Case { token: "", method: "GET", path: "/v1/status", code: (401, "unauthorized") },
+        Case { token: "meche-token", method: "PUT", path: ACCEPT, code: (401, "unauthorized") },
+        Case { token: VIEWER, method: "PUT", path: ACCEPT, code: (403, "forbidden") },
+        Case {
+            token: VIEWER, method: "POST", path: "/v1/hosts/entry-0/drain?author=rosa",
+            code: (403, "forbidden"),
+        },
+        Case {
+            token: VIEWER, method: "POST", path: "/v1/programs/0123456789abcdef-1/end?author=rosa",
+            code: (403, "forbidden"),
+        },
+    ],
+    malformed_requests: &[
+        Case { token: "operator-token", method: "PUT", path: "/v1/environment?base=1", code: (400, "malformed") },
+        Case { token: "operator-token", method: "PUT", path: "/v1/environment?base=1&author=", code: (400, "malformed") },
+        Case { token: "operator-token", method: "PUT", path: ACCEPT, code: (422, "invalid-document") },
+        Case { token: "operator-token", method: "POST", path: "/v1/hosts/entry-0/drain", code: (400, "malformed") },
+        Case { token: "operator-token", method: "POST", path: "/v1/hosts/none/drain?author=rosa", code: (404, "not-found") },
+        Case { token: "operator-token", method: "GET", path: "/v1/environment/history/9", code: (404, "not-found") },
+        Case { token: "operator-token", method: "DELETE", path: "/v1/status", code: (404, "not-found") },
+    ],
+}
