--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -11,6 +11,10 @@
 const NAME: &str = "a-z, 0-9, '-', '_', '.', at most 64 characters";
 const SPAN: &str = "a whole number with us, ms, s, m or h";
 const NUMBER: &str = "a whole number";
+const POSITIVE: &str = "a whole number, 1 or more";
+const IDLE_TIMEOUT_MIN: Span = Span::from_ms(100);
+const IDLE_TIMEOUT_MAX: Span = Span::from_ms(24 * 3_600_000);
+const COMMIT_WAIT_MAX: Span = Span::from_ms(3_600_000);
 const RATE: &str = "a number, 0 or more";
 
 /// A checked environment document.
@@ -202,7 +206,7 @@
     Ok(Account {
         token: token.ok_or_else(|| section.missing("token-digest", HEX))?,
         classes: section.list("classes", NAME)?,
-        share: section.get_or("share", NUMBER, 1)?,
+        share: section.within("share", POSITIVE, 1, 1..=u32::MAX)?,
         programs_max: section.get_or("programs-max", NUMBER, 10_000)?,
     })
 }
@@ -232,12 +236,18 @@
     let Some(section) = section else {
         return Ok(limits);
     };
-    limits.tokens_max = section.get_or("tokens-max", NUMBER, limits.tokens_max)?;
-    limits.calls_max = section.get_or("calls-max", NUMBER, limits.calls_max)?;
-    limits.idle_timeout = section.get_or("idle-timeout", SPAN, limits.idle_timeout)?;
-    limits.loop_limit = section.get_or("loop-limit", NUMBER, limits.loop_limit)?;
-    limits.tranche = section.get_or("tranche", NUMBER, limits.tranche)?;
-    limits.commit_wait = section.get_or("commit-wait", SPAN, limits.commit_wait)?;
+    let tokens = Tokens(1)..=Tokens(u64::MAX);
+    let calls = Calls(1)..=Calls(u64::MAX);
+    let idle = IDLE_TIMEOUT_MIN..=IDLE_TIMEOUT_MAX;
+    let wait = Span(0)..=COMMIT_WAIT_MAX;
+    limits.tokens_max =
+        section.within("tokens-max", POSITIVE, limits.tokens_max, tokens.clone())?;
+    limits.calls_max = section.within("calls-max", POSITIVE, limits.calls_max, calls)?;
+    limits.idle_timeout =
+        section.within("idle-timeout", "100ms to 24h", limits.idle_timeout, idle)?;
+    limits.loop_limit = section.within("loop-limit", POSITIVE, limits.loop_limit, 1..=u32::MAX)?;
+    limits.tranche = section.within("tranche", POSITIVE, limits.tranche, tokens)?;
+    limits.commit_wait = section.within("commit-wait", "0s to 1h", limits.commit_wait, wait)?;
     section.close()?;
     Ok(limits)
 }
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -256,7 +256,12 @@
     let format = section
         .choice("log-format", &formats)?
         .unwrap_or(Format::Json);
-    let trace_share = trace_share(&section)?;
+    let trace_share = section.within(
+        "trace-share",
+        SHARE,
+        TRACE_SHARE_DEFAULT,
+        Rate(0.0)..=Rate(1.0),
+    )?;
     let key = Secret(
         section
             .secret("key")?
@@ -282,15 +287,6 @@
     })
 }
 
-fn trace_share(section: &Section<'_>) -> Result<Rate> {
-    let share = section.get_or("trace-share", SHARE, TRACE_SHARE_DEFAULT)?;
-    if share.0 <= 1.0 {
-        return Ok(share);
-    }
-    let value = share.to_compact_string();
-    Err(section.invalid("trace-share", &value, "is out of range", SHARE))
-}
-
 fn timing(section: Option<Section<'_>>) -> Result<Timing> {
     let mut timing = Timing {
         document_poll: Span::from_ms(500),
@@ -303,16 +299,7 @@
         return Ok(timing);
     };
     let get = |key: &str, default: Span| {
-        let span = section.get_or(key, SPAN, default)?;
-        if (TIMING_MIN..=TIMING_MAX).contains(&span) {
-            return Ok(span);
-        }
-        Err(section.invalid(
-            key,
-            &span.to_compact_string(),
-            "is out of range",
-            "10ms to 1h",
-        ))
+        section.within(key, "10ms to 1h", default, TIMING_MIN..=TIMING_MAX)
     };
     timing.document_poll = get("document-poll", timing.document_poll)?;
     timing.document_exchange = get("document-exchange", timing.document_exchange)?;
@@ -337,15 +324,7 @@
     if serves.is_empty() {
         return Err(section.missing("serves", "models or services, separated by spaces"));
     }
-    let slots = section.get_or("slots", "1 to 4096", 8)?;
-    if !(1..=4096).contains(&slots) {
-        return Err(section.invalid(
-            "slots",
-            &slots.to_compact_string(),
-            "is out of range",
-            "1 to 4096",
-        ));
-    }
+    let slots = section.within("slots", "1 to 4096", 8, 1..=4096)?;
     let endpoint = Endpoint {
         name: section.get("name", NAME)?,
         kind,
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::fmt::Display;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 
 use compact_str::{CompactString, ToCompactString, format_compact};
@@ -204,6 +205,25 @@
         Ok(self.maybe(key, allowed)?.unwrap_or(default))
     }
 
+    /// The value of a key with a default, within a range; `allowed` tells the range.
+    pub(crate) fn within<T>(
+        &self,
+        key: &str,
+        allowed: &str,
+        default: T,
+        range: RangeInclusive<T>,
+    ) -> Result<T>
+    where
+        T: FromStr + Display + PartialOrd,
+        T::Err: Display,
+    {
+        let value = self.get_or(key, allowed, default)?;
+        if range.contains(&value) {
+            return Ok(value);
+        }
+        Err(self.invalid(key, &value.to_compact_string(), "is out of range", allowed))
+    }
+
     /// The values of a key that holds a list separated by spaces; empty if the key is missing.
     pub(crate) fn list<T>(&self, key: &str, allowed: &str) -> Result<Vec<T>>
     where
