Documents: a process that knows it is behind does not count as fresh; top shows 20

Cause: hearing a peer's higher version renewed the freshness of a process that was still on the old document, so a paused entry could be ready in the moment between waking and adopting. ctl top listed every program of an entry. Change: Replica::hear counts only versions that are in force here. ctl top shows the 20 programs that spent most and the number of all.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -19,6 +19,7 @@
 
 const DOCUMENT_MAX_BYTES: u64 = 4 << 20;
 const PAGE_MAX: u32 = 1_000;
+const TOP_PROGRAMS: usize = 20;
 
 /// What the traffic thread is asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -260,6 +261,11 @@
     async fn top(&self) -> Result<Response> {
         let programs = self.question(Question::Programs).await?;
         let mut top = programs.unwrap_or_default();
+        if let Some(all) = top["programs"].as_array_mut() {
+            let count = all.len();
+            all.truncate(TOP_PROGRAMS);
+            top["programs_count"] = json!(count);
+        }
         top["endpoints"] = json!(status::endpoints(&self.view.load()));
         Ok(json(200, &top))
     }
--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -23,8 +23,8 @@
     Load(Host, Load),
     /// An environment document, from the store or a peer.
     Document(Version, String),
-    /// The store answered, with no newer document.
-    Heard,
+    /// The store or a peer told its version.
+    Heard(Version),
     /// The peer on this host has this version of the document in force.
     InForce(Host, Version),
     /// This process has an open log, or has none.
@@ -97,9 +97,9 @@
             Observation::Document(version, text) => {
                 self.replica.adopt(version, text, now)?;
             }
-            Observation::Heard => self.replica.hear(now),
+            Observation::Heard(version) => self.replica.hear(version, now),
             Observation::InForce(host, version) => {
-                self.replica.hear(now);
+                self.replica.hear(version, now);
                 let reported = Reported { version, at: now };
                 self.reported.insert(host, reported);
             }
--- a/crates/board/src/replica.rs
+++ b/crates/board/src/replica.rs
@@ -44,9 +44,12 @@
             .map_or(Version(0), |environment| environment.version)
     }
 
-    /// Notes that the store or a peer told its version at `now`.
-    pub fn hear(&mut self, now: Time) {
-        self.heard = self.heard.max(Some(now));
+    /// Notes that the store or a peer told its version at `now`. A higher one than the version here
+    /// does not count as heard until its document is in force: this process knows that it is behind.
+    pub fn hear(&mut self, version: Version, now: Time) {
+        if version <= self.version() {
+            self.heard = self.heard.max(Some(now));
+        }
     }
 
     /// When the store or a peer was last heard.
@@ -59,8 +62,8 @@
     /// # Errors
     /// If the text is not a valid document.
     pub fn adopt(&mut self, version: Version, text: String, now: Time) -> settings::Result<bool> {
-        self.hear(now);
         if version <= self.version() {
+            self.hear(version, now);
             return Ok(false);
         }
         let document = Document::parse("document", &text)?;
@@ -70,6 +73,7 @@
             document,
             since: now,
         }));
+        self.hear(version, now);
         Ok(true)
     }
 
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use admin::{Accepted, Admin, Ask};
+use admin::{Admin, Ask};
 use async_channel::{Receiver, Sender};
 use board::{Board, Observation};
 use log::Writer;
@@ -139,31 +139,29 @@
 /// in force.
 async fn poll_document(shared: Shared, observations: Sender<Observation>) {
     loop {
-        let observation = match newer_document(&shared).await {
-            Ok(Some(accepted)) => Some(Observation::Document(accepted.version, accepted.text)),
-            Ok(None) => Some(Observation::Heard),
-            Err(_) => {
-                shared.metrics.count("document-unavailable");
-                None
+        match read_document(&shared).await {
+            Ok(observation) => {
+                if observations.send(observation).await.is_err() {
+                    return;
+                }
             }
-        };
-        if let Some(observation) = observation
-            && observations.send(observation).await.is_err()
-        {
-            return;
+            Err(_) => shared.metrics.count("document-unavailable"),
         }
         smol::Timer::after(shared.settings.process.timing.document_poll.into()).await;
     }
 }
 
-/// The accepted document, if it is higher than the one in force.
-async fn newer_document(shared: &Shared) -> admin::Result<Option<Accepted>> {
+/// The accepted version, and the document if it is higher than the one in force.
+async fn read_document(shared: &Shared) -> admin::Result<Observation> {
     let environment = shared.settings.process.environment.as_str();
-    let accepted = admin::version(&shared.client, environment).await?;
-    if accepted <= shared.view.load().replica.version() {
-        return Ok(None);
+    let version = admin::version(&shared.client, environment).await?;
+    if version <= shared.view.load().replica.version() {
+        return Ok(Observation::Heard(version));
     }
-    admin::current(&shared.client, environment).await
+    let accepted = admin::current(&shared.client, environment).await?;
+    Ok(accepted.map_or(Observation::Heard(version), |accepted| {
+        Observation::Document(accepted.version, accepted.text)
+    }))
 }
 
 /// What the administration API is started with.
--- a/crates/entry/src/documents.rs
+++ b/crates/entry/src/documents.rs
@@ -128,7 +128,7 @@
             text: environment.text.clone(),
         },
     };
-    traffic.observe(Observation::Heard).await;
+    traffic.observe(Observation::Heard(version)).await;
     stream.send(&frame).await?;
     stream.finish()
 }
--- a/crates/sidecar/src/document.rs
+++ b/crates/sidecar/src/document.rs
@@ -9,7 +9,8 @@
 
 /// Answers an entry that told its version.
 pub(crate) async fn answer(calls: &Calls, version: Version, stream: &mut Stream) -> Result<()> {
-    calls.replica.borrow_mut().hear(calls.clock.now());
+    let now = calls.clock.now();
+    calls.replica.borrow_mut().hear(version, now);
     let frame = match calls.replica.borrow().report(version) {
         Report::InForce(version) => Frame::InForce(version),
         Report::Document(environment) => Frame::Document {
--- a/src/commands/ctl/render.rs
+++ b/src/commands/ctl/render.rs
@@ -232,7 +232,14 @@
 
 /// An entry's programs, the endpoints' queues, and which are slow.
 pub(crate) fn top(top: &Value) -> String {
-    let mut text = programs(top);
+    let mut text = String::new();
+    line!(
+        text,
+        "{}: {} programs under way; those that spent most:",
+        plain(&top["host"]),
+        plain(&top["programs_count"]),
+    );
+    text += &programs(top);
     line!(
         text,
         "{:<24} {:>8} {:>8} {:>8}  slow",
