--- a/tests/all/scenario.rs
+++ b/tests/all/scenario.rs
@@ -14,6 +14,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use standins::engine;
+use standins::link::Direction;
 
 use crate::caller::{Answer, Caller};
 use crate::cluster::{Cluster, Config};
@@ -71,14 +72,21 @@
 }
 
 /// A call as a caller makes it.
-struct Order {
-    program: String,
-    seq: u64,
-    kind: Kind,
-    input: String,
-    body: Value,
-    entries: Vec<u16>,
-    patience: Duration,
+pub struct Order {
+    /// The program's name.
+    pub program: String,
+    /// The call's position.
+    pub seq: u64,
+    /// What it does.
+    pub kind: Kind,
+    /// Its input.
+    pub input: String,
+    /// The body of the request, without the token of the last answer.
+    pub body: Value,
+    /// The entries that the caller tries in turn.
+    pub entries: Vec<u16>,
+    /// How long the caller tries.
+    pub patience: Duration,
 }
 
 /// A running scenario.
@@ -88,6 +96,8 @@
     running: HashMap<(String, u64, bool), JoinHandle<Answer>>,
     rng: StdRng,
     output: String,
+    silenced: String,
+    accepted: u64,
 }
 
 /// Runs a script with this seed and returns what callers saw.
@@ -99,6 +109,8 @@
         running: HashMap::new(),
         rng: StdRng::seed_from_u64(seed),
         output: String::new(),
+        silenced: String::new(),
+        accepted: 0,
     };
     for line in lines {
         stage.step(&Line::parse(line));
@@ -121,12 +133,17 @@
         .iter()
         .filter_map(|(key, value)| Some(format!("{} = {value}\n", key.strip_prefix("limit.")?)))
         .collect();
-    let cluster = Config::new()
+    let config = Config::new()
         .with_entries(line.number("entries", 2) as u16)
         .with_engines(line.number("engines", 2) as u16)
         .with_engine(engine)
-        .with_document(&format!("[limits]\n{limits}"))
-        .start();
+        .with_document(&format!("[limits]\n{limits}"));
+    let config = if line.text("links", "no") == "yes" {
+        config.with_links()
+    } else {
+        config
+    };
+    let cluster = config.start();
     for service in &cluster.services {
         service.state().delay_ms = line.number("delay-ms", 2);
     }
@@ -150,6 +167,8 @@
             ["resume", process] => self.cluster.resume(process),
             ["stop", process] => self.cluster.stop(&self.process(process)),
             ["restart", process] => self.cluster.restart(process),
+            ["silence", process] => self.silence(process, line),
+            ["cut", process] => self.cluster.links[*process].cut(),
             ["store", state] => self.store(state),
             ["store"] => self.break_store(line),
             ["hang", "services"] => self.hang(true),
@@ -330,6 +349,20 @@
         platform.knobs.lose_answers = line.number("lose", 0) as u32;
     }
 
+    /// Silences the connections that lead to a process, for good.
+    fn silence(&mut self, process: &str, line: &Line<'_>) {
+        let direction = match line.text("way", "both") {
+            "to-server" => Direction::ToServer,
+            "to-client" => Direction::ToClient,
+            _ => Direction::Both,
+        };
+        let process = self.process(process);
+        let link = &self.cluster.links[&process];
+        self.accepted = link.accepted();
+        self.silenced = process;
+        link.silence(direction);
+    }
+
     fn hang(&mut self, hangs: bool) {
         for service in &self.cluster.services {
             service.state().hangs = hangs;
@@ -364,6 +397,7 @@
                 let used = history::used(&self.cluster, &id) >= line.number("tokens", 1);
                 used || self.running.values().all(JoinHandle::is_finished)
             }
+            ["reconnected"] => self.cluster.links[&self.silenced].accepted() > self.accepted,
             ["commits", name, "intent"] => self.has_intent(name),
             ["sees", entry] => {
                 let status = self.cluster.status(entry.parse().unwrap());
@@ -402,7 +436,7 @@
 
 /// Makes a call as a patient caller does: it tries the next entry while it is told that the call did
 /// not run or hears nothing.
-fn attempt(history: &History, callers: &[Caller], order: &Order) -> Answer {
+pub fn attempt(history: &History, callers: &[Caller], order: &Order) -> Answer {
     let start = Instant::now();
     for entry in order.entries.iter().cycle() {
         let mut body = order.body.clone();
