--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -147,7 +147,7 @@
     fn ready(&self) -> Response {
         let view = self.view.load();
         let fresh = view.replica.is_fresh(self.stale_after, self.clock.now());
-        let ready = fresh && !view.leaving;
+        let ready = fresh && view.log && !view.leaving;
         Response::new(if ready {
             StatusCode::Ok
         } else {
--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -27,6 +27,8 @@
     Heard,
     /// The peer on this host has this version of the document in force.
     InForce(Host, Version),
+    /// This process has an open log, or has none.
+    Log(bool),
     /// This process is leaving.
     Leaving,
 }
@@ -54,6 +56,7 @@
     pub(crate) connected: BTreeMap<Host, Connected>,
     pub(crate) reported: BTreeMap<Host, Reported>,
     pub(crate) replica: Replica,
+    pub(crate) log: bool,
     pub(crate) leaving: bool,
 }
 
@@ -66,6 +69,7 @@
             connected: BTreeMap::new(),
             reported: BTreeMap::new(),
             replica: Replica::new(),
+            log: false,
             leaving: false,
         }
     }
@@ -89,6 +93,7 @@
                 let reported = Reported { version, at: now };
                 self.reported.insert(host, reported);
             }
+            Observation::Log(open) => self.log = open,
             Observation::Leaving => self.leaving = true,
         }
         Ok(())
@@ -108,6 +113,7 @@
             endpoints: membership::endpoints(self),
             entries: membership::entries(self),
             members: membership::members(self),
+            log: self.log,
             leaving: self.leaving,
         }
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod cluster;
 mod documents;
+mod drain;
 mod explain;
 mod failures;
 mod history;
@@ -18,6 +19,8 @@
 mod operators;
 mod scenario;
 mod scenarios;
+mod store;
+mod takeover;
 mod whole_path;
 
 /// Defines one test for each named case of a function: `cases!(check; name: argument, ...)`.
