--- /dev/null
+++ b/tests/all/chaos.rs
@@ -0,0 +1,172 @@
+//! Random failures one after another and together, under patient callers; nothing that must always
+//! hold may break. `BALSAMHOLD_SEEDS` sets the number of seeds; the seeds and faults are printed.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use standins::link::Direction;
+
+use crate::cluster::{Cluster, Config};
+use crate::history::{History, Kind, Program, input};
+use crate::scenario::{Order, attempt};
+use crate::scenarios::seeds;
+
+const CALLERS: u64 = 6;
+const CALLS: u64 = 8;
+const FAULTS: u64 = 6;
+const ENTRIES: u16 = 3;
+const TOKENS: u64 = 20_000;
+const PATIENCE: Duration = Duration::from_secs(20);
+const CALL_MAX: Duration = Duration::from_secs(4);
+
+/// Runs one program; the number of calls with each outcome.
+fn run(
+    cluster: &Mutex<Cluster>,
+    history: &History,
+    number: u64,
+    seed: u64,
+) -> BTreeMap<String, u32> {
+    let mut rng = StdRng::seed_from_u64(seed * CALLERS + number);
+    let name = format!("p{number}");
+    let callers: Vec<_> = (0..ENTRIES)
+        .map(|entry| {
+            cluster
+                .lock()
+                .unwrap()
+                .caller(entry, "meche")
+                .with_timeout(CALL_MAX)
+        })
+        .collect();
+    let body = json!({"class": "reorder", "tokens": TOKENS, "calls": 50}).to_string();
+    let created = (0..100).find_map(|turn| {
+        let caller = &callers[(number as usize + turn) % callers.len()];
+        let answer = caller.request("POST", "/v1/programs", Some(&body));
+        std::thread::sleep(Duration::from_millis(50));
+        answer.filter(|(status, _)| *status == 201)
+    });
+    let mut outcomes = BTreeMap::new();
+    let Some((_, created)) = created else {
+        return BTreeMap::from([("not created".to_owned(), 1)]);
+    };
+    let program = Program {
+        id: created["program"].as_str().unwrap().to_owned(),
+        account: "meche".to_owned(),
+        tokens: TOKENS,
+        after: None,
+        parent: None,
+        ended: false,
+    };
+    history.programs().insert(name.clone(), program);
+    for seq in 1..=CALLS {
+        let first = rng.random_range(0..ENTRIES);
+        let order = call(&name, seq, &mut rng, first);
+        let answer = attempt(history, &callers, &order);
+        let outcome = match answer.is_whole() {
+            true => "whole".to_owned(),
+            false => format!("{:?} {} {}", order.kind, answer.code(), answer.ran()),
+        };
+        *outcomes.entry(outcome).or_default() += 1;
+        if !answer.is_whole() && answer.ran() != "unknown" {
+            break;
+        }
+    }
+    outcomes
+}
+
+fn call(name: &str, seq: u64, rng: &mut StdRng, first: u16) -> Order {
+    let text = input(name, seq);
+    let (kind, body) = match rng.random_range(0..4) {
+        0 | 1 => {
+            let max = rng.random_range(8..80);
+            let body = json!({"seq": seq, "model": "advisor", "input": text, "max_tokens": max});
+            (Kind::Model(max), body)
+        }
+        2 => (
+            Kind::Order,
+            json!({"seq": seq, "service": "stock", "input": text}),
+        ),
+        _ => (
+            Kind::Lookup,
+            json!({"seq": seq, "service": "catalogue", "input": text}),
+        ),
+    };
+    Order {
+        program: name.to_owned(),
+        seq,
+        kind,
+        input: text,
+        body,
+        entries: (0..ENTRIES)
+            .map(|entry| (first + entry) % ENTRIES)
+            .collect(),
+        patience: PATIENCE,
+    }
+}
+
+/// Causes one fault and mends what can be mended.
+fn fault(cluster: &Mutex<Cluster>, rng: &mut StdRng) {
+    let entry = format!("entry-{}", rng.random_range(0..ENTRIES));
+    let sidecars = ["sidecar-engine-0", "sidecar-engine-1", "sidecar-service-0"];
+    let sidecar = sidecars[rng.random_range(0..sidecars.len())];
+    let length = Duration::from_millis(rng.random_range(50..2_500));
+    let kind = rng.random_range(0..8);
+    println!("fault {kind} {entry} {sidecar} {length:?}");
+    let with = |act: &dyn Fn(&mut Cluster)| act(&mut cluster.lock().unwrap());
+    match kind {
+        0 => with(&|cluster| cluster.kill(&entry)),
+        1 => with(&|cluster| cluster.kill(sidecar)),
+        2 => with(&|cluster| {
+            cluster.kill(&entry);
+            cluster.kill(sidecar);
+        }),
+        3 => with(&|cluster| cluster.pause(&entry)),
+        4 => with(&|cluster| cluster.platform.state().knobs.down = true),
+        5 => with(&|cluster| cluster.platform.state().knobs.lose_answers = 2),
+        6 => with(&|cluster| cluster.links[sidecar].silence(Direction::Both)),
+        _ => with(&|cluster| cluster.links[&entry].silence(Direction::ToClient)),
+    }
+    std::thread::sleep(length);
+    match kind {
+        0 => with(&|cluster| cluster.restart(&entry)),
+        1 => with(&|cluster| cluster.restart(sidecar)),
+        2 => with(&|cluster| {
+            cluster.restart(sidecar);
+            cluster.restart(&entry);
+        }),
+        3 => with(&|cluster| cluster.resume(&entry)),
+        4 => with(&|cluster| cluster.platform.state().knobs.down = false),
+        _ => {}
+    }
+}
+
+fn storm(seed: u64) {
+    println!("seed {seed}");
+    let mut rng = StdRng::seed_from_u64(seed);
+    let cluster = Mutex::new(Config::new().with_entries(ENTRIES).with_links().start());
+    for service in &cluster.lock().unwrap().services {
+        service.state().delay_ms = 20;
+    }
+    let history = History::default();
+    let outcomes: Vec<_> = std::thread::scope(|scope| {
+        let (cluster, history) = (&cluster, &history);
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|number| scope.spawn(move || run(cluster, history, number, seed)))
+            .collect();
+        (0..FAULTS).for_each(|_| fault(cluster, &mut rng));
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap())
+            .collect()
+    });
+    println!("{outcomes:?}");
+    history.check(&cluster.into_inner().unwrap());
+}
+
+#[test]
+fn nothing_breaks_under_random_failures() {
+    (0..seeds()).for_each(storm);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod bad_input;
 mod budgets;
 mod caller;
+mod chaos;
 mod cluster;
 mod documents;
 mod drain;
--- a/tests/all/scenario.rs
+++ b/tests/all/scenario.rs
@@ -325,7 +325,7 @@
         let program = self.history.programs()[name].clone();
         let caller = self.cluster.caller(entry, &program.account);
         let status = caller.end(&program.id).map(|(status, _)| status);
-        assert_eq!(status, Some(200), "end of {name}");
+        assert_eq!(status, Some(200), "end of {name} after\n{}", self.output);
         self.ended(name);
     }
 
