--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -66,6 +66,7 @@
             live.program.borrow_mut().begin(&request);
             let answer = live.begin(seq);
             let trace = Trace::below(&from.trace);
+            live.trace.set(Some(trace));
             let run = Run {
                 live: live.clone(),
                 request,
@@ -185,9 +186,10 @@
     // One attempt that may have run makes it uncertain whether the call ran.
     let mut ran = Ran::No;
     for attempt in 0..ATTEMPTS_MAX {
-        reserve(traffic, run, worst).await?;
-        let mut route =
-            routing::choose(traffic, run, &target, worst, attempt, environment.version)?;
+        let refuse = |refusal| unsettled(ran, refused.reason, refusal);
+        reserve(traffic, run, worst).await.map_err(refuse)?;
+        let mut route = routing::choose(traffic, run, &target, worst, attempt, environment.version)
+            .map_err(refuse)?;
         route.attempt = run.live.program.borrow_mut().next_attempt();
         let order = dispatch::make(traffic, run, &target, &work, &route, &input);
         if !work.idempotent() {
@@ -224,6 +226,14 @@
     Err(Refusal::Endpoint(ran, refused.reason))
 }
 
+/// Why no further attempt is made; the refusal must not hide that an earlier one may have run.
+fn unsettled(ran: Ran, reason: Reason, refusal: Refusal) -> Refusal {
+    match ran {
+        Ran::No => refusal,
+        ran => Refusal::Endpoint(ran, reason),
+    }
+}
+
 /// Records that the announced dispatch was proved not to have run and never to run.
 pub(crate) async fn withdraw(traffic: &Traffic, run: &Run) -> Result<()> {
     let withdrawn = Event::Withdrawn(run.request.seq);
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -14,16 +14,19 @@
 use serde_json::{Value, json};
 use slog::{error, info};
 use smol::LocalExecutor;
+use smol::future::FutureExt;
 use units::{Account, Class, Host, Incarnation, Program, Span};
-use wire::{Error, Frame, Identity, Key, Link, Stream};
+use wire::{Error, Frame, Identity, Key, Link, Load, Stream};
 
 use crate::control::listen;
 use crate::live::Live;
 use crate::owner::Logs;
+use crate::quota::{self, Quota};
 use crate::refusal::{Refusal, Result};
 use crate::{Shared, account, api, documents, drain, forward, links, takeover};
 
 const SWEEP_INTERVAL: Span = Span::from_ms(500);
+const LEAVING_POLL: Span = Span::from_ms(200);
 
 /// What the traffic thread is started with.
 pub(crate) struct Inputs {
@@ -51,6 +54,7 @@
     /// Whether programs wait for their handover: nothing new begins in them.
     pub(crate) handing_over: Cell<bool>,
     pub(crate) logs: Logs,
+    pub(crate) quota: Quota,
     observations: Sender<Observation>,
 }
 
@@ -70,6 +74,7 @@
         leaving: Cell::new(false),
         handing_over: Cell::new(false),
         logs: Logs::default(),
+        quota: Quota::default(),
         observations: inputs.observations,
         shared,
     });
@@ -100,6 +105,7 @@
     spawn(Box::pin(serve_peers(traffic.clone(), peers)));
     spawn(Box::pin(links::keep(traffic.clone(), executor.clone())));
     spawn(Box::pin(documents::keep(traffic.clone(), executor.clone())));
+    spawn(Box::pin(quota::keep(traffic.clone())));
     spawn(Box::pin(sweep(traffic.clone())));
     spawn(Box::pin(takeover::watch(traffic.clone())));
     spawn(Box::pin(answer_asks(traffic.clone(), asked)));
@@ -132,7 +138,9 @@
     let served = match listen(listener) {
         Ok(listener) => {
             let (executor, key) = (traffic.executor.clone(), traffic.key.clone());
-            wire::serve(executor, listener, key, own, handler).await
+            let metrics = traffic.shared.metrics.clone();
+            let refused = move |error: &Error| metrics.count(error.label());
+            wire::serve(executor, listener, key, own, handler, refused).await
         }
         Err(why) => Err(why),
     };
@@ -149,21 +157,20 @@
                 let _held = traffic.requests.clone();
                 forward::receive(&traffic, forward, &mut stream).await
             }
-            Frame::Explain(id) => account::answer(&traffic, id, &mut stream).await,
+            Frame::Ask(question) => account::answer(&traffic, question, &mut stream).await,
+            Frame::Drain => {
+                traffic.observe(Observation::Leaving).await;
+                acknowledge(&mut stream).await
+            }
             Frame::InForce(version) => documents::answer(&traffic, version, &mut stream).await,
             Frame::Document { version, text } => {
                 documents::receive(&traffic, version, text, &mut stream).await
             }
             Frame::Adopt(writer) => {
                 traffic.take_over(writer).await;
-                stream.send(&Frame::Ack).await?;
-                stream.finish()
-            }
-            Frame::Watch => {
-                // An entry has no load to report; the open stream shows that it lives.
-                std::future::pending::<()>().await;
-                Ok(())
+                acknowledge(&mut stream).await
             }
+            Frame::Watch => watched(&traffic, &mut stream).await,
             other => Err(Error::Unexpected(other.kind())),
         }
     };
@@ -172,6 +179,35 @@
     }
 }
 
+async fn acknowledge(stream: &mut Stream) -> wire::Result<()> {
+    stream.send(&Frame::Ack).await?;
+    stream.finish()
+}
+
+/// Reports to a peer that this entry is leaving, once it is; it has no other load to report. The open
+/// stream shows that it lives.
+async fn watched(traffic: &Traffic, stream: &mut Stream) -> wire::Result<()> {
+    let leaving = async {
+        while !traffic.is_leaving() {
+            smol::Timer::after(LEAVING_POLL.into()).await;
+        }
+        true
+    };
+    let gone = async {
+        stream.gone().await;
+        false
+    };
+    if leaving.or(gone).await {
+        let load = Load {
+            leaving: true,
+            ..Load::default()
+        };
+        stream.send(&Frame::Load(load)).await?;
+        stream.gone().await;
+    }
+    Ok(())
+}
+
 async fn sweep(traffic: Rc<Traffic>) {
     loop {
         smol::Timer::after(SWEEP_INTERVAL.into()).await;
@@ -208,10 +244,9 @@
 impl Traffic {
     async fn ask(&self, question: Question) -> Option<Value> {
         match question {
-            Question::Programs => {
-                let programs: Vec<Rc<Live>> = self.programs.borrow().values().cloned().collect();
-                Some(account::list(programs.into_iter()))
-            }
+            Question::Programs => Some(account::programs(self)),
+            Question::Accounts => Some(account::accounts(self)),
+            Question::Drain(host) => account::drain(self, &host).await,
             Question::Explain(id) => account::explain(self, id).await,
             Question::End(id) => {
                 let live = self.local(id)?;
@@ -251,7 +286,13 @@
             .iter()
             .map(|event| live.record(event.clone()))
             .collect();
+        let start = self.shared.clock.now();
         self.append_records(&live.log, records).await?;
+        if let Some(call) = live.trace.get() {
+            let end = self.shared.clock.now();
+            let append = call.child();
+            append.finish(&self.shared.logger, "append", start, end);
+        }
         let mut program = live.program.borrow_mut();
         events.iter().for_each(|event| program.apply(event));
         Ok(())
@@ -289,6 +330,11 @@
             .cloned()
     }
 
+    /// All programs that this entry owns.
+    pub(crate) fn programs(&self) -> Vec<Rc<Live>> {
+        self.programs.borrow().values().cloned().collect()
+    }
+
     /// A program that this entry owns.
     pub(crate) fn local(&self, id: Program) -> Option<Rc<Live>> {
         let programs = self.programs.borrow();
@@ -298,6 +344,11 @@
             .cloned()
     }
 
+    /// Whether this entry takes no new programs.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.get() || self.shared.view.load().leaving
+    }
+
     /// Whether a call of any program is running here.
     pub(crate) fn is_running(&self) -> bool {
         let programs = self.programs.borrow();
@@ -329,20 +380,20 @@
         budget: Budget,
         deadline: Option<Span>,
     ) -> Result<Rc<Live>> {
-        if self.leaving.get() {
+        if self.is_leaving() {
             return Err(Refusal::Unready);
         }
         let environment = self.environment()?;
         let document = &environment.document;
-        let allowed = document
-            .accounts
-            .get(account)
-            .is_some_and(|a| a.classes.contains(&class));
+        let owner = document.accounts.get(account);
+        let allowed = owner.is_some_and(|owner| owner.classes.contains(&class));
         let settings = document
             .classes
             .get(&class)
             .filter(|_| allowed)
             .ok_or(Refusal::Class)?;
+        let programs_max = owner.map_or(0, |owner| owner.programs_max);
+        let _permit = self.permit(account, programs_max)?;
         let limits = &document.limits;
         let budget = Budget {
             tokens: budget.tokens.min(limits.tokens_max),
@@ -386,7 +437,7 @@
         self.programs.borrow_mut().insert(live.id, live);
         self.shared
             .metrics
-            .set("programs", self.programs.borrow().len() as i64);
+            .set("programs-count", self.programs.borrow().len() as i64);
     }
 
     /// Ends a program and its sub-agents and frees the engines' memory of it.
