--- a/tests/all/budgets.rs
+++ b/tests/all/budgets.rs
@@ -2,13 +2,14 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use crate::caller::Caller;
+use crate::caller::{Answer, Caller};
 use crate::cluster::{Cluster, Config};
-use crate::history::{Attempt, History, Kind, Program, input};
+use crate::history::{History, Kind, Program, input};
+use crate::scenario::{Order, attempt};
 use crate::scenarios::seeds;
 
 const PROGRAMS: usize = 200;
@@ -18,10 +19,11 @@
 const ANSWER_TOKENS: u64 = 12;
 const CALL_MAX: Duration = Duration::from_secs(5);
 
-/// One caller's way to make calls through one entry.
+/// One caller's way to make calls, first through one entry and then through the other.
 struct Agent {
     history: History,
-    caller: Caller,
+    callers: Vec<Caller>,
+    first: u16,
 }
 
 impl Agent {
@@ -37,20 +39,29 @@
         self.history.programs().insert(name.to_owned(), program);
     }
 
+    fn call(&self, name: &str, seq: u64, kind: Kind, body: Value) -> Answer {
+        let order = Order {
+            program: name.to_owned(),
+            seq,
+            kind,
+            input: body["input"].as_str().unwrap_or_default().to_owned(),
+            body,
+            entries: vec![self.first, 1 - self.first],
+            patience: CALL_MAX,
+        };
+        attempt(&self.history, &self.callers, &order)
+    }
+
     /// Makes model calls until one is refused.
-    fn exhaust(&self, name: &str, id: &str, first: u64) {
+    fn exhaust(&self, name: &str, first: u64) {
         for seq in first.. {
             let text = input(name, seq);
-            let answer = self.caller.model(id, seq, &text, ANSWER_TOKENS);
-            let whole = answer.is_whole();
-            self.history.record(Attempt {
-                program: name.to_owned(),
-                seq,
-                kind: Kind::Model(ANSWER_TOKENS),
-                input: text,
-                answer,
-            });
-            if !whole {
+            let body = json!({"seq": seq, "model": "advisor", "input": text,
+                "max_tokens": ANSWER_TOKENS});
+            if !self
+                .call(name, seq, Kind::Model(ANSWER_TOKENS), body)
+                .is_whole()
+            {
                 return;
             }
         }
@@ -59,21 +70,25 @@
     /// Runs a program and its sub-agent until both have used what they may.
     fn run(&self, name: &str) {
         let body = json!({"class": "reorder", "tokens": BUDGET_TOKENS, "calls": 50}).to_string();
-        let created = self.caller.request("POST", "/v1/programs", Some(&body));
-        let Some((201, created)) = created else {
+        let created = [self.first, 1 - self.first].iter().find_map(|entry| {
+            let caller = &self.callers[usize::from(*entry)];
+            let answer = caller.request("POST", "/v1/programs", Some(&body));
+            answer.filter(|(status, _)| *status == 201)
+        });
+        let Some((_, created)) = created else {
             return;
         };
         let id = created["program"].as_str().unwrap();
         self.program(name, id, BUDGET_TOKENS, None);
         let carve = json!({"seq": 1, "program": {"tokens": CHILD_TOKENS, "calls": 20}});
-        let child = self.caller.call(id, &carve);
+        let child = self.call(name, 1, Kind::Child, carve);
         std::thread::scope(|scope| {
             if let Some(child_id) = child.end["program"].as_str() {
                 let child_name = format!("{name}-child");
                 self.program(&child_name, child_id, CHILD_TOKENS, Some(name));
-                scope.spawn(move || self.exhaust(&child_name, child_id, 1));
+                scope.spawn(move || self.exhaust(&child_name, 1));
             }
-            self.exhaust(name, id, 2);
+            self.exhaust(name, 2);
         });
     }
 }
@@ -85,12 +100,11 @@
     let killed_after = rng.random_range(PROGRAMS / 10..PROGRAMS / 2);
     std::thread::scope(|scope| {
         for agent in 0..CALLERS {
-            let caller = cluster
-                .caller(agent as u16 % 2, "meche")
-                .with_timeout(CALL_MAX);
+            let callers = (0..2).map(|entry| cluster.caller(entry, "meche").with_timeout(CALL_MAX));
             let agent = Agent {
                 history: history.clone(),
-                caller,
+                callers: callers.collect(),
+                first: agent as u16 % 2,
             };
             let next = &next;
             scope.spawn(move || {
@@ -123,7 +137,6 @@
             .filter(|a| a.answer.is_whole())
             .count();
         assert!(done > PROGRAMS, "only {done} calls were answered");
-        history.check_budgets(&cluster);
-        history.check_refusals(&cluster);
+        history.check(&cluster);
     }
 }
--- a/tests/all/history.rs
+++ b/tests/all/history.rs
@@ -123,7 +123,7 @@
     }
 
     /// A call of which every request was told `ran: no` has not run anywhere.
-    pub fn check_refusals(&self, cluster: &Cluster) {
+    fn check_refusals(&self, cluster: &Cluster) {
         let attempts = self.attempts();
         let keys: BTreeSet<_> = attempts.iter().map(|a| (&a.program, a.seq)).collect();
         for (program, seq) in keys {
@@ -184,7 +184,7 @@
     }
 
     /// The engines used no more tokens than a program and its sub-agents were given.
-    pub fn check_budgets(&self, cluster: &Cluster) {
+    fn check_budgets(&self, cluster: &Cluster) {
         let programs = self.programs();
         for (name, program) in programs.iter() {
             let members = programs
