policy, load: pure policy state, its knobs, and a load model

Cause: routing, order and admission had to be measured against baselines before they are changed, and the same code has to run in both places.

Change: `policy::Fleet` keeps what an entry knows of its endpoints (own outstanding work, claimed prefixes, token times), `Rank` is one additive key with an upper limit of slots for long work, `Gate` admits, `Budget` pays for hedges. All are chosen by `[policy]` of the environment document; baselines by `routing = round-robin | least-outstanding`. The entry feeds it from dispatch.rs (small change: the times of a stream, an outstanding call that is closed or given up) and can hedge (hedge.rs) and refuse new programs (traffic.rs, refusal.rs `overloaded`). Everything new is off by default; the default is what the thin path did. A class has an `objective` (default: its deadline). The sidecar's queue obeys the rank's limit of slots.

`load model` drives the same code over an event-driven model of engines in virtual time; it is labelled as the model.

Ruled out: a rank that is recomputed while calls wait (all age at the same rate, so a fixed key gives the same order).

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -1,8 +1,10 @@
 //! The calls of a program: admission, reservation, dispatch and record.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use log::{Answer, Call, Event, Intent, Parent, Route, Token, Turn, Usage};
+use policy::Stream;
 use program::{Admission, Reserve};
 use telemetry::Trace;
 use units::{Target, Tokens};
@@ -11,6 +13,7 @@
 use crate::answers;
 use crate::api::Request;
 use crate::dispatch::{self, Dispatched};
+use crate::hedge::{self, Ended, Hedged};
 use crate::live::{Ending, Live};
 use crate::refusal::{Refusal, Result};
 use crate::reply::Reply;
@@ -25,6 +28,8 @@
     pub(crate) request: program::Request,
     pub(crate) answer: Rc<wire::Answer<Ending>>,
     pub(crate) trace: Trace,
+    /// What came of the answer and when, for the policy.
+    pub(crate) stream: Cell<Stream>,
 }
 
 /// Refuses a call whose caller has seen more of the history than is here, or another one.
@@ -71,6 +76,7 @@
                 request,
                 answer: answer.clone(),
                 trace,
+                stream: Cell::default(),
             };
             traffic
                 .executor
@@ -145,7 +151,7 @@
 }
 
 /// Reserves tokens for a dispatch, asking for more durable grants as needed.
-async fn reserve(traffic: &Traffic, run: &Run, worst: Tokens) -> Result<()> {
+pub(crate) async fn reserve(traffic: &Traffic, run: &Run, worst: Tokens) -> Result<()> {
     let tranche = traffic.environment()?.document.limits.tranche;
     loop {
         let answer = run.live.program.borrow_mut().reserve(worst, tranche);
@@ -179,10 +185,16 @@
         ran: Ran::No,
         reason: Reason::Unreachable,
     };
+    let request = routing::request(run, &target, service.is_none());
+    let hedges = environment.document.policy.knobs.hedge_budget.0 > 0.0;
+    let mut failed = None;
     for attempt in 0..ATTEMPTS_MAX {
         reserve(traffic, run, worst).await?;
-        let route = routing::choose(traffic, run, &target, worst, attempt, environment.version)?;
-        let order = dispatch::make(traffic, run, &target, &work, &route, &input);
+        let version = environment.version;
+        let chosen = routing::choose(traffic, &request, failed.as_ref(), attempt, version)?;
+        let route = chosen.route.clone();
+        let order = dispatch::make(traffic, run, &target, &work, &route, &input, &request);
+        failed = Some(chosen.ticket.host.clone());
         if !work.idempotent() {
             let call = Call::from(&run.request);
             let intent = Event::Intent(Intent {
@@ -191,7 +203,27 @@
             });
             traffic.append(&run.live, vec![intent]).await?;
         }
-        match dispatch::send(traffic, run, &route, order).await {
+        let ended = if work.idempotent() && hedges {
+            let call = Hedged {
+                target: &target,
+                work: &work,
+                input: &input,
+                request: &request,
+                worst,
+                version,
+            };
+            hedge::send(traffic, run, &call, chosen, order).await
+        } else {
+            let dispatched = dispatch::send(traffic, run, &route, chosen.ticket, order).await;
+            Ended {
+                route,
+                dispatched,
+                lost: Tokens(0),
+            }
+        };
+        let route = ended.route;
+        lost = lost.plus(ended.lost);
+        match ended.dispatched {
             Dispatched::Done(done) => return finish(traffic, run, &work, route, &done, lost).await,
             Dispatched::Refused(why) if work.idempotent() => {
                 // Nobody knows what a broken dispatch used: it counts in full.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod dispatch;
 mod error;
 mod forward;
+mod hedge;
 mod links;
 mod live;
 mod refusal;
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -5,7 +5,7 @@
 use http_types::Response;
 use program::Refusal as Admission;
 use serde_json::{Value, json};
-use units::Target;
+use units::{Span, Target};
 use wire::{Ran, Reason};
 
 const RETRY_AFTER_MS: u64 = 500;
@@ -39,6 +39,8 @@
     Unavailable,
     /// No endpoint serves the target now.
     NoEndpoint,
+    /// A new program would not be done in time; a repeat makes sense after this delay.
+    Overloaded(Span),
     /// The endpoint gave no whole answer.
     Endpoint(Ran, Reason),
     /// The call may or may not have run; it is never dispatched again.
@@ -63,7 +65,10 @@
                 Admission::Loop => 429,
                 Admission::Deadline => 408,
             },
-            Refusal::Unready | Refusal::Unavailable | Refusal::NoEndpoint => 503,
+            Refusal::Unready
+            | Refusal::Unavailable
+            | Refusal::NoEndpoint
+            | Refusal::Overloaded(_) => 503,
             Refusal::Endpoint(..) | Refusal::Indeterminate => 502,
         }
     }
@@ -92,6 +97,7 @@
             Refusal::Unready => "unready",
             Refusal::Unavailable => "history-unavailable",
             Refusal::NoEndpoint => "no-endpoint",
+            Refusal::Overloaded(_) => "overloaded",
             Refusal::Endpoint(..) => "endpoint",
             Refusal::Indeterminate => "indeterminate",
         }
@@ -108,6 +114,9 @@
 
     /// Milliseconds after which a repeat makes sense, if it does.
     pub(crate) fn retry_after_ms(&self) -> Option<u64> {
+        if let Refusal::Overloaded(delay) = self {
+            return Some(delay.as_ms());
+        }
         (self.status() == 503).then_some(RETRY_AFTER_MS)
     }
 
@@ -147,6 +156,9 @@
             Refusal::Unready => f.write_str("this entry accepts no work now"),
             Refusal::Unavailable => f.write_str("the program's history is not yet available"),
             Refusal::NoEndpoint => f.write_str("no endpoint serves the target now"),
+            Refusal::Overloaded(_) => {
+                f.write_str("a new program would not be done in time under this load")
+            }
             Refusal::Endpoint(_, reason) => reason.fmt(f),
             Refusal::Indeterminate => {
                 f.write_str("the call may or may not have run and is not dispatched again")
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -1,89 +1,188 @@
-//! Where a call goes: the board's view and the entry's own counts, as the policy's inputs.
+//! Where a call goes: the board's view and the entry's own observations, as the policy's inputs.
 
+use std::cell::RefCell;
+use std::sync::Arc;
+
+use board::View;
 use log::Route;
-use policy::Candidate;
-use units::{Span, Target, Tokens, Version};
+use policy::{Budget, Fleet, Gate, Knobs, Rank, Site, Standing, Ticket};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use units::{Host, Span, Target, Tokens, Version};
 
 use crate::calls::Run;
+use crate::live::Live;
 use crate::refusal::{Refusal, Result};
 use crate::traffic::Traffic;
 
-const TOKEN_TIME_DEFAULT: Span = Span(20_000);
-const PREFILL_TIME: Span = Span(200);
 const LINK_COST: Span = Span::from_ms(24);
+const TOKEN_BYTES: u64 = 4;
+
+/// The policy's state of this entry.
+pub(crate) struct Routing {
+    pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) gate: RefCell<Gate>,
+    pub(crate) budget: RefCell<Budget>,
+    pub(crate) rng: RefCell<StdRng>,
+    synced: RefCell<Option<Arc<View>>>,
+}
+
+impl Routing {
+    pub(crate) fn new() -> Self {
+        Routing {
+            fleet: RefCell::new(Fleet::new(Knobs::default())),
+            gate: RefCell::new(Gate::new()),
+            budget: RefCell::new(Budget::new()),
+            rng: RefCell::new(StdRng::from_os_rng()),
+            synced: RefCell::default(),
+        }
+    }
+}
+
+/// A chosen endpoint.
+pub(crate) struct Chosen {
+    pub(crate) route: Route,
+    pub(crate) ticket: Ticket,
+}
+
+/// The call as the policy sees it.
+pub(crate) fn request(run: &Run, target: &Target, is_model: bool) -> policy::Request {
+    let program = run.live.program.borrow();
+    let added = Tokens((run.request.input.len() as u64).div_ceil(TOKEN_BYTES));
+    let (prompt, generated_max) = if is_model {
+        (program.context().plus(added), run.request.budget.tokens)
+    } else {
+        (Tokens(0), Tokens(1))
+    };
+    policy::Request {
+        program: run.live.id,
+        target: target.clone(),
+        prompt,
+        generated_max,
+    }
+}
 
-/// Chooses an endpoint for the call.
+/// Chooses an endpoint for the call, other than `except`.
 pub(crate) fn choose(
     traffic: &Traffic,
-    run: &Run,
-    target: &Target,
-    worst: Tokens,
+    request: &policy::Request,
+    except: Option<&Host>,
     attempt: u32,
     document: Version,
-) -> Result<Route> {
-    let view = traffic.shared.view.load();
-    let serving = |endpoint: &&board::Endpoint| {
-        endpoint.serves.contains(target) && traffic.link(&endpoint.host).is_some()
+) -> Result<Chosen> {
+    sync(traffic);
+    let routing = &traffic.routing;
+    let now = traffic.shared.clock.now();
+    let route = |except| {
+        let mut rng = routing.rng.borrow_mut();
+        let mut fleet = routing.fleet.borrow_mut();
+        fleet.route(request, except, now, &mut *rng)
     };
-    let endpoints: Vec<&board::Endpoint> = view.endpoints.iter().filter(serving).collect();
-    let candidates: Vec<Candidate> = endpoints
+    // The only endpoint of a target is tried again.
+    let ticket = route(except).or_else(|| route(None));
+    let ticket = ticket.ok_or(Refusal::NoEndpoint)?;
+    let view = traffic.shared.view.load();
+    let endpoint = view
+        .endpoints
         .iter()
-        .map(|endpoint| candidate(traffic, run, endpoint))
-        .collect();
-    let generated = run.request.budget.tokens;
-    let request = policy::Request {
-        prompt: worst.minus(generated),
-        generated,
-    };
-    let choice = policy::route(&request, &candidates, &mut *traffic.rng.borrow_mut());
-    let choice = choice.ok_or(Refusal::NoEndpoint)?;
-    let endpoint = endpoints[choice.index];
-    Ok(Route {
+        .find(|endpoint| endpoint.host == ticket.host)
+        .ok_or(Refusal::NoEndpoint)?;
+    let route = Route {
         entry: traffic.shared.identity.host.clone(),
         endpoint: endpoint.name.clone(),
         sidecar: endpoint.incarnation,
         attempt,
         document,
-        why: choice.why.to_string(),
-        at: traffic.shared.clock.now(),
-    })
+        why: ticket.why.to_string(),
+        at: now,
+    };
+    Ok(Chosen { route, ticket })
 }
 
-/// An endpoint as the policy sees it.
-fn candidate(traffic: &Traffic, run: &Run, endpoint: &board::Endpoint) -> Candidate {
+/// Admits a new program of a class, or refuses it before anything ran.
+pub(crate) fn admit(traffic: &Traffic, class: &settings::Class) -> Result<()> {
+    sync(traffic);
+    let routing = &traffic.routing;
+    let fleet = routing.fleet.borrow();
+    let admitted = routing.gate.borrow_mut().admit(
+        class.precedence,
+        fleet.part(),
+        class.objective,
+        fleet.knobs().admission,
+        &mut *routing.rng.borrow_mut(),
+    );
+    admitted.map_err(Refusal::Overloaded)
+}
+
+/// Forgets a program that has ended.
+pub(crate) fn forget(traffic: &Traffic, live: &Live) {
+    let work = traffic.routing.fleet.borrow_mut().forget(live.id);
+    let precedence = precedence(traffic, &live.program.borrow().created().class);
+    traffic.routing.gate.borrow_mut().end(precedence, work);
+}
+
+/// The rank of a call in the sidecar's queue.
+pub(crate) fn rank(traffic: &Traffic, run: &Run, request: &policy::Request) -> u64 {
     let program = run.live.program.borrow();
-    let routes = program
-        .turns()
-        .iter()
-        .rev()
-        .filter_map(|turn| turn.route.as_ref());
-    let last = routes
-        .clone()
-        .next()
-        .filter(|route| route.endpoint == endpoint.name);
-    let outstanding = traffic
-        .outstanding
-        .borrow()
-        .get(&endpoint.host)
-        .copied()
-        .unwrap_or(0);
-    let token_time = endpoint.load.token_time;
+    let created = program.created();
+    let fleet = traffic.routing.fleet.borrow();
+    let standing = Standing {
+        precedence: precedence(traffic, &created.class),
+        attained: fleet.attained(run.live.id),
+        began: created.at,
+        long: fleet.is_long(request),
+    };
+    Rank::new(fleet.knobs(), &standing, traffic.shared.clock.now()).bits()
+}
+
+/// The precedence of a class in the document in force.
+pub(crate) fn precedence(traffic: &Traffic, class: &units::Class) -> u32 {
+    let environment = traffic.shared.view.load().environment.clone();
+    let class = environment.and_then(|all| all.document.classes.get(class).cloned());
+    class.map_or(0, |class| class.precedence)
+}
+
+/// Takes in the board's view, if it has changed.
+fn sync(traffic: &Traffic) {
+    let view = traffic.shared.view.load_full();
+    let mut synced = traffic.routing.synced.borrow_mut();
+    if synced.as_ref().is_some_and(|old| Arc::ptr_eq(old, &view)) {
+        return;
+    }
+    let mut fleet = traffic.routing.fleet.borrow_mut();
+    if let Some(environment) = &view.environment {
+        fleet.configure(environment.document.policy.knobs);
+    }
     let own = &traffic.shared.identity.region;
-    Candidate {
+    let open = view
+        .endpoints
+        .iter()
+        .filter(|endpoint| traffic.link(&endpoint.host).is_some());
+    fleet.sync(open.map(|endpoint| Site {
+        host: endpoint.host.clone(),
+        serves: endpoint.serves.clone(),
         slots: endpoint.slots,
-        outstanding,
-        reported: endpoint.load.running + endpoint.load.queued,
-        cached: last.map_or(Tokens(0), |_| program.context()),
-        token_time: if token_time == Span(0) {
-            TOKEN_TIME_DEFAULT
-        } else {
-            token_time
-        },
-        prefill_time: PREFILL_TIME,
         link_cost: if endpoint.region == *own {
             Span(0)
         } else {
             LINK_COST
         },
+        model: is_model(&view, endpoint),
+    }));
+    for endpoint in &view.endpoints {
+        let calls = endpoint.load.running + endpoint.load.queued;
+        fleet.report(&endpoint.host, calls);
     }
+    *synced = Some(view.clone());
+}
+
+fn is_model(view: &View, endpoint: &board::Endpoint) -> bool {
+    let environment = view.environment.as_ref();
+    environment.is_some_and(|environment| {
+        let models = &environment.document.models;
+        endpoint
+            .serves
+            .iter()
+            .any(|target| models.contains_key(target))
+    })
 }
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -9,8 +9,6 @@
 use async_channel::{Receiver, Sender};
 use board::{Environment, Observation};
 use log::{Budget, Cause, Created, Event, Parent, Record, Token};
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 use serde_json::{Value, json};
 use slog::{error, info};
 use smol::LocalExecutor;
@@ -20,6 +18,7 @@
 use crate::control::listen;
 use crate::live::Live;
 use crate::refusal::{Refusal, Result};
+use crate::routing::{self, Routing};
 use crate::{Shared, account, api, forward, links};
 
 const SWEEP_INTERVAL: Span = Span::from_ms(500);
@@ -41,8 +40,7 @@
     pub(crate) key: Key,
     pub(crate) links: RefCell<HashMap<Host, Link>>,
     pub(crate) connecting: RefCell<HashSet<Host>>,
-    pub(crate) outstanding: RefCell<HashMap<Host, u32>>,
-    pub(crate) rng: RefCell<StdRng>,
+    pub(crate) routing: Routing,
     programs: RefCell<HashMap<Program, Rc<Live>>>,
     created: Cell<u64>,
     observations: Sender<Observation>,
@@ -64,8 +62,7 @@
         key: Key::new(*shared.settings.process.key.bytes()),
         links: RefCell::default(),
         connecting: RefCell::default(),
-        outstanding: RefCell::default(),
-        rng: RefCell::new(StdRng::from_os_rng()),
+        routing: Routing::new(),
         programs: RefCell::default(),
         created: Cell::new(0),
         observations: inputs.observations,
@@ -325,6 +322,7 @@
             .get(&class)
             .filter(|_| allowed)
             .ok_or(Refusal::Class)?;
+        routing::admit(self, settings)?;
         let limits = &document.limits;
         let budget = Budget {
             tokens: budget.tokens.min(limits.tokens_max),
@@ -364,6 +362,8 @@
 
     /// Owns a program from now on.
     pub(crate) fn adopt(&self, live: Rc<Live>) {
+        let precedence = routing::precedence(self, &live.program.borrow().created().class);
+        self.routing.gate.borrow_mut().begin(precedence);
         self.programs.borrow_mut().insert(live.id, live);
         self.shared
             .metrics
@@ -379,6 +379,7 @@
         let ended = self.append(live, vec![Event::Ended { cause, at }]).await;
         live.ending.set(false);
         ended?;
+        routing::forget(self, live);
         links::release(self, live.id).await;
         for child in self.children(live.id) {
             Box::pin(self.end(&child, Cause::Parent)).await?;
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,83 @@
+//! `load`: measures policies under load.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use load::compare::{self, Row};
+use load::report;
+use load::variant::Variant;
+use load::workload::Shape;
+
+/// Measures policies on the same arrivals.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+enum Command {
+    /// Runs the policy over the model in virtual time; no real processes.
+    #[bpaf(command)]
+    Model {
+        #[bpaf(external)]
+        experiment: Experiment,
+    },
+}
+
+#[derive(Clone, Debug, Bpaf)]
+struct Experiment {
+    /// Shape of the deployment: meche or pindan
+    #[bpaf(argument::<String>("NAME"), parse(shape), fallback(Shape::meche()))]
+    shape: Shape,
+    /// Number of seeds
+    #[bpaf(argument("N"), fallback(5))]
+    seeds: u64,
+    /// First seed
+    #[bpaf(argument("N"), fallback(1))]
+    first_seed: u64,
+    /// File for the results as JSON
+    #[bpaf(argument("FILE"))]
+    json: Option<PathBuf>,
+    /// File for a chart
+    #[bpaf(argument("FILE"))]
+    svg: Option<PathBuf>,
+    /// Policies as PRESET[,KEY=VALUE...]; the baselines come first
+    #[bpaf(positional("POLICY"), many)]
+    variants: Vec<Variant>,
+}
+
+fn shape(name: String) -> Result<Shape, String> {
+    match name.as_str() {
+        "meche" => Ok(Shape::meche()),
+        "pindan" => Ok(Shape::pindan()),
+        _ => Err(format!("{name} is no shape: meche, pindan")),
+    }
+}
+
+impl Experiment {
+    fn seeds(&self) -> Vec<u64> {
+        (self.first_seed..self.first_seed + self.seeds).collect()
+    }
+
+    fn show(&self, title: &str, rows: &[Row]) -> std::io::Result<()> {
+        println!("{title}\n\n{}", report::table(rows));
+        if let Some(file) = &self.json {
+            std::fs::write(file, serde_json::to_string_pretty(rows)?)?;
+        }
+        if let Some(file) = &self.svg {
+            std::fs::write(file, report::svg(title, rows))?;
+        }
+        Ok(())
+    }
+}
+
+fn main() -> std::io::Result<()> {
+    match command().run() {
+        Command::Model { experiment } => {
+            let (shape, seeds) = (&experiment.shape, experiment.seeds());
+            let samples = compare::by_model(shape, &experiment.variants, &seeds);
+            let rows = compare::rows(&experiment.variants, &samples);
+            let title = format!(
+                "Model in virtual time, shape {}, seeds {seeds:?}",
+                shape.name
+            );
+            experiment.show(&title, &rows)
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,90 @@
+//! The results as a table and as an SVG chart.
+
+use std::fmt::Write;
+
+use crate::compare::{Row, Spread};
+
+const BAR_WIDTH: f64 = 320.0;
+const BAR_HEIGHT: usize = 14;
+const LABEL_WIDTH: usize = 420;
+
+/// The table as Markdown.
+pub fn table(rows: &[Row]) -> String {
+    let mut text = String::from(
+        "| measure | policy | median | min … max | ratio to the better baseline |\n\
+         | --- | --- | --- | --- | --- |\n",
+    );
+    for row in rows {
+        let ratio = row.ratio.map_or(String::new(), |ratio| {
+            format!(
+                "{} ({} … {})",
+                number(ratio.median),
+                number(ratio.min),
+                number(ratio.max)
+            )
+        });
+        let Spread { min, median, max } = row.value;
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} | {} … {} | {ratio} |",
+            row.measure,
+            row.variant,
+            number(median),
+            number(min),
+            number(max)
+        );
+    }
+    text
+}
+
+fn number(value: f64) -> String {
+    if value.abs() >= 100.0 {
+        format!("{value:.0}")
+    } else {
+        format!("{value:.3}")
+    }
+}
+
+/// A chart: for each measure a bar for each policy, with the spread as a line.
+pub fn svg(title: &str, rows: &[Row]) -> String {
+    let height = (rows.len() + 2) * (BAR_HEIGHT + 4);
+    let width = LABEL_WIDTH + BAR_WIDTH as usize + 80;
+    let mut text = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{width}\" height=\"{height}\" \
+         font-family=\"sans-serif\" font-size=\"11\">\n<text x=\"4\" y=\"14\">{}</text>\n",
+        escape(title)
+    );
+    for (index, row) in rows.iter().enumerate() {
+        let most = rows
+            .iter()
+            .filter(|other| other.measure == row.measure)
+            .map(|other| other.value.max)
+            .fold(f64::MIN_POSITIVE, f64::max);
+        let y = (index + 1) * (BAR_HEIGHT + 4);
+        let scale = |value: f64| value / most * BAR_WIDTH;
+        let middle = y + BAR_HEIGHT / 2;
+        let _ = writeln!(
+            text,
+            "<text x=\"4\" y=\"{}\">{}: {}</text>\n\
+             <rect x=\"{LABEL_WIDTH}\" y=\"{y}\" width=\"{:.1}\" height=\"{BAR_HEIGHT}\" fill=\"#8ab\"/>\n\
+             <line x1=\"{:.1}\" x2=\"{:.1}\" y1=\"{middle}\" y2=\"{middle}\" stroke=\"#235\"/>\n\
+             <text x=\"{:.1}\" y=\"{}\">{}</text>",
+            y + BAR_HEIGHT - 3,
+            escape(row.measure),
+            escape(&row.variant),
+            scale(row.value.median),
+            LABEL_WIDTH as f64 + scale(row.value.min),
+            LABEL_WIDTH as f64 + scale(row.value.max),
+            LABEL_WIDTH as f64 + scale(row.value.max) + 4.0,
+            y + BAR_HEIGHT - 3,
+            number(row.value.median),
+        );
+    }
+    text.push_str("</svg>\n");
+    text
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;")
+}
--- /dev/null
+++ b/crates/policy/src/knobs.rs
@@ -0,0 +1,71 @@
+//! What operators set: the `[policy]` section of the environment document as the policy reads it.
+
+use serde::{Deserialize, Serialize};
+use units::{Rate, Span};
+
+/// How an endpoint is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Routing {
+    /// By the least expected completion.
+    Completion,
+    /// By the fewest calls outstanding from this entry; a baseline.
+    LeastOutstanding,
+    /// In turn; a baseline.
+    RoundRobin,
+}
+
+/// How calls are ordered in a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Order {
+    /// By class, attained service of the program and age.
+    Attained,
+    /// By arrival; a baseline.
+    Arrival,
+}
+
+/// The settings of all decisions.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Knobs {
+    /// How an endpoint is chosen.
+    pub routing: Routing,
+    /// How calls are ordered in a queue.
+    pub order: Order,
+    /// Endpoints compared at random besides those that hold a prefix.
+    pub candidates: u32,
+    /// Whether a claimed prefix counts in the expected completion.
+    pub affinity: bool,
+    /// Whether an endpoint's observed slowness counts in the expected completion.
+    pub slowness: bool,
+    /// How much earlier a call counts as arrived for each step of its class's precedence.
+    pub head_start: Span,
+    /// Waiting time that makes up for one token of attained service; the rate of ageing.
+    pub attained_weight: Span,
+    /// Waiting time that makes up for one second of a program's age; running programs go first.
+    pub age_weight: Rate,
+    /// Share of an endpoint's slots that long programs may hold.
+    pub long_slots: Rate,
+    /// Share of extra work that hedges may cause.
+    pub hedge_budget: Rate,
+    /// Share of the deadline that the expected completion of a new program may take; 0 admits all.
+    pub admission: Rate,
+}
+
+impl Default for Knobs {
+    fn default() -> Self {
+        Knobs {
+            routing: Routing::Completion,
+            order: Order::Attained,
+            candidates: 24,
+            affinity: true,
+            slowness: false,
+            head_start: Span::from_ms(3_600_000),
+            attained_weight: Span::from_ms(1_000),
+            age_weight: Rate(0.0),
+            long_slots: Rate(1.0),
+            hedge_budget: Rate(0.0),
+            admission: Rate(0.0),
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,8 +3,17 @@
 //! Nothing here reads a clock, a socket or a lock, so that a decision met in production can be
 //! repeated in a test from its inputs alone.
 
+mod admit;
+mod estimate;
+mod fleet;
+mod hedge;
+mod knobs;
 mod order;
 mod route;
 
-pub use order::rank;
-pub use route::{Candidate, Choice, Request, Why, route};
+pub use admit::Gate;
+pub use fleet::{Fleet, Site, Used};
+pub use hedge::{Budget, Stream};
+pub use knobs::{Knobs, Order, Routing};
+pub use order::{Rank, Standing};
+pub use route::{Request, Ticket, Why};
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use compact_str::{CompactString, ToCompactString};
+use policy::{Knobs, Order, Routing};
 use units::{Bytes, Calls, Digest, Rate, Span, Target, Tokens};
 
 use crate::error::{Problem, Result};
@@ -40,6 +41,8 @@
     pub precedence: u32,
     /// Default time from a program's start to its deadline.
     pub deadline: Span,
+    /// Time in which a program should be done; under overload, admission goes by it.
+    pub objective: Span,
 }
 
 /// A caller's account.
@@ -89,8 +92,8 @@
 /// Settings of the policy.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Policy {
-    /// Share of extra work that hedges may cause.
-    pub hedge_budget: Rate,
+    /// Settings of the decisions.
+    pub knobs: Knobs,
     /// Share of retries among successes.
     pub retry_budget: Rate,
     /// Bytes a second that spill-over may use of a region link.
@@ -165,9 +168,11 @@
 }
 
 fn class(section: &Section<'_>) -> Result<Class> {
+    let deadline = section.get_or("deadline", SPAN, Span::from_ms(600_000))?;
     Ok(Class {
         precedence: section.get("precedence", NUMBER)?,
-        deadline: section.get_or("deadline", SPAN, Span::from_ms(600_000))?,
+        deadline,
+        objective: section.get_or("objective", SPAN, deadline)?,
     })
 }
 
@@ -219,16 +224,44 @@
 
 fn policy(section: Option<Section<'_>>) -> Result<Policy> {
     let mut policy = Policy {
-        hedge_budget: Rate(0.05),
+        knobs: Knobs::default(),
         retry_budget: Rate(0.1),
         link_rate: Bytes(3_000_000),
     };
     let Some(section) = section else {
         return Ok(policy);
     };
-    policy.hedge_budget = section.get_or("hedge-budget", RATE, policy.hedge_budget)?;
+    knobs(&section, &mut policy.knobs)?;
     policy.retry_budget = section.get_or("retry-budget", RATE, policy.retry_budget)?;
     policy.link_rate = section.get_or("link-rate", "bytes a second", policy.link_rate)?;
     section.close()?;
     Ok(policy)
 }
+
+fn knobs(section: &Section<'_>, knobs: &mut Knobs) -> Result<()> {
+    let routings = [
+        ("completion", Routing::Completion),
+        ("least-outstanding", Routing::LeastOutstanding),
+        ("round-robin", Routing::RoundRobin),
+    ];
+    let orders = [("attained", Order::Attained), ("arrival", Order::Arrival)];
+    let switch = [("on", true), ("off", false)];
+    knobs.routing = section
+        .choice("routing", &routings)?
+        .unwrap_or(knobs.routing);
+    knobs.order = section.choice("order", &orders)?.unwrap_or(knobs.order);
+    knobs.candidates = section.get_or("candidates", NUMBER, knobs.candidates)?;
+    knobs.affinity = section
+        .choice("affinity", &switch)?
+        .unwrap_or(knobs.affinity);
+    knobs.slowness = section
+        .choice("slowness", &switch)?
+        .unwrap_or(knobs.slowness);
+    knobs.head_start = section.get_or("head-start", SPAN, knobs.head_start)?;
+    knobs.attained_weight = section.get_or("attained-weight", SPAN, knobs.attained_weight)?;
+    knobs.age_weight = section.get_or("age-weight", RATE, knobs.age_weight)?;
+    knobs.long_slots = section.get_or("long-slots", RATE, knobs.long_slots)?;
+    knobs.hedge_budget = section.get_or("hedge-budget", RATE, knobs.hedge_budget)?;
+    knobs.admission = section.get_or("admission", RATE, knobs.admission)?;
+    Ok(())
+}
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -95,17 +95,17 @@
     /// Starts waiting calls while there are slots.
     fn fill(self: &Rc<Self>) {
         loop {
-            let Some(call) = self.queue.borrow_mut().pop() else {
+            let Some(slot) = self.queue.borrow_mut().pop() else {
                 return;
             };
-            let Some(waiting) = self.waiting.borrow_mut().remove(&call) else {
-                self.queue.borrow_mut().finish();
+            let Some(waiting) = self.waiting.borrow_mut().remove(&slot.call) else {
+                self.queue.borrow_mut().finish(slot);
                 continue;
             };
             let calls = self.clone();
             let run = async move {
                 calls.run(waiting).await;
-                calls.queue.borrow_mut().finish();
+                calls.queue.borrow_mut().finish(slot);
                 calls.fill();
             };
             self.executor.spawn(run).detach();
