load: runs over real entry and sidecar processes

Cause: the model leaves out the log, the admission API and CPU cost; its result has to be confirmed by the shipped binary.

Change: `load processes` starts the shape's entries and sidecars on a loopback address of their own, with engines, services and the platform as stand-ins in its own process, drives the same seeded programs open-loop, slows the same endpoints at the same times, and reports the same measures; policies run in turn on the same arrivals. The engine stand-in stops at a mark in the prompt, as a model stops before its limit, so that the policy can't read the length of an answer from `max_tokens`. The stand-ins' state can be shared with a task that changes it.

Left out: the region link is neither delayed nor counted in real runs.

--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -1,9 +1,12 @@
 //! Policies on the same arrivals, over several seeds: the median and spread of each measure and of
 //! its ratio to the better baseline of the same seed.
 
+use std::path::Path;
+
 use serde::Serialize;
 
 use crate::outcome::Measures;
+use crate::real;
 use crate::variant::Variant;
 use crate::workload::{Conditions, Shape, Workload};
 
@@ -129,6 +132,39 @@
     variants.iter().map(all).collect()
 }
 
+/// Samples of all policies over real processes, interleaved on the same arrivals: `[variant][seed]`.
+/// Only the first of the conditions is run where `full_only`, as each run takes its time.
+///
+/// # Errors
+/// If processes cannot be started.
+pub fn by_processes(
+    binary: &Path,
+    shape: &Shape,
+    variants: &[Variant],
+    seeds: &[u64],
+    full_only: bool,
+) -> real::Result<Vec<Vec<Sample>>> {
+    let mut samples = vec![Vec::new(); variants.len()];
+    for seed in seeds {
+        for (index, variant) in variants.iter().enumerate() {
+            let mut measures = Vec::new();
+            for conditions in &CONDITIONS[..if full_only { 1 } else { CONDITIONS.len() }] {
+                let workload = Workload::new(shape, *conditions, *seed);
+                let run = real::run(binary, shape, &workload, variant)?;
+                measures.push(run.measures());
+                eprintln!("seed {seed}, {}: {:?}", variant.name, run.measures());
+            }
+            let at = |index: usize| measures.get(index).cloned().unwrap_or_default();
+            samples[index].push(Sample {
+                full: at(0),
+                unslowed: at(1),
+                uniform: at(2),
+            });
+        }
+    }
+    Ok(samples)
+}
+
 /// The table; the baselines are the variants that route by none of the estimates.
 pub fn rows(variants: &[Variant], samples: &[Vec<Sample>]) -> Vec<Row> {
     let baselines: Vec<usize> = (0..variants.len())
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 pub mod model;
 pub mod outcome;
+pub mod real;
 pub mod report;
 pub mod variant;
 pub mod workload;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -4,6 +4,7 @@
 
 use bpaf::Bpaf;
 use load::compare::{self, Row};
+use load::real;
 use load::report;
 use load::variant::Variant;
 use load::workload::Shape;
@@ -18,6 +19,17 @@
         #[bpaf(external)]
         experiment: Experiment,
     },
+    /// Runs the policies over real entry and sidecar processes, interleaved.
+    #[bpaf(command)]
+    Processes {
+        /// The shipped binary; by default the one next to this
+        #[bpaf(argument("FILE"))]
+        binary: Option<PathBuf>,
+        /// Leaves out the runs without slowed endpoints and without stragglers
+        full_only: bool,
+        #[bpaf(external)]
+        experiment: Experiment,
+    },
 }
 
 #[derive(Clone, Debug, Bpaf)]
@@ -67,7 +79,7 @@
     }
 }
 
-fn main() -> std::io::Result<()> {
+fn main() -> Result<(), real::Error> {
     match command().run() {
         Command::Model { experiment } => {
             let (shape, seeds) = (&experiment.shape, experiment.seeds());
@@ -77,7 +89,22 @@
                 "Model in virtual time, shape {}, seeds {seeds:?}",
                 shape.name
             );
-            experiment.show(&title, &rows)
+            experiment.show(&title, &rows)?;
+        }
+        Command::Processes {
+            binary,
+            full_only,
+            experiment,
+        } => {
+            let (shape, seeds) = (&experiment.shape, experiment.seeds());
+            let own = std::env::current_exe()?;
+            let binary = binary.unwrap_or_else(|| own.with_file_name("balsamhold"));
+            let variants = &experiment.variants;
+            let samples = compare::by_processes(&binary, shape, variants, &seeds, full_only)?;
+            let rows = compare::rows(variants, &samples);
+            let title = format!("Real processes, shape {}, seeds {seeds:?}", shape.name);
+            experiment.show(&title, &rows)?;
         }
     }
+    Ok(())
 }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -18,6 +18,10 @@
 /// Bytes of text a token stands for.
 pub const TOKEN_BYTES: usize = 4;
 
+/// A prompt that ends with this, a number and a space is answered with so many tokens at most, as a
+/// model stops by itself before the limit.
+pub const STOP_MARK: &str = " stop after ";
+
 const POLL_MS: u64 = 1;
 
 /// How fast and large an engine is.
@@ -220,15 +224,12 @@
     let seed = blake3::hash(completion.prompt.as_bytes());
     let mut text = String::new();
     let mut made = 0;
-    while made < completion.max_tokens {
+    let length = answer_tokens(completion);
+    while made < length {
         if lock(state).cancelled.contains(&completion.request_id) {
             return;
         }
-        let step = lock(state)
-            .config
-            .event_tokens
-            .max(1)
-            .min(completion.max_tokens - made);
+        let step = lock(state).config.event_tokens.max(1).min(length - made);
         pause(state, |config| config.token_us * step).await;
         let part: String = (made..made + step)
             .map(|index| token_text(&seed, index))
@@ -248,6 +249,16 @@
     chunks.send(b"data: [DONE]\n\n".to_vec()).await;
 }
 
+/// Tokens that the model generates before it stops.
+fn answer_tokens(completion: &Completion) -> u64 {
+    let prompt = completion.prompt.trim_end();
+    let asked = prompt.rfind(STOP_MARK);
+    let asked = asked.and_then(|at| prompt[at + STOP_MARK.len()..].parse().ok());
+    asked.map_or(completion.max_tokens, |asked: u64| {
+        asked.min(completion.max_tokens)
+    })
+}
+
 async fn pause(state: &Mutex<State>, length: impl Fn(&Config) -> u64) {
     let config = lock(state).config;
     let length_us = length(&config) * config.slow_percent / 100;
--- a/crates/standins/src/host.rs
+++ b/crates/standins/src/host.rs
@@ -27,9 +27,15 @@
     pub fn state(&self) -> MutexGuard<'_, S> {
         lock(&self.state)
     }
+
+    /// The state, for a task that changes it while the stand-in runs.
+    pub fn share(&self) -> Arc<Mutex<S>> {
+        self.state.clone()
+    }
 }
 
-pub(crate) fn lock<S>(state: &Mutex<S>) -> MutexGuard<'_, S> {
+/// Locks a stand-in's state.
+pub fn lock<S>(state: &Mutex<S>) -> MutexGuard<'_, S> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,4 +9,4 @@
 pub mod platform;
 pub mod service;
 
-pub use host::Handle;
+pub use host::{Handle, lock};
