--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -10,13 +10,15 @@
 use crate::variant::Variant;
 use crate::workload::{Conditions, Shape, Workload};
 
-/// Median and spread over the seeds.
+/// Median, mean and spread over the seeds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Spread {
     /// Smallest value.
     pub min: f64,
     /// Median.
     pub median: f64,
+    /// Mean.
+    pub mean: f64,
     /// Largest value.
     pub max: f64,
 }
@@ -29,6 +31,7 @@
         Spread {
             min: at(0),
             median: at(values.len() / 2),
+            mean: values.iter().sum::<f64>() / values.len().max(1) as f64,
             max: at(values.len().saturating_sub(1)),
         }
     }
@@ -69,6 +72,11 @@
     measure("crest in time, top class", |s| s.full.crest_top, false),
     measure("crest in time, lower class", |s| s.full.crest_low, false),
     measure("crest in time, all", |s| s.full.crest_all, false),
+    measure(
+        "crest in time, top class, unslowed",
+        |s| s.unslowed.crest_top,
+        false,
+    ),
     measure("program p50 ms", |s| s.full.p50, true),
     measure("program p95 ms", |s| s.full.p95, true),
     measure("program p99 ms", |s| s.full.p99, true),
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -11,8 +11,8 @@
 /// The table as Markdown.
 pub fn table(rows: &[Row]) -> String {
     let mut text = String::from(
-        "| measure | policy | median | min … max | ratio to the better baseline |\n\
-         | --- | --- | --- | --- | --- |\n",
+        "| measure | policy | median | mean | min … max | ratio to the better baseline |\n\
+         | --- | --- | --- | --- | --- | --- |\n",
     );
     for row in rows {
         let ratio = row.ratio.map_or(String::new(), |ratio| {
@@ -23,14 +23,20 @@
                 number(ratio.max)
             )
         });
-        let Spread { min, median, max } = row.value;
+        let Spread {
+            min,
+            median,
+            mean,
+            max,
+        } = row.value;
         // Writing to a string cannot fail.
         let _ = writeln!(
             text,
-            "| {} | {} | {} | {} … {} | {ratio} |",
+            "| {} | {} | {} | {} | {} … {} | {ratio} |",
             row.measure,
             row.variant,
             number(median),
+            number(mean),
             number(min),
             number(max)
         );
