policy: count an endpoint's observed slowness in the expected completion

Cause: load reports show a slowed endpoint late, and calls already sent there hide how long new ones will take.

Change: `slowness = on`. The ratio of observed to usual token time moves up by half of a worse sample and down by a tenth of a better one, and decays to one with a half-life of 2 s, which is what probes a shunned endpoint.

The load tool runs the variants of the model on a thread each.

--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -136,8 +136,17 @@
             uniform,
         }
     };
-    let all = |variant: &Variant| seeds.iter().map(|seed| one(variant, *seed)).collect();
-    variants.iter().map(all).collect()
+    let all = |variant: &Variant| -> Vec<Sample> {
+        seeds.iter().map(|seed| one(variant, *seed)).collect()
+    };
+    std::thread::scope(|scope| {
+        let runs = variants.iter().map(|variant| scope.spawn(|| all(variant)));
+        // Collected first, so that the variants run side by side.
+        let runs: Vec<_> = runs.collect();
+        runs.into_iter()
+            .map(|run| run.join().unwrap_or_default())
+            .collect()
+    })
 }
 
 /// Samples of all policies over real processes, interleaved on the same arrivals: `[variant][seed]`.
--- a/crates/policy/src/knobs.rs
+++ b/crates/policy/src/knobs.rs
@@ -59,7 +59,7 @@
             order: Order::Attained,
             candidates: 24,
             affinity: true,
-            slowness: false,
+            slowness: true,
             head_start: Span::from_ms(30_000),
             attained_weight: Span::from_ms(1),
             age_weight: Rate(1.0),
