policy: compare four random endpoints besides those that hold a prefix

Cause: comparing all endpoints costs time that grows with their number, and all entries run to the same least loaded one at the same time.

Change: `candidates = 4` (was 24, which is all of them today).

--- a/crates/policy/src/knobs.rs
+++ b/crates/policy/src/knobs.rs
@@ -57,7 +57,7 @@
         Knobs {
             routing: Routing::Completion,
             order: Order::Attained,
-            candidates: 24,
+            candidates: 4,
             affinity: true,
             slowness: true,
             head_start: Span::from_ms(30_000),
