policy: a price for bytes over the link between regions

Cause: random candidates in the other region win by a small margin and take the whole prompt across.

Change: `link-price = 30ms` a kilobyte is added to the expected completion of an endpoint in another region.

--- a/crates/load/src/model.rs
+++ b/crates/load/src/model.rs
@@ -172,7 +172,11 @@
                 "records"
             })],
             slots: SLOTS,
-            link_cost: Span(2 * hop(region, *at).0),
+            link_cost: if region == *at {
+                Span(0)
+            } else {
+                Span(2 * HOP_FAR.0)
+            },
             model: number < engines,
         }));
         Entry {
--- a/crates/policy/src/knobs.rs
+++ b/crates/policy/src/knobs.rs
@@ -38,6 +38,8 @@
     pub affinity: bool,
     /// Whether an endpoint's observed slowness counts in the expected completion.
     pub slowness: bool,
+    /// Time that a kilobyte over the link between regions counts as in the expected completion.
+    pub link_price: Span,
     /// How much earlier a call counts as arrived for each step of its class's precedence.
     pub head_start: Span,
     /// Waiting time that makes up for one token of attained service; the rate of ageing.
@@ -60,6 +62,7 @@
             candidates: 4,
             affinity: true,
             slowness: true,
+            link_price: Span::from_ms(30),
             head_start: Span::from_ms(30_000),
             attained_weight: Span::from_ms(1),
             age_weight: Rate(1.0),
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -8,10 +8,11 @@
 use rand::Rng;
 use units::{Host, Program, Span, Target, Time, Tokens};
 
-use crate::fleet::{Endpoint, Fleet};
+use crate::fleet::{Endpoint, Fleet, Site};
 use crate::knobs::Routing;
 
 const CANDIDATES_MAX: usize = 24;
+const TOKEN_BYTES: u64 = 4;
 
 /// What a call needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -210,7 +211,16 @@
         let endpoint = &self.endpoints[index];
         let service = self.service(request, index, now);
         (endpoint.waiting(service) + service) * self.slowness(index, now)
-            + endpoint.site.link_cost.0 as f64
+            + self.crossing(request, &endpoint.site)
+    }
+
+    /// Cost of crossing to another region, in microseconds: the time, and a price for the bytes.
+    fn crossing(&self, request: &Request, site: &Site) -> f64 {
+        if site.link_cost == Span(0) {
+            return 0.0;
+        }
+        let kilobytes = (request.prompt.0 * TOKEN_BYTES) as f64 / 1e3;
+        site.link_cost.0 as f64 + kilobytes * self.knobs.link_price.0 as f64
     }
 }
 
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -257,6 +257,7 @@
     knobs.slowness = section
         .choice("slowness", &switch)?
         .unwrap_or(knobs.slowness);
+    knobs.link_price = section.get_or("link-price", SPAN, knobs.link_price)?;
     knobs.head_start = section.get_or("head-start", SPAN, knobs.head_start)?;
     knobs.attained_weight = section.get_or("attained-weight", SPAN, knobs.attained_weight)?;
     knobs.age_weight = section.get_or("age-weight", RATE, knobs.age_weight)?;
