policy, load: an idle fleet admits everything; demand as an option of the load tool

Cause: with `admission = 0.15` the model refused every program for ever: the expected time held the program's own work, whose start value was above the limit, and with nothing admitted nothing was learned.

Change: only the wait for work under way counts, so with nothing under way every program is admitted.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -37,6 +37,9 @@
     /// Shape of the deployment: meche or pindan
     #[bpaf(argument::<String>("NAME"), parse(shape), fallback(Shape::meche()))]
     shape: Shape,
+    /// Factor by which the shape's demand is scaled
+    #[bpaf(argument("FACTOR"), fallback(1.0))]
+    demand: f64,
     /// Number of seeds
     #[bpaf(argument("N"), fallback(5))]
     seeds: u64,
@@ -63,6 +66,10 @@
 }
 
 impl Experiment {
+    fn scaled_shape(&self) -> Shape {
+        self.shape.clone().with_demand(self.demand)
+    }
+
     fn seeds(&self) -> Vec<u64> {
         (self.first_seed..self.first_seed + self.seeds).collect()
     }
@@ -82,12 +89,12 @@
 fn main() -> Result<(), real::Error> {
     match command().run() {
         Command::Model { experiment } => {
-            let (shape, seeds) = (&experiment.shape, experiment.seeds());
+            let (shape, seeds) = (&experiment.scaled_shape(), experiment.seeds());
             let samples = compare::by_model(shape, &experiment.variants, &seeds);
             let rows = compare::rows(&experiment.variants, &samples);
             let title = format!(
-                "Model in virtual time, shape {}, seeds {seeds:?}",
-                shape.name
+                "Model in virtual time, shape {}, demand {}, seeds {seeds:?}",
+                shape.name, experiment.demand
             );
             experiment.show(&title, &rows)?;
         }
@@ -96,13 +103,16 @@
             full_only,
             experiment,
         } => {
-            let (shape, seeds) = (&experiment.shape, experiment.seeds());
+            let (shape, seeds) = (&experiment.scaled_shape(), experiment.seeds());
             let own = std::env::current_exe()?;
             let binary = binary.unwrap_or_else(|| own.with_file_name("balsamhold"));
             let variants = &experiment.variants;
             let samples = compare::by_processes(&binary, shape, variants, &seeds, full_only)?;
             let rows = compare::rows(variants, &samples);
-            let title = format!("Real processes, shape {}, seeds {seeds:?}", shape.name);
+            let title = format!(
+                "Real processes, shape {}, demand {}, seeds {seeds:?}",
+                shape.name, experiment.demand
+            );
             experiment.show(&title, &rows)?;
         }
     }
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// Scales the demand.
+    pub fn with_demand(mut self, factor: f64) -> Self {
+        self.utilisation *= factor;
+        self
+    }
+
     /// Engines in both regions.
     pub fn engines(&self) -> u32 {
         self.engines.iter().sum()
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -1,7 +1,7 @@
 //! Admission of new programs at the crest of a demand swing.
 //!
-//! A new program is refused when the work under way that goes before it would keep it past its
-//! deadline. Programs under way are never refused, and lower classes are refused first because the
+//! A new program is refused when it would wait for the work under way that goes before it for more
+//! than a share of its objective; with nothing under way it is always admitted. Programs under way are never refused, and lower classes are refused first because the
 //! work of higher ones goes before theirs.
 
 use std::collections::BTreeMap;
@@ -53,31 +53,31 @@
         class.work.add_limited(work.0 as f64, WORK_LIMIT);
     }
 
-    /// Expected time to completion of a new program; `slots` is this entry's part of the slots.
-    pub fn expected(&mut self, precedence: u32, slots: f64) -> Span {
-        let own = self.class(precedence).work.value();
+    /// Expected wait of a new program for the work under way that goes before it; `slots` is this
+    /// entry's part of the slots.
+    pub fn expected(&self, precedence: u32, slots: f64) -> Span {
         let ahead: f64 = self
             .classes
             .range(precedence..)
             // Programs under way have done half of their work on average.
             .map(|(_, class)| f64::from(class.live) * class.work.value() / 2.0)
             .sum();
-        Span((ahead / slots.max(1.0) + own) as u64)
+        Span((ahead / slots.max(1.0)) as u64)
     }
 
     /// Admits a new program, or tells after how long its caller should try again (full jitter).
     ///
     /// # Errors
-    /// The delay, if the program would not be done within `share` of `deadline`.
+    /// The delay, if the program would wait for more than `share` of `objective`.
     pub fn admit(
         &mut self,
         precedence: u32,
         slots: f64,
-        deadline: Span,
+        objective: Span,
         share: Rate,
         rng: &mut impl Rng,
     ) -> Result<(), Span> {
-        let limit = deadline.0 as f64 * share.0;
+        let limit = objective.0 as f64 * share.0;
         let expected = self.expected(precedence, slots).0 as f64;
         if share.0 == 0.0 || expected <= limit {
             return Ok(());
