--- /dev/null
+++ b/crates/admin/src/status.rs
@@ -0,0 +1,81 @@
+//! What an entry shows of its environment: hosts, versions in force, endpoints.
+
+use board::{Endpoint, Member, View};
+use platform::api::HostRole;
+use serde_json::{Value, json};
+use telemetry::Metrics;
+use units::{Host, Span, Time};
+
+const SLOW_RATIO: u64 = 2;
+
+/// The status of the environment as the entry on host `own` sees it at `now`.
+pub(crate) fn render(view: &View, name: &str, own: &Host, now: Time) -> Value {
+    let environment = view.environment.as_ref();
+    let since = environment.map(|environment| now.since(environment.since).as_ms());
+    let endpoints = endpoints(view);
+    let entries = view.entries.iter().map(|peer| peer.host.to_string());
+    let mut hosts = vec![json!({
+        "host": own, "role": HostRole::Entry, "listed": true, "connected": true,
+        "leaving": view.leaving, "version": view.replica.version(), "age_ms": 0,
+    })];
+    hosts.extend(view.members.iter().map(|host| member(host, now)));
+    json!({
+        "environment": name, "host": own,
+        "version": environment.map(|environment| environment.version),
+        "in_force_ms": since,
+        "heard_ms": view.replica.heard().map(|heard| now.since(heard).as_ms()),
+        "leaving": view.leaving, "hosts": hosts, "endpoints": endpoints,
+        "entries": entries.collect::<Vec<_>>(),
+    })
+}
+
+/// Sets the metrics that show the state of the board.
+pub(crate) fn measure(view: &View, metrics: &Metrics, now: Time) {
+    let version = view.replica.version();
+    let heard = view
+        .replica
+        .heard()
+        .map_or(Span(0), |heard| now.since(heard));
+    let live = view.members.iter().filter(|host| !host.leaving);
+    let unreachable = live.clone().filter(|host| !host.connected).count();
+    let behind = live.filter(|host| host.version < version).count();
+    metrics.set("document-version", version.0 as i64);
+    metrics.set("document-heard-milliseconds", heard.as_ms() as i64);
+    metrics.set("endpoints-count", view.endpoints.len() as i64);
+    metrics.set("hosts-unreachable-count", unreachable as i64);
+    metrics.set("hosts-behind-count", behind as i64);
+}
+
+fn member(member: &Member, now: Time) -> Value {
+    json!({
+        "host": member.host, "role": member.role, "listed": member.listed,
+        "connected": member.connected, "leaving": member.leaving, "version": member.version,
+        "age_ms": member.reported.map(|at| now.since(at).as_ms()),
+    })
+}
+
+/// The endpoints that may be given new work, each with the reason why it counts as slow, if it does.
+pub(crate) fn endpoints(view: &View) -> Vec<Value> {
+    let one = |endpoint: &Endpoint| {
+        json!({
+            "name": endpoint.name, "host": endpoint.host, "zone": endpoint.zone,
+            "running": endpoint.load.running, "queued": endpoint.load.queued,
+            "slots": endpoint.slots, "token_us": endpoint.load.token_time.0,
+            "slow": slow(endpoint, &view.endpoints),
+        })
+    };
+    view.endpoints.iter().map(one).collect()
+}
+
+/// Why an endpoint counts as slow among those that serve the same.
+fn slow(endpoint: &Endpoint, all: &[Endpoint]) -> Option<String> {
+    let own = endpoint.load.token_time;
+    let alike = all.iter().filter(|other| other.serves == endpoint.serves);
+    let mut times: Vec<Span> = alike
+        .map(|other| other.load.token_time)
+        .filter(|time| *time > Span(0))
+        .collect();
+    times.sort_unstable();
+    let median = *times.get(times.len().checked_sub(1)? / 2)?;
+    (own.0 >= SLOW_RATIO * median.0).then(|| format!("{own} a token, median of its kind {median}"))
+}
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -13,7 +13,7 @@
 use crate::answers;
 use crate::api::Request;
 use crate::dispatch::{self, Dispatched};
-use crate::hedge::{self, Ended, Hedged};
+use crate::hedge::{self, Hedged};
 use crate::live::{Ending, Live};
 use crate::refusal::{Refusal, Result};
 use crate::reply::Reply;
@@ -71,6 +71,7 @@
             live.program.borrow_mut().begin(&request);
             let answer = live.begin(seq);
             let trace = Trace::below(&from.trace);
+            live.trace.set(Some(trace));
             let run = Run {
                 live: live.clone(),
                 request,
@@ -106,11 +107,13 @@
         start,
         traffic.shared.clock.now(),
     );
+    conclude(&run, result);
+}
+
+/// Ends the answer of a call with its result.
+pub(crate) fn conclude(run: &Run, result: Result<Turn>) {
     let ending = match result {
-        Ok(turn) => match traffic.writer() {
-            Ok(writer) => Ending::Turn(Rc::new(turn), run.live.token(writer)),
-            Err(refusal) => Ending::Refused(refusal),
-        },
+        Ok(turn) => Ending::Turn(Rc::new(turn), run.live.token()),
         Err(refusal) => {
             run.live.program.borrow_mut().release(run.request.seq);
             Ending::Refused(refusal)
@@ -131,7 +134,9 @@
         seq: run.request.seq,
     };
     let created = traffic.child(&run.live, parent, budget)?;
-    let child = Live::new(traffic.next_id()?, program::Program::new(created.clone()));
+    let log = run.live.log.clone();
+    let child = program::Program::new(created.clone());
+    let child = Live::new(traffic.next_id(&log), child, log.clone());
     let turn = Turn {
         call: Call::from(&run.request),
         answer: Answer::Child(child.id, budget),
@@ -144,7 +149,7 @@
         run.live.record(event.clone()),
         child.record(Event::Created(created)),
     ];
-    traffic.append_records(records).await?;
+    traffic.append_records(&log, records).await?;
     run.live.program.borrow_mut().apply(&event);
     traffic.adopt(child);
     Ok(turn)
@@ -180,7 +185,6 @@
         },
     };
     let (input, worst) = prepare(run, &work);
-    let mut lost = Tokens(0);
     let mut refused = Refused {
         ran: Ran::No,
         reason: Reason::Unreachable,
@@ -188,10 +192,12 @@
     let request = routing::request(run, &target, service.is_none());
     let hedges = environment.document.policy.knobs.hedge_budget.0 > 0.0;
     let mut failed = None;
-    for attempt in 0..ATTEMPTS_MAX {
+    // One attempt that may have run makes it uncertain whether the call ran.
+    let mut ran = Ran::No;
+    for _ in 0..ATTEMPTS_MAX {
         reserve(traffic, run, worst).await?;
         let version = environment.version;
-        let chosen = routing::choose(traffic, &request, failed.as_ref(), attempt, version)?;
+        let chosen = routing::choose(traffic, run, &request, failed.as_ref(), version)?;
         let route = chosen.route.clone();
         let order = dispatch::make(traffic, run, &target, &work, &route, &input, &request);
         failed = Some(chosen.ticket.host.clone());
@@ -203,7 +209,7 @@
             });
             traffic.append(&run.live, vec![intent]).await?;
         }
-        let ended = if work.idempotent() && hedges {
+        let (route, dispatched) = if work.idempotent() && hedges {
             let call = Hedged {
                 target: &target,
                 work: &work,
@@ -215,29 +221,23 @@
             hedge::send(traffic, run, &call, chosen, order).await
         } else {
             let dispatched = dispatch::send(traffic, run, &route, chosen.ticket, order).await;
-            Ended {
-                route,
-                dispatched,
-                lost: Tokens(0),
-            }
+            (route, dispatched)
         };
-        let route = ended.route;
-        lost = lost.plus(ended.lost);
-        match ended.dispatched {
-            Dispatched::Done(done) => return finish(traffic, run, &work, route, &done, lost).await,
+        match dispatched {
+            Dispatched::Done(done) => return finish(traffic, run, &work, route, &done).await,
             Dispatched::Refused(why) if work.idempotent() => {
-                // Nobody knows what a broken dispatch used: it counts in full.
-                lost = if why.ran == Ran::No {
-                    lost
+                let mut program = run.live.program.borrow_mut();
+                if why.ran == Ran::No {
+                    program.unreserve(worst);
                 } else {
-                    lost.plus(worst)
-                };
+                    program.lose(worst);
+                    ran = Ran::Unknown;
+                }
                 refused = why;
             }
             Dispatched::Refused(why) if why.ran == Ran::No => {
-                traffic
-                    .append(&run.live, vec![Event::Withdrawn(run.request.seq)])
-                    .await?;
+                withdraw(traffic, run).await?;
+                run.live.program.borrow_mut().unreserve(worst);
                 refused = why;
             }
             Dispatched::Refused(_) => return give_up(traffic, run, route).await,
@@ -246,7 +246,13 @@
             run.answer.restart();
         }
     }
-    Err(Refusal::Endpoint(refused.ran, refused.reason))
+    Err(Refusal::Endpoint(ran, refused.reason))
+}
+
+/// Records that the announced dispatch was proved not to have run and never to run.
+pub(crate) async fn withdraw(traffic: &Traffic, run: &Run) -> Result<()> {
+    let withdrawn = Event::Withdrawn(run.request.seq);
+    traffic.append(&run.live, vec![withdrawn]).await
 }
 
 /// The input of the endpoint and the most tokens that the call can use.
@@ -264,20 +270,19 @@
 }
 
 /// Records a whole answer and lets the sidecar free it.
-async fn finish(
+pub(crate) async fn finish(
     traffic: &Traffic,
     run: &Run,
     work: &Work,
     route: Route,
     done: &Done,
-    lost: Tokens,
 ) -> Result<Turn> {
     let context = match work {
         Work::Model { .. } => done.usage.total(),
         Work::Service { .. } => Tokens(0),
     };
     let usage = Usage {
-        tokens: done.usage.total().plus(lost),
+        tokens: done.usage.total(),
         context,
         cached: done.usage.cached,
     };
@@ -305,7 +310,7 @@
 }
 
 /// Records that nobody can tell whether a non-idempotent call ran.
-async fn give_up(traffic: &Traffic, run: &Run, route: Route) -> Result<Turn> {
+pub(crate) async fn give_up(traffic: &Traffic, run: &Run, route: Route) -> Result<Turn> {
     traffic.shared.metrics.count("indeterminate");
     record(
         traffic,
@@ -324,9 +329,10 @@
     run: &Run,
     route: Option<Route>,
     answer: Answer,
-    usage: Usage,
+    mut usage: Usage,
 ) -> Result<Turn> {
     let call = Call::from(&run.request);
+    usage.tokens = usage.tokens.plus(run.live.program.borrow().lost());
     let turn = Turn {
         call,
         answer,
@@ -334,8 +340,10 @@
         route,
         at: traffic.shared.clock.now(),
     };
-    traffic
+    let appended = traffic
         .append(&run.live, vec![Event::Turn(turn.clone())])
-        .await?;
+        .await;
+    // It has been dispatched: it must not be said that it did not run.
+    appended.map_err(|_| Refusal::Unrecorded)?;
     Ok(turn)
 }
--- a/crates/entry/src/hedge.rs
+++ b/crates/entry/src/hedge.rs
@@ -8,7 +8,7 @@
 use policy::Ticket;
 use smol::future::FutureExt;
 use units::{Span, Target, Tokens, Version};
-use wire::{Answer, Dispatch, Frame, Work};
+use wire::{Answer, Dispatch, Frame, Ran, Refused, Work};
 
 use crate::calls::{Run, reserve};
 use crate::dispatch::{self, Dispatched};
@@ -16,7 +16,6 @@
 use crate::traffic::Traffic;
 
 const CHECK_INTERVAL: Span = Span::from_ms(20);
-const HEDGE_ATTEMPT: u32 = 1 << 16;
 
 /// A call that may be dispatched twice.
 pub(crate) struct Hedged<'a> {
@@ -28,46 +27,43 @@
     pub(crate) version: Version,
 }
 
-/// How a call ended that may have been dispatched twice.
-pub(crate) struct Ended {
-    pub(crate) route: Route,
-    pub(crate) dispatched: Dispatched,
-    /// Tokens that the dispatch which lost may have used.
-    pub(crate) lost: Tokens,
-}
-
 enum Winner {
     First(Dispatched),
     Second(Dispatched),
 }
 
-/// Sends a dispatch and, when it is late and the budget allows, a second one to another endpoint.
+/// Sends a dispatch and, when it is late and the budget allows, a second one to another endpoint; the
+/// route of the one that counts, and how it ended.
 pub(crate) async fn send(
     traffic: &Traffic,
     run: &Run,
     call: &Hedged<'_>,
     chosen: Chosen,
     order: Dispatch,
-) -> Ended {
+) -> (Route, Dispatched) {
     let Chosen { route, ticket } = chosen;
     let first_call = order.call;
-    let mut first = pin!(dispatch::send(traffic, run, &route, ticket.clone(), order));
-    let alone = async { Err((&mut first).await) };
-    let late = async { Ok(wait_until_late(traffic, run, call, &ticket).await) };
-    let second = match alone.or(late).await {
-        Ok(second) => second,
-        Err(dispatched) => return ended(route.clone(), dispatched, Tokens(0)),
+    let first_order = dispatch::send(traffic, run, &route, ticket.clone(), order);
+    let mut first = pin!(first_order);
+    let alone = async { Some((&mut first).await) };
+    let late = async {
+        wait_until_late(traffic, run, call, &ticket).await;
+        None
     };
-    if reserve(traffic, run, call.worst).await.is_err() {
-        let dispatched = first.await;
-        return ended(route.clone(), dispatched, Tokens(0));
+    if let Some(dispatched) = alone.or(late).await {
+        return (route.clone(), dispatched);
     }
-    traffic.shared.metrics.count("hedged");
-    let copy = shadow(run);
-    let Chosen {
+    let second = second(traffic, run, call, &ticket).await;
+    let Some(Chosen {
         route: other,
         ticket,
-    } = second;
+    }) = second
+    else {
+        let dispatched = first.await;
+        return (route.clone(), dispatched);
+    };
+    traffic.shared.metrics.count("hedged");
+    let copy = shadow(run);
     let order = make(traffic, &copy, call, &other);
     let second_call = order.call;
     let mut second = pin!(dispatch::send(traffic, &copy, &other, ticket, order));
@@ -76,59 +72,82 @@
     match winner.await {
         Winner::First(dispatched @ Dispatched::Done(_)) => {
             cancel(traffic, &other, second_call);
-            ended(route.clone(), dispatched, call.worst)
+            run.live.program.borrow_mut().lose(call.worst);
+            (route.clone(), dispatched)
         }
         Winner::Second(dispatched @ Dispatched::Done(_)) => {
             cancel(traffic, &route, first_call);
+            run.live.program.borrow_mut().lose(call.worst);
             take_over(run, &copy);
-            ended(other.clone(), dispatched, call.worst)
+            (other.clone(), dispatched)
         }
-        Winner::First(Dispatched::Refused(_)) => {
+        Winner::First(Dispatched::Refused(why)) => {
             let dispatched = second.await;
             take_over(run, &copy);
-            ended(other.clone(), dispatched, call.worst)
+            (other.clone(), settle(run, call, &why, dispatched))
         }
-        Winner::Second(Dispatched::Refused(_)) => {
+        Winner::Second(Dispatched::Refused(why)) => {
             let dispatched = first.await;
-            ended(route.clone(), dispatched, call.worst)
+            (route.clone(), settle(run, call, &why, dispatched))
         }
     }
 }
 
-fn ended(route: Route, dispatched: Dispatched, lost: Tokens) -> Ended {
-    Ended {
-        route,
-        dispatched,
-        lost,
+/// Accounts for the dispatch that was refused first. If both are refused, one that may have run makes
+/// it uncertain whether the call ran.
+fn settle(run: &Run, call: &Hedged<'_>, why: &Refused, other: Dispatched) -> Dispatched {
+    let mut program = run.live.program.borrow_mut();
+    if why.ran == Ran::No {
+        program.unreserve(call.worst);
+        return other;
+    }
+    program.lose(call.worst);
+    match other {
+        Dispatched::Refused(last) => Dispatched::Refused(Refused {
+            ran: Ran::Unknown,
+            reason: last.reason,
+        }),
+        done @ Dispatched::Done(_) => done,
     }
 }
 
-/// Returns once a second dispatch is worth its work, with its endpoint.
-async fn wait_until_late(
-    traffic: &Traffic,
-    run: &Run,
-    call: &Hedged<'_>,
-    ticket: &Ticket,
-) -> Chosen {
+/// Returns once a second dispatch is worth its work.
+async fn wait_until_late(traffic: &Traffic, run: &Run, call: &Hedged<'_>, ticket: &Ticket) {
     loop {
         smol::Timer::after(CHECK_INTERVAL.into()).await;
-        let host = Some(&ticket.host);
-        let Ok(other) = routing::choose(traffic, call.request, host, HEDGE_ATTEMPT, call.version)
-        else {
-            continue;
-        };
         let now = traffic.shared.clock.now();
         let stream = run.stream.get();
-        let fleet = traffic.routing.fleet.borrow();
-        let is_worth = other.ticket.host != ticket.host
-            && fleet.worth_hedging(call.request, ticket, &stream, &other.ticket, now);
+        let mut rng = traffic.routing.rng.borrow_mut();
+        let mut fleet = traffic.routing.fleet.borrow_mut();
+        let other = fleet.route(call.request, Some(&ticket.host), now, &mut *rng);
+        let Some(other) = other else {
+            continue;
+        };
         let mut budget = traffic.routing.budget.borrow_mut();
-        if is_worth && budget.take(other.ticket.service) {
-            return other;
+        if fleet.worth_hedging(call.request, ticket, &stream, &other, now)
+            && budget.take(other.service)
+        {
+            return;
         }
     }
 }
 
+/// Chooses the endpoint of the second dispatch and reserves its tokens.
+async fn second(
+    traffic: &Traffic,
+    run: &Run,
+    call: &Hedged<'_>,
+    ticket: &Ticket,
+) -> Option<Chosen> {
+    let host = Some(&ticket.host);
+    let other = routing::choose(traffic, run, call.request, host, call.version).ok()?;
+    if other.ticket.host == ticket.host {
+        return None;
+    }
+    reserve(traffic, run, call.worst).await.ok()?;
+    Some(other)
+}
+
 /// A copy of the call with an answer of its own.
 fn shadow(run: &Run) -> Run {
     Run {
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -21,6 +21,8 @@
     Unauthorized,
     /// The account may not use the class.
     Class,
+    /// The account has as many programs under way as it may.
+    Quota(u64),
     /// There is no such program of this account.
     UnknownProgram,
     /// There is no such call.
@@ -37,6 +39,9 @@
     Unready,
     /// The program's owner or a part of its history cannot be reached now.
     Unavailable,
+    /// The call was dispatched but its answer could not be recorded here; a repeat of it is answered
+    /// by the program's owner.
+    Unrecorded,
     /// No endpoint serves the target now.
     NoEndpoint,
     /// A new program would not be done in time; a repeat makes sense after this delay.
@@ -55,6 +60,7 @@
             Refusal::TooLarge(_) => 413,
             Refusal::Unauthorized => 401,
             Refusal::Class => 403,
+            Refusal::Quota(_) => 429,
             Refusal::UnknownProgram | Refusal::UnknownCall | Refusal::UnknownPath => 404,
             Refusal::UnknownTarget(_) => 422,
             Refusal::Token => 400,
@@ -67,6 +73,7 @@
             },
             Refusal::Unready
             | Refusal::Unavailable
+            | Refusal::Unrecorded
             | Refusal::NoEndpoint
             | Refusal::Overloaded(_) => 503,
             Refusal::Endpoint(..) | Refusal::Indeterminate => 502,
@@ -80,6 +87,7 @@
             Refusal::TooLarge(_) => "too-large",
             Refusal::Unauthorized => "unauthorized",
             Refusal::Class => "class-not-allowed",
+            Refusal::Quota(_) => "quota",
             Refusal::UnknownProgram => "unknown-program",
             Refusal::UnknownCall => "unknown-call",
             Refusal::UnknownPath => "unknown-path",
@@ -96,6 +104,7 @@
             },
             Refusal::Unready => "unready",
             Refusal::Unavailable => "history-unavailable",
+            Refusal::Unrecorded => "unrecorded",
             Refusal::NoEndpoint => "no-endpoint",
             Refusal::Overloaded(_) => "overloaded",
             Refusal::Endpoint(..) => "endpoint",
@@ -107,7 +116,7 @@
     pub(crate) fn ran(&self) -> Ran {
         match self {
             Refusal::Endpoint(ran, _) => *ran,
-            Refusal::Indeterminate => Ran::Unknown,
+            Refusal::Indeterminate | Refusal::Unrecorded => Ran::Unknown,
             _ => Ran::No,
         }
     }
@@ -147,6 +156,12 @@
             Refusal::TooLarge(limit) => write!(f, "the body is longer than {limit} bytes"),
             Refusal::Unauthorized => f.write_str("the token is missing or unknown"),
             Refusal::Class => f.write_str("the account may not use this class"),
+            Refusal::Quota(limit) => {
+                write!(
+                    f,
+                    "the account has {limit} programs under way, as many as it may"
+                )
+            }
             Refusal::UnknownProgram => f.write_str("there is no such program"),
             Refusal::UnknownCall => f.write_str("there is no such call"),
             Refusal::UnknownPath => f.write_str("there is no such path"),
@@ -155,6 +170,7 @@
             Refusal::Admission(admission) => admission.fmt(f),
             Refusal::Unready => f.write_str("this entry accepts no work now"),
             Refusal::Unavailable => f.write_str("the program's history is not yet available"),
+            Refusal::Unrecorded => f.write_str("the call's answer could not be recorded here"),
             Refusal::NoEndpoint => f.write_str("no endpoint serves the target now"),
             Refusal::Overloaded(_) => {
                 f.write_str("a new program would not be done in time under this load")
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -65,9 +65,9 @@
 /// Chooses an endpoint for the call, other than `except`.
 pub(crate) fn choose(
     traffic: &Traffic,
+    run: &Run,
     request: &policy::Request,
     except: Option<&Host>,
-    attempt: u32,
     document: Version,
 ) -> Result<Chosen> {
     sync(traffic);
@@ -91,7 +91,7 @@
         entry: traffic.shared.identity.host.clone(),
         endpoint: endpoint.name.clone(),
         sidecar: endpoint.incarnation,
-        attempt,
+        attempt: run.live.program.borrow_mut().next_attempt(),
         document,
         why: ticket.why.to_string(),
         at: now,
@@ -114,6 +114,24 @@
     admitted.map_err(Refusal::Overloaded)
 }
 
+/// Counts a program as under way.
+pub(crate) fn begin(traffic: &Traffic, live: &Live) {
+    let program = live.program.borrow();
+    if program.ended().is_none() {
+        let precedence = precedence(traffic, &program.created().class);
+        traffic.routing.gate.borrow_mut().begin(precedence);
+    }
+}
+
+/// Forgets a program that this entry no longer owns.
+pub(crate) fn give_up(traffic: &Traffic, live: &Live) {
+    if live.program.borrow().ended().is_none() {
+        traffic.routing.fleet.borrow_mut().forget(live.id);
+        let precedence = precedence(traffic, &live.program.borrow().created().class);
+        traffic.routing.gate.borrow_mut().abandon(precedence);
+    }
+}
+
 /// Forgets a program that has ended.
 pub(crate) fn forget(traffic: &Traffic, live: &Live) {
     let work = traffic.routing.fleet.borrow_mut().forget(live.id);
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -8,21 +8,24 @@
 use admin::{Ask, Question};
 use async_channel::{Receiver, Sender};
 use board::{Environment, Observation};
-use log::{Budget, Cause, Created, Event, Parent, Record, Token};
+use log::{Budget, Cause, Created, Event, Handle, Parent, Record, Token};
 use serde_json::{Value, json};
 use slog::{error, info};
 use smol::LocalExecutor;
+use smol::future::FutureExt;
 use units::{Account, Class, Host, Incarnation, Program, Span};
-use wire::{Error, Frame, Identity, Key, Link, Stream};
+use wire::{Error, Frame, Identity, Key, Link, Load, Stream};
 
 use crate::control::listen;
 use crate::live::Live;
+use crate::owner::Logs;
+use crate::quota::{self, Quota};
 use crate::refusal::{Refusal, Result};
 use crate::routing::{self, Routing};
-use crate::{Shared, account, api, forward, links};
+use crate::{Shared, account, api, documents, drain, forward, links, takeover};
 
 const SWEEP_INTERVAL: Span = Span::from_ms(500);
-const DRAIN_POLL: Span = Span::from_ms(20);
+const LEAVING_POLL: Span = Span::from_ms(200);
 
 /// What the traffic thread is started with.
 pub(crate) struct Inputs {
@@ -43,17 +46,16 @@
     pub(crate) routing: Routing,
     programs: RefCell<HashMap<Program, Rc<Live>>>,
     created: Cell<u64>,
+    /// Held by each request until its answer has been sent.
+    pub(crate) requests: Arc<()>,
+    pub(crate) leaving: Cell<bool>,
+    /// Whether programs wait for their handover: nothing new begins in them.
+    pub(crate) handing_over: Cell<bool>,
+    pub(crate) logs: Logs,
+    pub(crate) quota: Quota,
     observations: Sender<Observation>,
 }
 
-/// Who owns a program.
-pub(crate) enum Owner {
-    /// This entry.
-    Here(Rc<Live>),
-    /// The entry behind this connection.
-    There(Link),
-}
-
 /// Runs the traffic thread until the process is told to stop and all calls have ended.
 pub(crate) fn run(shared: Shared, inputs: Inputs) {
     let executor = Rc::new(LocalExecutor::new());
@@ -65,6 +67,11 @@
         routing: Routing::new(),
         programs: RefCell::default(),
         created: Cell::new(0),
+        requests: Arc::new(()),
+        leaving: Cell::new(false),
+        handing_over: Cell::new(false),
+        logs: Logs::default(),
+        quota: Quota::default(),
         observations: inputs.observations,
         shared,
     });
@@ -94,22 +101,15 @@
     spawn(Box::pin(serve_callers(traffic.clone(), callers)));
     spawn(Box::pin(serve_peers(traffic.clone(), peers)));
     spawn(Box::pin(links::keep(traffic.clone(), executor.clone())));
+    spawn(Box::pin(documents::keep(traffic.clone(), executor.clone())));
+    spawn(Box::pin(quota::keep(traffic.clone())));
     spawn(Box::pin(sweep(traffic.clone())));
+    spawn(Box::pin(takeover::watch(traffic.clone())));
     spawn(Box::pin(answer_asks(traffic.clone(), asked)));
     info!(traffic.shared.logger, "ready"; "callers" => %traffic.shared.settings.callers);
     // Nothing is ever sent: the channel closes when the process is told to stop.
     let _ = drained.recv().await;
-    info!(traffic.shared.logger, "draining");
-    traffic.observe(Observation::Leaving).await;
-    while traffic
-        .programs
-        .borrow()
-        .values()
-        .any(|live| live.program.borrow().is_running())
-    {
-        smol::Timer::after(DRAIN_POLL.into()).await;
-    }
-    info!(traffic.shared.logger, "stopped");
+    drain::run(&traffic).await;
 }
 
 async fn serve_callers(traffic: Rc<Traffic>, listener: std::net::TcpListener) {
@@ -135,7 +135,9 @@
     let served = match listen(listener) {
         Ok(listener) => {
             let (executor, key) = (traffic.executor.clone(), traffic.key.clone());
-            wire::serve(executor, listener, key, own, handler).await
+            let metrics = traffic.shared.metrics.clone();
+            let refused = move |error: &Error| metrics.count(error.label());
+            wire::serve(executor, listener, key, own, handler, refused).await
         }
         Err(why) => Err(why),
     };
@@ -148,12 +150,24 @@
 async fn exchange(traffic: Rc<Traffic>, _peer: Rc<Identity>, mut stream: Stream) {
     let served = async {
         match stream.expect().await? {
-            Frame::Forward(forward) => forward::receive(&traffic, forward, &mut stream).await,
-            Frame::Watch => {
-                // An entry has no load to report; the open stream shows that it lives.
-                std::future::pending::<()>().await;
-                Ok(())
+            Frame::Forward(forward) => {
+                let _held = traffic.requests.clone();
+                forward::receive(&traffic, forward, &mut stream).await
+            }
+            Frame::Ask(question) => account::answer(&traffic, question, &mut stream).await,
+            Frame::Drain => {
+                traffic.observe(Observation::Leaving).await;
+                acknowledge(&mut stream).await
+            }
+            Frame::InForce(version) => documents::answer(&traffic, version, &mut stream).await,
+            Frame::Document { version, text } => {
+                documents::receive(&traffic, version, text, &mut stream).await
             }
+            Frame::Adopt(writer) => {
+                traffic.take_over(writer).await;
+                acknowledge(&mut stream).await
+            }
+            Frame::Watch => watched(&traffic, &mut stream).await,
             other => Err(Error::Unexpected(other.kind())),
         }
     };
@@ -162,9 +176,39 @@
     }
 }
 
+async fn acknowledge(stream: &mut Stream) -> wire::Result<()> {
+    stream.send(&Frame::Ack).await?;
+    stream.finish()
+}
+
+/// Reports to a peer that this entry is leaving, once it is; it has no other load to report. The open
+/// stream shows that it lives.
+async fn watched(traffic: &Traffic, stream: &mut Stream) -> wire::Result<()> {
+    let leaving = async {
+        while !traffic.is_leaving() {
+            smol::Timer::after(LEAVING_POLL.into()).await;
+        }
+        true
+    };
+    let gone = async {
+        stream.gone().await;
+        false
+    };
+    if leaving.or(gone).await {
+        let load = Load {
+            leaving: true,
+            ..Load::default()
+        };
+        stream.send(&Frame::Load(load)).await?;
+        stream.gone().await;
+    }
+    Ok(())
+}
+
 async fn sweep(traffic: Rc<Traffic>) {
     loop {
         smol::Timer::after(SWEEP_INTERVAL.into()).await;
+        traffic.drop_fenced();
         let Ok(environment) = traffic.environment() else {
             continue;
         };
@@ -184,24 +228,23 @@
 
 async fn answer_asks(traffic: Rc<Traffic>, asked: Receiver<Ask>) {
     while let Ok(ask) = asked.recv().await {
-        let answer = traffic.ask(ask.question).await;
-        // An operator who has gone away needs no answer.
-        let _ = ask.reply.send(answer).await;
+        let asked = traffic.clone();
+        let answer = async move {
+            let answer = asked.ask(ask.question).await;
+            // An operator who has gone away needs no answer.
+            let _ = ask.reply.send(answer).await;
+        };
+        traffic.executor.spawn(answer).detach();
     }
 }
 
 impl Traffic {
     async fn ask(&self, question: Question) -> Option<Value> {
         match question {
-            Question::Programs => {
-                let programs = self.programs.borrow();
-                let summaries: Vec<Value> = programs
-                    .values()
-                    .map(|live| account::summary(live))
-                    .collect();
-                Some(json!({"programs": summaries}))
-            }
-            Question::Explain(id) => Some(account::explain(&*self.local(id)?)),
+            Question::Programs => Some(account::programs(self)),
+            Question::Accounts => Some(account::accounts(self)),
+            Question::Drain(host) => account::drain(self, &host).await,
+            Question::Explain(id) => account::explain(self, id).await,
             Question::End(id) => {
                 let live = self.local(id)?;
                 let ended = self.end(&live, Cause::Operator).await.is_ok();
@@ -231,27 +274,31 @@
         self.shared.log_handle.load_full().ok_or(Refusal::Unready)
     }
 
-    /// The writer of the open log.
-    pub(crate) fn writer(&self) -> Result<Incarnation> {
-        Ok(self.log()?.writer())
-    }
-
     /// Appends records of `live` and applies them once they are durable.
+    ///
+    /// They go to the log that holds the program and to no other: if that one was sealed, another
+    /// entry owns the program.
     pub(crate) async fn append(&self, live: &Live, events: Vec<Event>) -> Result<()> {
         let records = events
             .iter()
             .map(|event| live.record(event.clone()))
             .collect();
-        self.append_records(records).await?;
+        let start = self.shared.clock.now();
+        self.append_records(&live.log, records).await?;
+        if let Some(call) = live.trace.get() {
+            let end = self.shared.clock.now();
+            let append = call.child();
+            append.finish(&self.shared.logger, "append", start, end);
+        }
         let mut program = live.program.borrow_mut();
         events.iter().for_each(|event| program.apply(event));
         Ok(())
     }
 
     /// Appends records and returns once they are durable.
-    pub(crate) async fn append_records(&self, records: Vec<Record>) -> Result<()> {
+    pub(crate) async fn append_records(&self, log: &Handle, records: Vec<Record>) -> Result<()> {
         let start = self.shared.clock.now();
-        let result = self.log()?.append(records).await;
+        let result = log.append(records).await;
         let length = self.shared.clock.now().since(start);
         self.shared.metrics.time("append", length.as_secs_f64());
         result.map(drop).map_err(|_| Refusal::Unavailable)
@@ -262,6 +309,15 @@
         token.seal(self.shared.settings.process.key.bytes())
     }
 
+    /// The open connection to a process.
+    pub(crate) fn link_to(&self, process: Incarnation) -> Option<Link> {
+        self.links
+            .borrow()
+            .values()
+            .find(|link| link.peer().incarnation == process && !link.is_closed())
+            .cloned()
+    }
+
     /// The open connection to a host.
     pub(crate) fn link(&self, host: &Host) -> Option<Link> {
         self.links
@@ -271,33 +327,50 @@
             .cloned()
     }
 
+    /// All programs that this entry owns.
+    pub(crate) fn programs(&self) -> Vec<Rc<Live>> {
+        self.programs.borrow().values().cloned().collect()
+    }
+
     /// A program that this entry owns.
     pub(crate) fn local(&self, id: Program) -> Option<Rc<Live>> {
-        self.programs.borrow().get(&id).cloned()
+        let programs = self.programs.borrow();
+        programs
+            .get(&id)
+            .filter(|live| !live.log.is_closed())
+            .cloned()
     }
 
-    /// Finds the owner of a program, by the log that its last token names or that created it.
-    pub(crate) async fn owner(&self, id: Program, after: Option<&Token>) -> Result<Owner> {
-        if let Some(live) = self.local(id) {
-            return Ok(Owner::Here(live));
-        }
-        let writer = after.map_or(id.origin, |token| token.writer);
-        if self.writer().is_ok_and(|own| own == writer) {
-            return Err(Refusal::UnknownProgram);
-        }
-        let view = self.shared.view.load();
-        let peer = view.entries.iter().find(|peer| peer.incarnation == writer);
-        let link = peer.and_then(|peer| self.link(&peer.host));
-        link.map(Owner::There).ok_or(Refusal::Unavailable)
+    /// Whether this entry takes no new programs.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.get() || self.shared.view.load().leaving
+    }
+
+    /// Whether a call of any program is running here.
+    pub(crate) fn is_running(&self) -> bool {
+        let programs = self.programs.borrow();
+        let mut all = programs.values();
+        all.any(|live| !live.log.is_closed() && live.program.borrow().is_running())
+    }
+
+    /// Forgets the programs whose log was sealed: another entry owns them.
+    fn drop_fenced(&self) {
+        self.programs.borrow_mut().retain(|_, live| {
+            let keep = !live.log.is_closed();
+            if !keep {
+                routing::give_up(self, live);
+            }
+            keep
+        });
     }
 
     /// A new program's identifier.
-    pub(crate) fn next_id(&self) -> Result<Program> {
+    pub(crate) fn next_id(&self, log: &Handle) -> Program {
         self.created.set(self.created.get() + 1);
-        Ok(Program {
-            origin: self.writer()?,
+        Program {
+            origin: log.writer(),
             number: self.created.get(),
-        })
+        }
     }
 
     /// Creates a program for a caller.
@@ -308,20 +381,20 @@
         budget: Budget,
         deadline: Option<Span>,
     ) -> Result<Rc<Live>> {
-        if self.shared.view.load().leaving {
+        if self.is_leaving() {
             return Err(Refusal::Unready);
         }
         let environment = self.environment()?;
         let document = &environment.document;
-        let allowed = document
-            .accounts
-            .get(account)
-            .is_some_and(|a| a.classes.contains(&class));
+        let owner = document.accounts.get(account);
+        let allowed = owner.is_some_and(|owner| owner.classes.contains(&class));
         let settings = document
             .classes
             .get(&class)
             .filter(|_| allowed)
             .ok_or(Refusal::Class)?;
+        let programs_max = owner.map_or(0, |owner| owner.programs_max);
+        let _permit = self.permit(account, programs_max)?;
         routing::admit(self, settings)?;
         let limits = &document.limits;
         let budget = Budget {
@@ -339,8 +412,9 @@
             entry: self.shared.identity.host.clone(),
             at: now,
         };
-        let id = self.next_id()?;
-        let live = Live::new(id, program::Program::new(created.clone()));
+        let log = self.log()?;
+        let program = program::Program::new(created.clone());
+        let live = Live::new(self.next_id(&log), program, log);
         self.append(&live, vec![Event::Created(created)]).await?;
         self.adopt(live.clone());
         Ok(live)
@@ -362,12 +436,11 @@
 
     /// Owns a program from now on.
     pub(crate) fn adopt(&self, live: Rc<Live>) {
-        let precedence = routing::precedence(self, &live.program.borrow().created().class);
-        self.routing.gate.borrow_mut().begin(precedence);
+        routing::begin(self, &live);
         self.programs.borrow_mut().insert(live.id, live);
         self.shared
             .metrics
-            .set("programs", self.programs.borrow().len() as i64);
+            .set("programs-count", self.programs.borrow().len() as i64);
     }
 
     /// Ends a program and its sub-agents and frees the engines' memory of it.
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -46,10 +46,16 @@
         self.class(precedence).live += 1;
     }
 
+    /// Takes in that a program is no longer under way here, though it has not ended.
+    pub fn abandon(&mut self, precedence: u32) {
+        let class = self.class(precedence);
+        class.live = class.live.saturating_sub(1);
+    }
+
     /// Takes in that a program ended after holding slots for `work`.
     pub fn end(&mut self, precedence: u32, work: Span) {
+        self.abandon(precedence);
         let class = self.class(precedence);
-        class.live = class.live.saturating_sub(1);
         class.work.add_limited(work.0 as f64, WORK_LIMIT);
     }
 
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use compact_str::{CompactString, ToCompactString};
-use units::{Bytes, Digest, Host, Region, Span, Target, Zone};
+use units::{Bytes, Digest, Host, Rate, Region, Span, Target, Zone};
 
 use crate::error::{Error, Problem, Result};
 use crate::reader::{Reader, Section};
@@ -12,6 +12,10 @@
 const NAME: &str = "a-z, 0-9, '-', '_', '.', at most 64 characters";
 const SPAN: &str = "a whole number with us, ms, s, m or h";
 const SIZE: &str = "a whole number, optionally with k, m or g";
+const SHARE: &str = "a number from 0 to 1";
+const TRACE_SHARE_DEFAULT: Rate = Rate(0.01);
+const TIMING_MIN: Span = Span::from_ms(10);
+const TIMING_MAX: Span = Span::from_ms(3_600_000);
 const HEX: &str = "64 hexadecimal digits";
 
 /// How log lines look.
@@ -40,6 +44,23 @@
     pub key: Digest,
     /// The platform's service.
     pub platform: Platform,
+    /// Share of the traces begun here that are written; those of callers say so themselves.
+    pub trace_share: Rate,
+    /// How often and for how long things are done.
+    pub timing: Timing,
+}
+
+/// How often and for how long a process does things.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Time between reads of the accepted document's version from the store.
+    pub document_poll: Span,
+    /// Time between exchanges of document versions with each peer.
+    pub document_exchange: Span,
+    /// Time between reads of the host list.
+    pub hosts_poll: Span,
+    /// A process that has heard neither the store nor a peer for this long is not ready.
+    pub stale_after: Span,
 }
 
 /// The platform's service.
@@ -198,6 +219,7 @@
     let format = section
         .choice("log-format", &formats)?
         .unwrap_or(Format::Json);
+    let trace_share = trace_share(&section)?;
     let key = section
         .get("key", HEX)
         .map_err(|error| redact(error, "key"))?;
@@ -209,6 +231,8 @@
     };
     section.close()?;
     Ok(Process {
+        trace_share,
+        timing: timing(reader.optional("timing"))?,
         host,
         region,
         zone,
@@ -219,6 +243,45 @@
     })
 }
 
+fn trace_share(section: &Section<'_>) -> Result<Rate> {
+    let share = section.get_or("trace-share", SHARE, TRACE_SHARE_DEFAULT)?;
+    if share.0 <= 1.0 {
+        return Ok(share);
+    }
+    let value = share.to_compact_string();
+    Err(section.invalid("trace-share", &value, "is out of range", SHARE))
+}
+
+fn timing(section: Option<Section<'_>>) -> Result<Timing> {
+    let mut timing = Timing {
+        document_poll: Span::from_ms(500),
+        document_exchange: Span::from_ms(1_000),
+        hosts_poll: Span::from_ms(500),
+        stale_after: Span::from_ms(5_000),
+    };
+    let Some(section) = section else {
+        return Ok(timing);
+    };
+    let get = |key: &str, default: Span| {
+        let span = section.get_or(key, SPAN, default)?;
+        if (TIMING_MIN..=TIMING_MAX).contains(&span) {
+            return Ok(span);
+        }
+        Err(section.invalid(
+            key,
+            &span.to_compact_string(),
+            "is out of range",
+            "10ms to 1h",
+        ))
+    };
+    timing.document_poll = get("document-poll", timing.document_poll)?;
+    timing.document_exchange = get("document-exchange", timing.document_exchange)?;
+    timing.hosts_poll = get("hosts-poll", timing.hosts_poll)?;
+    timing.stale_after = get("stale-after", timing.stale_after)?;
+    section.close()?;
+    Ok(timing)
+}
+
 /// Takes the value of a secret out of an error.
 fn redact(mut error: Error, key: &str) -> Error {
     if error.key == key
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use smol::future::FutureExt;
 use units::Span;
 use wire::{
     Accepted, Answer, Delta, Error, Frame, Identity, Next, Ran, Reason, Refused, Result, Resume,
@@ -9,6 +10,7 @@
 };
 
 use crate::calls::Calls;
+use crate::document;
 use crate::guard::{End, Verdict};
 
 const LOAD_INTERVAL: Span = Span::from_ms(200);
@@ -53,6 +55,14 @@
             calls.release(program).await;
             stream.send(&Frame::Ack).await?;
         }
+        Frame::Drain => {
+            calls.leave();
+            stream.send(&Frame::Ack).await?;
+        }
+        Frame::InForce(version) => document::answer(calls, version, stream).await?,
+        Frame::Document { version, text } => {
+            document::receive(calls, version, text, stream).await?;
+        }
         Frame::Watch => watch(calls, stream).await?,
         other => return Err(Error::Unexpected(other.kind())),
     }
@@ -62,7 +72,8 @@
 /// Sends an answer from `offset` on until it ends.
 async fn follow(stream: &mut Stream, answer: &Answer<End>, mut offset: usize) -> Result<()> {
     loop {
-        let frame = match answer.next(offset, answer.restarts()).await {
+        let next = async { Ok(answer.next(offset, answer.restarts()).await) };
+        let frame = match next.or(gone(stream)).await? {
             Next::Bytes(bytes) => {
                 let delta = Delta {
                     offset: offset as u64,
@@ -82,12 +93,28 @@
 /// Sends a load report whenever the load has changed.
 async fn watch(calls: &Calls, stream: &mut Stream) -> Result<()> {
     let mut sent = None;
+    let mut told = None;
     loop {
+        let epoch = calls.epoch();
+        if told != Some(epoch) {
+            stream.send(&Frame::Epoch(epoch)).await?;
+            told = Some(epoch);
+        }
         let load = calls.load();
         if sent != Some(load) {
             stream.send(&Frame::Load(load)).await?;
             sent = Some(load);
         }
-        smol::Timer::after(LOAD_INTERVAL.into()).await;
+        let wait = async {
+            smol::Timer::after(LOAD_INTERVAL.into()).await;
+            Ok(())
+        };
+        wait.or(gone(stream)).await?;
     }
 }
+
+/// Fails once the peer has gone away, so that a wait for something else pins no stream.
+async fn gone<T>(stream: &mut Stream) -> Result<T> {
+    stream.gone().await;
+    Err(Error::Ended)
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -51,6 +51,8 @@
     Release(Program),
     /// Subscribes to load reports; answered by `Load` frames without end.
     Watch,
+    /// The sidecar's epoch, sent before its first load report and whenever it changes.
+    Epoch(Epoch),
     /// A load report of a sidecar.
     Load(Load),
     /// A caller's request that another entry owns; answered by `Head` and `Body` frames.
@@ -59,7 +61,7 @@
     Head(Head),
     /// A part of the answer to a forwarded request; the stream's end ends it.
     Body(Body),
-    /// An environment document in force at the sender; answered by `Ack`.
+    /// An environment document in force at the sender; answered by `InForce`.
     Document {
         /// The document's version.
         version: Version,
@@ -68,6 +70,16 @@
     },
     /// The request was carried out.
     Ack,
+    /// The version of the environment document in force at the sender, 0 for none; answered by
+    /// `InForce`, or by `Document` if the receiver has a higher one.
+    InForce(Version),
+    /// The log of this writer was sealed in favour of the receiver's, which is to adopt its programs;
+    /// answered by `Ack`.
+    Adopt(Incarnation),
+    /// Asks an entry for an operator; answered by `Body` with JSON, or by `Ack` if it knows nothing.
+    Ask(Question),
+    /// The process is to leave: it takes no new work and finishes what it has; answered by `Ack`.
+    Drain,
 }
 
 impl Frame {
@@ -89,16 +101,30 @@
             Frame::Saved(_) => "Saved",
             Frame::Release(_) => "Release",
             Frame::Watch => "Watch",
+            Frame::Epoch(_) => "Epoch",
             Frame::Load(_) => "Load",
             Frame::Forward(_) => "Forward",
             Frame::Head(_) => "Head",
             Frame::Body(_) => "Body",
             Frame::Document { .. } => "Document",
             Frame::Ack => "Ack",
+            Frame::InForce(_) => "InForce",
+            Frame::Adopt(_) => "Adopt",
+            Frame::Ask(_) => "Ask",
+            Frame::Drain => "Drain",
         }
     }
 }
 
+/// What an entry is asked for an operator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Question {
+    /// What it knows of a program that it owns.
+    Explain(Program),
+    /// The usage of each account by the programs that it owns.
+    Usage,
+}
+
 /// What a process does.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Role {
@@ -132,6 +158,20 @@
     pub role: Role,
 }
 
+/// A stretch of a sidecar's time; the first is 0. It dates dispatches without comparing clocks.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Epoch(pub u64);
+
+impl Epoch {
+    /// The epoch after this one.
+    pub fn next(self) -> Self {
+        Epoch(self.0 + 1)
+    }
+}
+
 /// The work of a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Work {
@@ -161,6 +201,9 @@
     pub call: Call,
     /// The sidecar's incarnation that the dispatch is meant for; any other rejects it.
     pub sidecar: Incarnation,
+    /// The sidecar's epoch as last heard before the call's intent was recorded; a dispatch that is
+    /// two epochs old is rejected.
+    pub epoch: Epoch,
     /// The account that pays.
     pub account: Account,
     /// The model or service.
@@ -271,6 +314,8 @@
     Cancelled,
     /// Nothing is known of the call.
     Unretained,
+    /// The dispatch was made too long ago.
+    Stale,
 }
 
 impl fmt::Display for Reason {
@@ -286,6 +331,7 @@
             Reason::Target => "the endpoint does not serve the target",
             Reason::Cancelled => "the call was cancelled",
             Reason::Unretained => "nothing is known of the call",
+            Reason::Stale => "the dispatch was made too long ago",
         })
     }
 }
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -3,9 +3,10 @@
 //! Each environment has its own address in 127.0.0.0/8, so that tests run side by side with fixed
 //! ports. Processes are ended by their ids when the environment is dropped.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
@@ -13,7 +14,8 @@
 use nix::unistd::Pid;
 use platform::api::{HostInfo, HostRole};
 use serde_json::{Value, json};
-use standins::{Handle, engine, platform as table, service};
+use settings::Document;
+use standins::{Handle, engine, link, platform as table, service};
 use units::Digest;
 
 use crate::caller::{Caller, request};
@@ -45,6 +47,8 @@
     services: u16,
     engine: engine::Config,
     document: String,
+    links: bool,
+    environment: &'static str,
 }
 
 impl Config {
@@ -56,6 +60,8 @@
             services: 1,
             engine: engine::Config::default(),
             document: document(""),
+            links: false,
+            environment: "trial",
         }
     }
 
@@ -77,6 +83,19 @@
         self
     }
 
+    /// Has peers reach each process through a stand-in link.
+    pub fn with_links(mut self) -> Self {
+        self.links = true;
+        self
+    }
+
+    /// Uses an environment of this name.
+    pub fn with_environment(mut self, name: &'static str) -> Self {
+        self.document = Document::rename(&self.document, name);
+        self.environment = name;
+        self
+    }
+
     /// Adds sections to the environment document.
     pub fn with_document(mut self, sections: &str) -> Self {
         self.document = document(sections);
@@ -122,10 +141,13 @@
     pub engines: Vec<Handle<engine::State>>,
     /// The services' stand-ins.
     pub services: Vec<Handle<service::State>>,
+    /// The stand-in links by the process that they lead to, if there are any.
+    pub links: BTreeMap<String, link::Link>,
     address: Ipv4Addr,
     directory: PathBuf,
     processes: Vec<Process>,
     entries: u16,
+    environment: &'static str,
 }
 
 impl Cluster {
@@ -143,12 +165,14 @@
             platform: table::start(any, Vec::new()).unwrap(),
             engines: engines.collect(),
             services: services.collect(),
+            links: BTreeMap::new(),
             address,
             directory,
             processes: Vec::new(),
             entries: config.entries,
+            environment: config.environment,
         };
-        cluster.add_processes();
+        cluster.add_processes(config.links);
         cluster.eventually_live();
         cluster.apply(0, &config.document).unwrap();
         let endpoints = usize::from(config.engines + config.services);
@@ -158,7 +182,7 @@
         cluster
     }
 
-    fn add_processes(&mut self) {
+    fn add_processes(&mut self, links: bool) {
         let mut hosts = Vec::new();
         for index in 0..self.entries {
             hosts.push(self.add_entry(index));
@@ -173,6 +197,14 @@
             let name = format!("service-{index}");
             hosts.push(self.add_sidecar(&name, "service", *address, "catalogue stock"));
         }
+        if links {
+            for info in &mut hosts {
+                let any = SocketAddr::new(self.address.into(), 0);
+                let link = link::start(any, info.address).unwrap();
+                info.address = link.address;
+                self.links.insert(info.host.to_string(), link);
+            }
+        }
         self.platform.state().hosts = hosts;
         for index in 0..self.processes.len() {
             self.spawn(index);
@@ -216,9 +248,10 @@
 
     fn process_settings(&self, name: &str, index: u16) -> String {
         format!(
-            "[process]\nhost = {name}\nregion = north\nzone = north-{}\nenvironment = trial\n\
+            "[process]\nhost = {name}\nregion = north\nzone = north-{}\nenvironment = {}\n\
              key = {KEY}\n[platform]\naddress = {}\ntimeout = 1s\n",
             index % 2,
+            self.environment,
             self.platform.address,
         )
     }
@@ -314,6 +347,23 @@
         self.spawn(index);
     }
 
+    /// The number of entries.
+    pub fn entries(&self) -> u16 {
+        self.entries
+    }
+
+    /// Whether an entry's process runs; it may be frozen.
+    pub fn is_started(&self, entry: u16) -> bool {
+        let index = self.index(&format!("entry-{entry}"));
+        self.processes[index].child.is_some()
+    }
+
+    /// Whether an entry says that it is ready.
+    pub fn is_ready(&self, entry: u16) -> bool {
+        let ready = self.operate(entry, "GET", "/ready", None);
+        ready.is_some_and(|(status, _)| status == 200)
+    }
+
     /// The log lines of a process so far.
     pub fn log(&self, name: &str) -> String {
         std::fs::read_to_string(self.directory.join(format!("{name}.log"))).unwrap_or_default()
@@ -329,6 +379,21 @@
         Caller::new(self.caller_address(entry), &format!("{account}-token"))
     }
 
+    /// The address of an entry's administration API.
+    pub fn admin_address(&self, entry: u16) -> SocketAddr {
+        SocketAddr::new(self.address.into(), 7_200 + entry)
+    }
+
+    /// Runs an operator's command, with the operators' token.
+    pub fn ctl(&self, arguments: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_balsamhold"))
+            .arg("ctl")
+            .args(arguments)
+            .env("BALSAMHOLD_TOKEN", OPERATOR)
+            .output()
+            .unwrap()
+    }
+
     /// Sends an operator's request; the status and the JSON answer.
     pub fn operate(
         &self,
@@ -337,8 +402,7 @@
         path: &str,
         body: Option<&str>,
     ) -> Option<(u16, Value)> {
-        let address = SocketAddr::new(self.address.into(), 7_200 + entry);
-        request(address, OPERATOR, method, path, body)
+        request(self.admin_address(entry), OPERATOR, method, path, body)
     }
 
     /// Has a document accepted through the first entry; the error's status otherwise.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,9 +7,22 @@
 )]
 
 mod bad_input;
+mod budgets;
 mod caller;
 mod cluster;
+mod documents;
+mod drain;
+mod explain;
 mod failures;
+mod history;
+mod links;
+mod observability;
+mod operators;
+mod races;
+mod scenario;
+mod scenarios;
+mod store;
+mod takeover;
 mod whole_path;
 
 /// Defines one test for each named case of a function: `cases!(check; name: argument, ...)`.
