--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -1,8 +1,10 @@
 //! The calls of a program: admission, reservation, dispatch and record.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use log::{Answer, Call, Event, Intent, Parent, Route, Token, Turn, Usage};
+use policy::Stream;
 use program::{Admission, Reserve};
 use smol::future::FutureExt;
 use telemetry::Trace;
@@ -12,6 +14,7 @@
 use crate::answers;
 use crate::api::Request;
 use crate::dispatch::{self, Dispatched};
+use crate::hedge::{self, Hedged};
 use crate::links;
 use crate::live::{Ending, Live};
 use crate::outage;
@@ -28,6 +31,8 @@
     pub(crate) request: program::Request,
     pub(crate) answer: Rc<wire::Answer<Ending>>,
     pub(crate) trace: Trace,
+    /// What came of the answer and when, for the policy.
+    pub(crate) stream: Cell<Stream>,
 }
 
 /// Refuses a call whose caller has seen more of the history than is here, or another one.
@@ -77,6 +82,7 @@
                 request,
                 answer: answer.clone(),
                 trace,
+                stream: Cell::default(),
             };
             traffic
                 .executor
@@ -162,7 +168,7 @@
 }
 
 /// Reserves tokens for a dispatch, asking for more durable grants as needed.
-async fn reserve(traffic: &Traffic, run: &Run, worst: Tokens) -> Result<()> {
+pub(crate) async fn reserve(traffic: &Traffic, run: &Run, worst: Tokens) -> Result<()> {
     let tranche = traffic.environment()?.document.limits.tranche;
     loop {
         if run.live.is_over() {
@@ -199,15 +205,20 @@
         ran: Ran::No,
         reason: Reason::Unreachable,
     };
+    let request = routing::request(run, &target, service.is_none());
+    let hedges = environment.document.policy.knobs.hedge_budget.0 > 0.0;
+    let mut failed = None;
     // One attempt that may have run makes it uncertain whether the call ran.
     let mut ran = Ran::No;
-    for attempt in 0..ATTEMPTS_MAX {
+    for _ in 0..ATTEMPTS_MAX {
         let refuse = |refusal| unsettled(ran, refused.reason, refusal);
         reserve(traffic, run, worst).await.map_err(refuse)?;
-        let mut route = routing::choose(traffic, run, &target, worst, attempt, environment.version)
-            .map_err(refuse)?;
-        route.attempt = run.live.program.borrow_mut().next_attempt();
-        let order = dispatch::make(traffic, run, &target, &work, &route, &input);
+        let version = environment.version;
+        let chosen =
+            routing::choose(traffic, run, &request, failed.as_ref(), version).map_err(refuse)?;
+        let route = chosen.route.clone();
+        let order = dispatch::make(traffic, run, &target, &work, &route, &input, &request);
+        failed = Some(chosen.ticket.host.clone());
         if !work.idempotent() {
             let call = Call::from(&run.request);
             let intent = Event::Intent(Intent {
@@ -216,7 +227,21 @@
             });
             announce(traffic, run, intent).await?;
         }
-        match dispatch::send(traffic, run, &route, order).await {
+        let (route, dispatched) = if work.idempotent() && hedges {
+            let call = Hedged {
+                target: &target,
+                work: &work,
+                input: &input,
+                request: &request,
+                worst,
+                version,
+            };
+            hedge::send(traffic, run, &call, chosen, order).await
+        } else {
+            let dispatched = dispatch::send(traffic, run, &route, chosen.ticket, order).await;
+            (route, dispatched)
+        };
+        match dispatched {
             Dispatched::Done(done) => return finish(traffic, run, &work, route, &done).await,
             Dispatched::Refused(why) if work.idempotent() => {
                 let mut program = run.live.program.borrow_mut();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod drain;
 mod error;
 mod forward;
+mod hedge;
 mod links;
 mod live;
 mod outage;
--- a/crates/settings/src/render.rs
+++ b/crates/settings/src/render.rs
@@ -2,9 +2,12 @@
 
 use std::fmt;
 
+use policy::Knobs;
 use units::Target;
 
-use crate::document::{Account, Class, Document, Limits, Model, Policy, Service};
+use crate::document::{
+    Account, Class, Document, Limits, Model, ORDERS, Policy, ROUTINGS, SWITCH, Service,
+};
 
 /// The document in INI with every key: parsing it gives the same document.
 impl fmt::Display for Document {
@@ -25,9 +28,11 @@
     let Class {
         precedence,
         deadline,
+        objective,
     } = class;
     writeln!(f, "\n[class {name}]\nprecedence = {precedence}")?;
-    writeln!(f, "deadline = {deadline}")
+    writeln!(f, "deadline = {deadline}")?;
+    writeln!(f, "objective = {objective}")
 }
 
 fn account(
@@ -77,11 +82,46 @@
 
 fn policy(f: &mut fmt::Formatter<'_>, policy: &Policy) -> fmt::Result {
     let Policy {
-        hedge_budget,
+        knobs: decisions,
         retry_budget,
         link_rate,
     } = policy;
-    writeln!(f, "\n[policy]\nhedge-budget = {hedge_budget}")?;
-    writeln!(f, "retry-budget = {retry_budget}")?;
-    writeln!(f, "link-rate = {link_rate}")
+    writeln!(f, "\n[policy]\nretry-budget = {retry_budget}")?;
+    writeln!(f, "link-rate = {link_rate}")?;
+    knobs(f, decisions)
+}
+
+fn knobs(f: &mut fmt::Formatter<'_>, knobs: &Knobs) -> fmt::Result {
+    let Knobs {
+        routing,
+        order,
+        candidates,
+        affinity,
+        slowness,
+        link_price,
+        head_start,
+        attained_weight,
+        age_weight,
+        long_slots,
+        hedge_budget,
+        admission,
+    } = knobs;
+    writeln!(f, "routing = {}", word(&ROUTINGS, *routing))?;
+    writeln!(f, "order = {}", word(&ORDERS, *order))?;
+    writeln!(f, "candidates = {candidates}")?;
+    writeln!(f, "affinity = {}", word(&SWITCH, *affinity))?;
+    writeln!(f, "slowness = {}", word(&SWITCH, *slowness))?;
+    writeln!(f, "link-price = {link_price}")?;
+    writeln!(f, "head-start = {head_start}")?;
+    writeln!(f, "attained-weight = {attained_weight}")?;
+    writeln!(f, "age-weight = {age_weight}")?;
+    writeln!(f, "long-slots = {long_slots}")?;
+    writeln!(f, "hedge-budget = {hedge_budget}")?;
+    writeln!(f, "admission = {admission}")
+}
+
+/// The word that stands for a value.
+fn word<T: PartialEq>(words: &[(&'static str, T)], value: T) -> &'static str {
+    let found = words.iter().find(|(_, meant)| *meant == value);
+    found.map_or("", |(word, _)| word)
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,4 +10,4 @@
 pub mod platform;
 pub mod service;
 
-pub use host::Handle;
+pub use host::{Handle, lock};
