sidecar: an engine's error denies a run only if it blames the request

Cause: any status but success from an engine was told as ran no, though tokens may have been generated and must count against the budget. Change: ran no for 4xx and 503, unknown otherwise; a test with each kind. Tests of orders behind a silent, a cut and a frozen connection.

--- a/crates/sidecar/src/endpoint.rs
+++ b/crates/sidecar/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use http_types::{Body, Method};
+use http_types::{Body, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use settings::{Endpoint, Kind};
 use smol::future::FutureExt;
@@ -160,10 +160,7 @@
         request.set_body(Body::from_bytes(body));
         let response = self.calls.send(request).await.map_err(refused)?;
         if !response.status().is_success() {
-            return Err(Refused {
-                ran: Ran::No,
-                reason: Reason::Endpoint,
-            });
+            return Err(refused_by_engine(response.status()));
         }
         let mut events = async_sse::decode(BufReader::new(response));
         let mut usage = None;
@@ -293,6 +290,16 @@
     }
 }
 
+/// The refusal for an engine's error: only one that blames the request or says that the engine is full
+/// proves that nothing was generated.
+fn refused_by_engine(status: StatusCode) -> Refused {
+    let refused = status.is_client_error() || status == StatusCode::ServiceUnavailable;
+    Refused {
+        ran: if refused { Ran::No } else { Ran::Unknown },
+        reason: Reason::Endpoint,
+    }
+}
+
 fn refused(error: http_io::Error) -> Refused {
     if error.may_have_run() {
         broken()
--- a/crates/sidecar/tests/process.rs
+++ b/crates/sidecar/tests/process.rs
@@ -6,6 +6,7 @@
     reason = "a failed step fails the test"
 )]
 
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::thread::JoinHandle;
@@ -15,7 +16,7 @@
 use slog::{Discard, Logger, o};
 use smol::LocalExecutor;
 use standins::{engine, service};
-use units::{Call, Incarnation, Program, Seq, Span};
+use units::{Call, Incarnation, Program, Seq, Span, Tokens};
 use wire::{
     Action, Dispatch, Fence, Frame, Identity, Key, Link, Order, Ordered, Ran, Reason, Refused,
     Role, Stream, Work,
@@ -294,3 +295,59 @@
 fn refusal_of_an_engine_that_checks_is_passed_on() {
     check_fences(true);
 }
+
+/// An engine that answers each request with a status and nothing else.
+fn failing(status: &'static str) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut request = Vec::new();
+            let mut part = [0; 4_096];
+            // A request for a completion ends with its JSON body, any other with its head.
+            while !request.ends_with(b"}")
+                && !(request.starts_with(b"GET") && request.ends_with(b"\r\n\r\n"))
+            {
+                let length = stream.read(&mut part).unwrap();
+                assert!(length > 0, "the request is cut off");
+                request.extend_from_slice(&part[..length]);
+            }
+            let answer =
+                format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+            stream.write_all(answer.as_bytes()).unwrap();
+        }
+    });
+    address
+}
+
+#[test]
+fn engine_error_denies_a_run_only_if_it_blames_the_request() {
+    for (status, ran) in [
+        ("500 Internal Server Error", Ran::Unknown),
+        ("503 Service Unavailable", Ran::No),
+        ("400 Bad Request", Ran::No),
+    ] {
+        let sidecar = Sidecar::start("engine", failing(status), "");
+        run(|tasks| async move {
+            let link = sidecar.connect(&tasks, 1).await;
+            let Frame::Dispatch(order) = order(&link, call(1, 1)) else {
+                return;
+            };
+            let max_tokens = Tokens(8);
+            let work = Work::Model { max_tokens };
+            let target = "advisor".parse().unwrap();
+            let dispatch = Dispatch {
+                work,
+                target,
+                ..order
+            };
+            let stream = link.open(&Frame::Dispatch(dispatch)).await.unwrap();
+            assert_eq!(
+                last(stream).await,
+                refusal(ran, Reason::Endpoint),
+                "{status}"
+            );
+        });
+    }
+}
--- a/tests/all/links.rs
+++ b/tests/all/links.rs
@@ -6,12 +6,13 @@
 use standins::link::Direction;
 
 use crate::cases;
-use crate::cluster::{Config, START_MAX, eventually};
+use crate::cluster::{Cluster, Config, START_MAX, eventually};
 
 /// Bound for a silent connection to be noticed and a second one opened.
 const NOTICE_MAX: Duration = Duration::from_secs(2);
 
 const TOKENS: u64 = 160;
+const ORDER_MS: u64 = 1_500;
 
 /// Silences the connections to `host` within a call of `entry` that the first entry owns.
 fn silence_mid_stream((host, entry, direction): (&str, u16, Direction)) {
@@ -59,3 +60,48 @@
     let answer = caller.model(&program, 1, "Which wax?", 8);
     assert_eq!(answer.text, expected("Which wax?", 8));
 }
+
+/// Fails something while an order runs that takes `ORDER_MS`; its one answer must come all the same.
+fn disturb_order(disturb: fn(&Cluster)) {
+    let cluster = Config::new().with_links().start();
+    cluster.services[0].state().delay_ms = ORDER_MS;
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("reorder", 5_000, 20);
+    let call = {
+        let (caller, program) = (caller.clone(), program.clone());
+        std::thread::spawn(move || caller.service(&program, 1, "stock", "reserve 2 pallets"))
+    };
+    let executions = || cluster.services[0].state().inputs.len();
+    eventually(START_MAX, "the order runs", || executions() == 1);
+    disturb(&cluster);
+    let answer = call.join().unwrap();
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(answer.text, "done: reserve 2 pallets");
+    assert_eq!(executions(), 1);
+}
+
+fn silence(cluster: &Cluster) {
+    cluster.links["sidecar-service-0"].silence(Direction::Both);
+}
+
+fn cut(cluster: &Cluster) {
+    cluster.links["sidecar-service-0"].cut();
+}
+
+/// Freezes the sidecar until its connection has been given up.
+fn freeze(cluster: &Cluster) {
+    let link = &cluster.links["sidecar-service-0"];
+    let accepted = link.accepted();
+    cluster.pause("sidecar-service-0");
+    eventually(NOTICE_MAX, "another connection is tried", || {
+        link.accepted() > accepted
+    });
+    cluster.resume("sidecar-service-0");
+}
+
+cases! {
+    disturb_order;
+    order_runs_on_behind_a_silent_connection: silence,
+    order_runs_on_behind_a_cut_connection: cut,
+    order_runs_on_in_a_frozen_sidecar: freeze,
+}
