sidecar: floors are forgotten by their own age

Cause: a floor stayed until its program's release, which may never come. Tried first: forgetting a floor two epochs after the word that nobody claims its program. The model test failed (a call ran and was denied): the floor could be raised in between and was forgotten too soon. Change: a floor carries the epoch of its last raise and goes two epochs later; the list of released programs and its bookkeeping are gone.

--- a/crates/sidecar/src/guard.rs
+++ b/crates/sidecar/src/guard.rs
@@ -8,8 +8,7 @@
 //! - "Did not run" is said only of calls that have not run and never will.
 //! - An answer is retained until its call is saved or its program released; when there is no room for
 //!   more, new work is refused.
-//! - What is kept is bounded by the calls of the last epochs, the programs not yet released and
-//!   `retain_max`.
+//! - What is kept is bounded by the calls of the last epochs and by `retain_max`.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::ops::RangeInclusive;
@@ -30,6 +29,14 @@
     Tombstone,
 }
 
+/// Up to where a program's calls are settled elsewhere.
+#[derive(Clone, Copy, Debug)]
+struct Floor {
+    seq: Seq,
+    /// When it was last raised; it may be forgotten two epochs later.
+    since: Epoch,
+}
+
 /// What to do with a dispatch.
 #[derive(Clone, Debug)]
 pub enum Verdict {
@@ -47,12 +54,9 @@
     incarnation: Incarnation,
     epoch: Epoch,
     entries: BTreeMap<Call, Entry>,
-    /// For each program, the position up to which its calls are settled elsewhere.
-    floors: BTreeMap<Program, Seq>,
+    floors: BTreeMap<Program, Floor>,
     /// Calls that may be forgotten two epochs after this one.
     expiring: VecDeque<(Epoch, Call)>,
-    /// Programs whose floor may be forgotten two epochs after this one.
-    released: VecDeque<(Epoch, Program)>,
     retained: u64,
     retain_max: Bytes,
     leaving: bool,
@@ -67,7 +71,6 @@
             entries: BTreeMap::new(),
             floors: BTreeMap::new(),
             expiring: VecDeque::new(),
-            released: VecDeque::new(),
             retained: 0,
             retain_max,
             leaving: false,
@@ -118,7 +121,7 @@
     fn is_settled(&self, call: Call) -> bool {
         self.floors
             .get(&call.program)
-            .is_some_and(|floor| call.seq <= *floor)
+            .is_some_and(|floor| call.seq <= floor.seq)
     }
 
     /// Declares a call as never to run.
@@ -178,7 +181,6 @@
     /// Frees what is kept of a program that has ended; returns its calls that are still running.
     pub fn release(&mut self, program: Program) -> Vec<Call> {
         self.raise(program, Seq(u64::MAX));
-        self.released.push_back((self.epoch, program));
         self.running(program)
     }
 
@@ -194,8 +196,10 @@
 
     /// Settles a program's calls up to `seq`: the program's history goes beyond them.
     fn raise(&mut self, program: Program, seq: Seq) {
-        let floor = self.floors.entry(program).or_default();
-        *floor = seq.max(*floor);
+        let since = self.epoch;
+        let floor = self.floors.entry(program).or_insert(Floor { seq, since });
+        floor.seq = floor.seq.max(seq);
+        floor.since = since;
         let calls = self.entries.range(calls_of(program, seq));
         let calls: Vec<Call> = calls.map(|(call, _)| *call).collect();
         calls.into_iter().for_each(|call| self.settle(call));
@@ -224,12 +228,12 @@
         while let Some((_, call)) = self.expiring.pop_front_if(|(since, _)| is_old(*since)) {
             self.entries.remove(&call);
         }
-        while let Some((_, program)) = self.released.pop_front_if(|(since, _)| is_old(*since)) {
+        // What still runs of a settled program is to be freed when it ends.
+        let old = self.floors.iter().filter(|(_, floor)| is_old(floor.since));
+        let old: Vec<Program> = old.map(|(program, _)| *program).collect();
+        for program in old {
             if self.running(program).is_empty() {
                 self.floors.remove(&program);
-            } else {
-                // What still runs is to be freed when it ends.
-                self.released.push_back((epoch, program));
             }
         }
     }
@@ -239,21 +243,20 @@
         self.epoch
     }
 
-    /// Programs of which something is kept that only their release frees.
+    /// Programs of which answers are kept, or calls that may have run, until they are saved or released.
     pub fn programs(&self) -> Vec<Program> {
-        let mut programs: Vec<Program> = self.floors.keys().copied().collect();
         let taken = |entry: &Entry| matches!(entry, Entry::Taken(_));
         let entries = self.entries.iter().filter(|(_, entry)| taken(entry));
-        programs.extend(entries.map(|(call, _)| call.program));
-        programs.sort_unstable();
+        let mut programs: Vec<Program> = entries.map(|(call, _)| call.program).collect();
+        // Calls are in the order of their programs.
         programs.dedup();
-        programs.retain(|program| self.floors.get(program) != Some(&Seq(u64::MAX)));
         programs
     }
 
-    /// Whether a program was released.
+    /// Whether a program was released of late.
     pub fn is_released(&self, program: Program) -> bool {
-        self.floors.get(&program) == Some(&Seq(u64::MAX))
+        let floor = self.floors.get(&program);
+        floor.is_some_and(|floor| floor.seq == Seq(u64::MAX))
     }
 
     /// Accepts no new work from now on.
--- a/crates/sidecar/tests/guard.rs
+++ b/crates/sidecar/tests/guard.rs
@@ -304,7 +304,7 @@
     let mut most = 0;
     for seq in 1..=10_000 {
         let call = Call {
-            program: program(0),
+            program: program(seq as usize % PROGRAMS),
             seq: Seq(seq),
             attempt: 0,
         };
@@ -324,6 +324,9 @@
         most = most.max(guard.len());
     }
     assert!(most <= 300, "{most} calls kept");
+    // No program was released.
+    (0..2).for_each(|_| guard.advance());
+    assert!(guard.is_empty(), "{guard:?}");
 }
 
 #[test]
--- a/crates/sidecar/tests/process.rs
+++ b/crates/sidecar/tests/process.rs
@@ -296,6 +296,16 @@
     check_fences(true);
 }
 
+/// Whether a request has come whole: one for a completion ends with its JSON body, any other with its
+/// head.
+fn is_whole(request: &[u8]) -> bool {
+    if request.starts_with(b"GET") {
+        request.ends_with(b"\r\n\r\n")
+    } else {
+        request.ends_with(b"}")
+    }
+}
+
 /// An engine that answers each request with a status and nothing else.
 fn failing(status: &'static str) -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -305,10 +315,7 @@
             let mut stream = stream.unwrap();
             let mut request = Vec::new();
             let mut part = [0; 4_096];
-            // A request for a completion ends with its JSON body, any other with its head.
-            while !request.ends_with(b"}")
-                && !(request.starts_with(b"GET") && request.ends_with(b"\r\n\r\n"))
-            {
+            while !is_whole(&request) {
                 let length = stream.read(&mut part).unwrap();
                 assert!(length > 0, "the request is cut off");
                 request.extend_from_slice(&part[..length]);
