--- /dev/null
+++ b/crates/entry/src/programs.rs
@@ -0,0 +1,149 @@
+//! The beginning and the end of programs.
+
+use std::rc::Rc;
+
+use log::{Budget, Cause, Created, Event, Handle, Parent};
+use units::{Account, Class, Program, Span};
+
+use crate::links;
+use crate::live::Live;
+use crate::refusal::{Refusal, Result};
+use crate::traffic::Traffic;
+
+impl Traffic {
+    /// A new program's identifier.
+    pub(crate) fn next_id(&self, log: &Handle) -> Program {
+        self.created.set(self.created.get() + 1);
+        Program {
+            origin: log.writer(),
+            number: self.created.get(),
+        }
+    }
+
+    /// Creates a program for a caller.
+    pub(crate) async fn create(
+        &self,
+        account: &Account,
+        class: Class,
+        budget: Budget,
+        deadline: Option<Span>,
+    ) -> Result<Rc<Live>> {
+        if self.is_leaving() {
+            return Err(Refusal::Unready);
+        }
+        let environment = self.environment()?;
+        let document = &environment.document;
+        let owner = document.accounts.get(account);
+        let allowed = owner.is_some_and(|owner| owner.classes.contains(&class));
+        let settings = document
+            .classes
+            .get(&class)
+            .filter(|_| allowed)
+            .ok_or(Refusal::Class)?;
+        let programs_max = owner.map_or(0, |owner| owner.programs_max);
+        let _permit = self.permit(account, programs_max)?;
+        let limits = &document.limits;
+        let budget = Budget {
+            tokens: budget.tokens.min(limits.tokens_max),
+            calls: budget.calls.min(limits.calls_max),
+        };
+        let now = self.shared.clock.now();
+        let created = Created {
+            account: account.clone(),
+            class,
+            budget,
+            deadline: now.after(deadline.unwrap_or(settings.deadline).min(settings.deadline)),
+            parent: None,
+            document: environment.version,
+            entry: self.shared.identity.host.clone(),
+            at: now,
+        };
+        let log = self.log()?;
+        let program = program::Program::new(created.clone());
+        let live = Live::new(self.next_id(&log), program, log);
+        self.append(&live, vec![Event::Created(created)]).await?;
+        self.adopt(live.clone());
+        Ok(live)
+    }
+
+    /// The start of a sub-agent of `parent`.
+    pub(crate) fn child(&self, parent: &Live, from: Parent, budget: Budget) -> Result<Created> {
+        let environment = self.environment()?;
+        let program = parent.program.borrow();
+        Ok(Created {
+            budget,
+            parent: Some(from),
+            document: environment.version,
+            entry: self.shared.identity.host.clone(),
+            at: self.shared.clock.now(),
+            ..program.created().clone()
+        })
+    }
+
+    /// Owns a program from now on.
+    pub(crate) fn adopt(&self, live: Rc<Live>) {
+        self.programs.borrow_mut().insert(live.id, live);
+        self.shared
+            .metrics
+            .set("programs-count", self.programs.borrow().len() as i64);
+    }
+
+    /// Ends a program and its sub-agents and frees the engines' memory of it. Sub-agents end first,
+    /// so that what they leave over is returned before the program's own rest is counted.
+    pub(crate) async fn end(&self, live: &Rc<Live>, cause: Cause) -> Result<()> {
+        if live.program.borrow().ended().is_some() || live.ending.replace(true) {
+            return Ok(());
+        }
+        let ended = self.end_all(live, cause).await;
+        live.ending.set(false);
+        ended?;
+        links::release(self, live.id);
+        Ok(())
+    }
+
+    async fn end_all(&self, live: &Rc<Live>, cause: Cause) -> Result<()> {
+        for child in self.children(live.id) {
+            Box::pin(self.end(&child, Cause::Parent)).await?;
+        }
+        let at = self.shared.clock.now();
+        let ended = Event::Ended { cause, at };
+        let Some(parent) = self.parent(live) else {
+            return self.append(live, vec![ended]).await;
+        };
+        let returned = Event::Returned {
+            child: live.id,
+            tokens: live.program.borrow().leftover(),
+        };
+        // In one batch: the leftover is returned if and only if the end is durable.
+        let records = vec![live.record(ended.clone()), parent.record(returned.clone())];
+        self.append_records(&live.log, records).await?;
+        live.program.borrow_mut().apply(&ended);
+        parent.program.borrow_mut().apply(&returned);
+        Ok(())
+    }
+
+    /// The parent of a sub-agent, if it is here and goes on.
+    fn parent(&self, live: &Live) -> Option<Rc<Live>> {
+        let parent = live.program.borrow().created().parent?.program;
+        let parent = self.local(parent)?;
+        let goes_on = parent.program.borrow().ended().is_none();
+        let same_log = parent.log.writer() == live.log.writer();
+        (goes_on && same_log).then_some(parent)
+    }
+
+    fn children(&self, id: Program) -> Vec<Rc<Live>> {
+        let is_child = |live: &&Rc<Live>| {
+            let program = live.program.borrow();
+            program
+                .created()
+                .parent
+                .is_some_and(|parent| parent.program == id)
+        };
+        self.programs
+            .borrow()
+            .values()
+            .filter(is_child)
+            .cloned()
+            .collect()
+    }
+}
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod batch;
 mod commit;
+mod compact;
 mod error;
 mod event;
 mod history;
@@ -28,7 +29,9 @@
     Answer, Budget, Call, Cause, Created, Event, Intent, Parent, Record, Route, Turn, Usage,
 };
 pub use history::{Histories, History, inherit};
-pub use takeover::{Found, Sealing, find, histories, inherited, opened, take};
+pub use takeover::{
+    Found, Sealing, batches, compact_all, find, histories, inherited, opened, take,
+};
 pub use token::Token;
 pub use trail::{Step, trail};
 pub use writer::{Handle, Log, open};
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -19,12 +19,15 @@
 use crate::guard::{End, Guard, Verdict};
 use crate::orders::Orders;
 use crate::queue::Queue;
+use crate::witness::Witness;
 
 const QUEUE_MAX: u32 = 1_024;
 const QUEUE_MAX_BYTES: usize = 16 << 20;
 const EPOCH: Span = Span::from_ms(60_000);
 const CLOSE_MAX: Span = Span::from_ms(1_000);
 const DRAIN_POLL: Span = Span::from_ms(20);
+/// Room for tails of histories in a store outage.
+const WITNESS_MAX: Bytes = Bytes(16 << 20);
 const TOKEN_TIME_WEIGHT: f64 = 0.2;
 
 /// A call that is waiting for a slot.
@@ -49,6 +52,7 @@
     token_time: Cell<f64>,
     pub(crate) replica: RefCell<Replica>,
     stale_after: Span,
+    pub(crate) witness: RefCell<Witness>,
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
     pub(crate) clock: Clock,
@@ -77,6 +81,7 @@
             changed: Event::new(),
             drain_max: settings.drain_max,
             token_time: Cell::new(0.0),
+            witness: RefCell::new(Witness::new(WITNESS_MAX)),
             replica: RefCell::default(),
             stale_after: settings.process.timing.stale_after,
             metrics,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -19,6 +19,7 @@
 mod reconcile;
 mod server;
 mod status;
+mod witness;
 
 pub use claims::Claims;
 pub use error::{Error, Result};
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -92,6 +92,15 @@
     Ask(Question),
     /// The process is to leave: it takes no new work and finishes what it has; answered by `Ack`.
     Drain,
+    /// Has a sidecar hold turns that their owner cannot record now; answered by `Ack`, or by
+    /// `Refused` for want of room.
+    Hold(Tail),
+    /// Asks for the tails of these writers' programs; answered by `Tails`.
+    Collect(Vec<Incarnation>),
+    /// The tails that the sidecar holds.
+    Tails(Vec<Tail>),
+    /// The tails of these programs are in the log and need not be held; answered by `Ack`.
+    Committed(Vec<Program>),
 }
 
 impl Frame {
@@ -128,6 +137,10 @@
             Frame::Adopt(_) => "Adopt",
             Frame::Ask(_) => "Ask",
             Frame::Drain => "Drain",
+            Frame::Hold(_) => "Hold",
+            Frame::Collect(_) => "Collect",
+            Frame::Tails(_) => "Tails",
+            Frame::Committed(_) => "Committed",
         }
     }
 }
@@ -361,6 +374,17 @@
     pub reason: Reason,
 }
 
+/// The end of a program's history that is not in its log yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tail {
+    /// The program.
+    pub program: Program,
+    /// The writer of its log.
+    pub writer: Incarnation,
+    /// The turns, encoded by the log.
+    pub turns: Vec<u8>,
+}
+
 /// A request for the rest of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resume {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -29,7 +29,7 @@
 pub use error::{Error, Result};
 pub use frame::{
     Accepted, Body, Delta, Dispatch, Done, Epoch, Forward, Frame, Head, Identity, Load, Question,
-    Ran, Reason, Refused, Resume, Role, State, Usage, Work,
+    Ran, Reason, Refused, Resume, Role, State, Tail, Usage, Work,
 };
 pub use link::Link;
 pub use list::LIST_MAX;
--- a/tests/all/explain.rs
+++ b/tests/all/explain.rs
@@ -57,6 +57,7 @@
         seq(2, "intent"),
         seq(2, "answered"),
         seq(3, "sub-agent"),
+        all("returned"),
         all("ended"),
     ];
     cluster.kill("entry-0");
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 )]
 
 mod bad_input;
+mod budget;
 mod budgets;
 mod caller;
 mod cluster;
@@ -19,6 +20,7 @@
 mod links;
 mod observability;
 mod operators;
+mod outage;
 mod races;
 mod scenario;
 mod scenarios;
