--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -202,9 +202,10 @@
     // One attempt that may have run makes it uncertain whether the call ran.
     let mut ran = Ran::No;
     for attempt in 0..ATTEMPTS_MAX {
-        reserve(traffic, run, worst).await?;
-        let mut route =
-            routing::choose(traffic, run, &target, worst, attempt, environment.version)?;
+        let refuse = |refusal| unsettled(ran, refused.reason, refusal);
+        reserve(traffic, run, worst).await.map_err(refuse)?;
+        let mut route = routing::choose(traffic, run, &target, worst, attempt, environment.version)
+            .map_err(refuse)?;
         route.attempt = run.live.program.borrow_mut().next_attempt();
         let order = dispatch::make(traffic, run, &target, &work, &route, &input);
         if !work.idempotent() {
@@ -264,6 +265,14 @@
     announced
 }
 
+/// Why no further attempt is made; the refusal must not hide that an earlier one may have run.
+fn unsettled(ran: Ran, reason: Reason, refusal: Refusal) -> Refusal {
+    match ran {
+        Ran::No => refusal,
+        ran => Refusal::Endpoint(ran, reason),
+    }
+}
+
 /// Records that the announced dispatch was proved not to have run and never to run.
 pub(crate) async fn withdraw(traffic: &Traffic, run: &Run) -> Result<()> {
     let withdrawn = Event::Withdrawn(run.request.seq);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod budgets;
 mod caller;
 mod caller_api;
+mod chaos;
 mod cluster;
 mod documents;
 mod drain;
