--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -20,3 +20,4 @@
     ACCEPTED_KEY, Accepted, Change, Promoted, accept, current, history, past, version,
 };
 pub use error::{Error, Result, Stale};
+pub use status::endpoints;
--- a/crates/admin/src/status.rs
+++ b/crates/admin/src/status.rs
@@ -69,7 +69,7 @@
 }
 
 /// The endpoints that may be given new work, each with the reason why it counts as slow, if it does.
-pub(crate) fn endpoints(view: &View) -> Vec<Value> {
+pub fn endpoints(view: &View) -> Vec<Value> {
     let one = |endpoint: &Endpoint| {
         json!({
             "name": endpoint.name, "host": endpoint.host, "zone": endpoint.zone,
