--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -12,6 +12,7 @@
 use crate::answers;
 use crate::api::Request;
 use crate::dispatch::{self, Dispatched};
+use crate::links;
 use crate::live::{Ending, Live};
 use crate::outage;
 use crate::refusal::{Refusal, Result};
@@ -201,9 +202,10 @@
     // One attempt that may have run makes it uncertain whether the call ran.
     let mut ran = Ran::No;
     for attempt in 0..ATTEMPTS_MAX {
-        reserve(traffic, run, worst).await?;
-        let mut route =
-            routing::choose(traffic, run, &target, worst, attempt, environment.version)?;
+        let refuse = |refusal| unsettled(ran, refused.reason, refusal);
+        reserve(traffic, run, worst).await.map_err(refuse)?;
+        let mut route = routing::choose(traffic, run, &target, worst, attempt, environment.version)
+            .map_err(refuse)?;
         route.attempt = run.live.program.borrow_mut().next_attempt();
         let order = dispatch::make(traffic, run, &target, &work, &route, &input);
         if !work.idempotent() {
@@ -263,6 +265,14 @@
     announced
 }
 
+/// Why no further attempt is made; the refusal must not hide that an earlier one may have run.
+fn unsettled(ran: Ran, reason: Reason, refusal: Refusal) -> Refusal {
+    match ran {
+        Ran::No => refusal,
+        ran => Refusal::Endpoint(ran, reason),
+    }
+}
+
 /// Records that the announced dispatch was proved not to have run and never to run.
 pub(crate) async fn withdraw(traffic: &Traffic, run: &Run) -> Result<()> {
     let withdrawn = Event::Withdrawn(run.request.seq);
@@ -308,14 +318,9 @@
         seq,
         attempt: route.attempt,
     };
-    let view = traffic.shared.view.load_full();
-    let endpoint = view
-        .endpoints
-        .iter()
-        .find(|endpoint| endpoint.incarnation == route.sidecar);
-    if let Some(link) = endpoint.and_then(|endpoint| traffic.link(&endpoint.host)) {
+    if let Some((_, link)) = links::to(traffic, route.sidecar) {
         let notify = async move {
-            // A sidecar that is not told frees the answer when it needs the room.
+            // A sidecar that is not told frees the answer with the program's next one, or its end.
             let _ = link.call(&Frame::Saved(vec![saved])).await;
         };
         traffic.executor.spawn(notify).detach();
--- a/crates/entry/src/programs.rs
+++ b/crates/entry/src/programs.rs
@@ -97,7 +97,7 @@
         let ended = self.end_all(live, cause).await;
         live.ending.set(false);
         ended?;
-        links::release(self, live.id).await;
+        links::release(self, live.id);
         Ok(())
     }
 
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -258,7 +258,7 @@
     let executor = traffic.executor.clone();
     let release = async move {
         for program in ended {
-            links::release(&traffic, program).await;
+            links::release(&traffic, program);
         }
     };
     executor.spawn(release).detach();
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -11,7 +11,7 @@
 use log::{Cause, Event, Handle, Record, Token};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use serde_json::{Value, json};
+use serde_json::Value;
 use slog::{error, info};
 use smol::LocalExecutor;
 use smol::future::FutureExt;
@@ -144,7 +144,8 @@
             let (executor, key) = (traffic.executor.clone(), traffic.key.clone());
             let metrics = traffic.shared.metrics.clone();
             let refused = move |error: &Error| metrics.count(error.label());
-            wire::serve(executor, listener, key, own, handler, refused).await
+            let drain = wire::Drain::new();
+            wire::serve(executor, listener, key, own, handler, refused, drain).await
         }
         Err(why) => Err(why),
     };
@@ -258,11 +259,7 @@
             Question::Accounts => Some(account::accounts(self)),
             Question::Drain(host) => account::drain(self, &host).await,
             Question::Explain(id) => account::explain(self, id).await,
-            Question::End(id) => {
-                let live = self.local(id)?;
-                let ended = self.end(&live, Cause::Operator).await.is_ok();
-                Some(json!({"program": id.to_string(), "ended": ended}))
-            }
+            Question::End(id) => account::end(self, id).await,
         }
     }
 
