sidecar: a leaving witness waits for its tails; collected tails fit a frame

Cause: a sidecar that left dropped tails that it held as a witness, and took new ones while leaving; 16 MiB of tails cannot be collected in a frame of 8 MiB. Conclusion: process.rs, leaving_sidecar_waits_for_its_answers_and_tails_to_be_saved.

--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -12,7 +12,9 @@
 use smol::future::FutureExt;
 use telemetry::{Metrics, Trace};
 use units::{Bytes, Call, Clock, Digest, Incarnation, Program, Span, Time, Tokens};
-use wire::{Dispatch, Done, Epoch, Load, Order, Ordered, Ran, Reason, Refused, State, Usage, Work};
+use wire::{
+    Dispatch, Done, Epoch, Load, Order, Ordered, Ran, Reason, Refused, State, Tail, Usage, Work,
+};
 
 use crate::claims::Claims;
 use crate::endpoint::Client;
@@ -27,7 +29,8 @@
 const CLOSE_MAX: Span = Span::from_ms(1_000);
 const DRAIN_POLL: Span = Span::from_ms(20);
 /// Room for tails of histories in a store outage.
-const WITNESS_MAX: Bytes = Bytes(16 << 20);
+/// All tails must fit into one frame, in which they are collected.
+const WITNESS_MAX: Bytes = Bytes(6 << 20);
 const TOKEN_TIME_WEIGHT: f64 = 0.2;
 
 /// A call that is waiting for a slot.
@@ -265,6 +268,18 @@
         ordered
     }
 
+    /// Holds a tail, unless there is no room or this sidecar is leaving.
+    pub(crate) fn hold(&self, tail: Tail) -> Result<(), Refused> {
+        if self.guard.borrow().leaving() {
+            return Err(did_not_run(Reason::Leaving));
+        }
+        if self.witness.borrow_mut().hold(tail) {
+            Ok(())
+        } else {
+            Err(did_not_run(Reason::Full))
+        }
+    }
+
     /// Notes that an entry answers for programs.
     pub(crate) fn claim(&self, entry: Incarnation, programs: &[Program]) {
         let mut claims = self.claims.borrow_mut();
@@ -332,16 +347,16 @@
         self.changed.notify(usize::MAX);
     }
 
-    /// Refuses new work, and waits until the calls taken on have ended and their answers are saved,
-    /// or nobody has saved them for too long; then ends the connections.
+    /// Refuses new work, and waits until the calls taken on have ended and their answers and the tails
+    /// held are saved, or nobody has saved them for too long; then ends the connections.
     pub(crate) async fn drain(&self, connections: &wire::Drain) {
         self.leave();
         let busy = || self.load().running + self.load().queued > 0;
         self.poll_while(busy, None).await;
-        let unsaved = || self.guard.borrow().retained() > Bytes(0);
-        self.poll_while(unsaved, Some(self.drain_max)).await;
-        if unsaved() {
-            warn!(self.log, "answers not saved"; "bytes" => self.guard.borrow().retained().0);
+        self.poll_while(|| self.unsaved() > Bytes(0), Some(self.drain_max))
+            .await;
+        if self.unsaved() > Bytes(0) {
+            warn!(self.log, "answers not saved"; "bytes" => self.unsaved().0);
         }
         self.closing.set(true);
         self.changed.notify(usize::MAX);
@@ -351,6 +366,12 @@
         connections.finish().or(late).await;
     }
 
+    /// Bytes of answers and tails that may be kept nowhere else.
+    fn unsaved(&self) -> Bytes {
+        let (retained, held) = (self.guard.borrow().retained(), self.witness.borrow().held());
+        Bytes(retained.0 + held.0)
+    }
+
     async fn poll_while(&self, condition: impl Fn() -> bool, bound: Option<Span>) {
         let start = self.clock.now();
         let late = || bound.is_some_and(|bound| self.clock.now().since(start) >= bound);
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -78,14 +78,9 @@
             document::receive(calls, version, text, stream).await?;
         }
         Frame::Hold(tail) => {
-            let frame = if calls.witness.borrow_mut().hold(tail) {
-                Frame::Ack
-            } else {
-                Frame::Refused(Refused {
-                    ran: Ran::No,
-                    reason: Reason::Full,
-                })
-            };
+            let frame = calls
+                .hold(tail)
+                .map_or_else(Frame::Refused, |()| Frame::Ack);
             stream.send(&frame).await?;
         }
         Frame::Collect(writers) => {
--- a/crates/sidecar/tests/process.rs
+++ b/crates/sidecar/tests/process.rs
@@ -19,7 +19,7 @@
 use units::{Call, Incarnation, Program, Seq, Span, Tokens};
 use wire::{
     Action, Dispatch, Fence, Frame, Identity, Key, Link, Order, Ordered, Ran, Reason, Refused,
-    Role, Stream, Work,
+    Role, Stream, Tail, Work,
 };
 
 const START_MAX: Duration = Duration::from_secs(5);
@@ -41,12 +41,16 @@
 
 impl Sidecar {
     fn start(kind: &str, endpoint: SocketAddr, more: &str) -> Self {
+        Self::with_drain_max("100ms", kind, endpoint, more)
+    }
+
+    fn with_drain_max(drain_max: &str, kind: &str, endpoint: SocketAddr, more: &str) -> Self {
         let peers = free();
         let key: String = KEY.iter().map(|byte| format!("{byte:02x}")).collect();
         let text = format!(
             "[process]\nhost = sidecar-0\nregion = north\nzone = north-1\nenvironment = trial\n\
              key = {key}\n[platform]\naddress = 127.0.0.1:9\n\
-             [sidecar]\npeer-address = {peers}\nstatus-address = {}\ndrain-max = 100ms\n\
+             [sidecar]\npeer-address = {peers}\nstatus-address = {}\ndrain-max = {drain_max}\n\
              [endpoint]\nname = endpoint-0\nkind = {kind}\naddress = {endpoint}\nserves = stock advisor\n{more}",
             free(),
         );
@@ -358,3 +362,38 @@
         });
     }
 }
+
+#[test]
+fn leaving_sidecar_waits_for_its_answers_and_tails_to_be_saved() {
+    let service = service::start("127.0.0.1:0".parse().unwrap(), 0).unwrap();
+    let mut sidecar = Sidecar::with_drain_max("60s", "service", service.address, "");
+    run(|tasks| async move {
+        let link = sidecar.connect(&tasks, 1).await;
+        let done = link.open(&order(&link, call(1, 1))).await.unwrap();
+        assert!(matches!(last(done).await, Frame::Done(_)));
+        let tail = |number| Tail {
+            program: call(number, 1).program,
+            writer: Incarnation(1),
+            turns: vec![1, 2, 3],
+        };
+        let ack = link.call(&Frame::Hold(tail(2))).await.unwrap();
+        assert_eq!(ack, Frame::Ack);
+        let mut watch = link.open(&Frame::Watch).await.unwrap();
+        sidecar.stop.take();
+        let leaving = |frame| matches!(frame, Frame::Load(load) if load.leaving);
+        while !leaving(watch.expect().await.unwrap()) {}
+        let refused = link.call(&Frame::Hold(tail(3))).await.unwrap();
+        assert_eq!(refused, refusal(Ran::No, Reason::Leaving));
+        // What it keeps can be had until it is saved.
+        link.call(&Frame::Saved(vec![call(1, 1)])).await.unwrap();
+        let tails = link
+            .call(&Frame::Collect(vec![Incarnation(1)]))
+            .await
+            .unwrap();
+        assert_eq!(tails, Frame::Tails(vec![tail(2)]));
+        let committed = Frame::Committed(vec![tail(2).program]);
+        link.call(&committed).await.unwrap();
+        let thread = sidecar.thread.take().unwrap();
+        eventually(START_MAX, "the sidecar ends", || thread.is_finished()).await;
+    });
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -96,11 +96,11 @@
     /// `Refused` for want of room.
     Hold(Tail),
     /// Asks for the tails of these writers' programs; answered by `Tails`.
-    Collect(Vec<Incarnation>),
+    Collect(#[serde(deserialize_with = "bounded")] Vec<Incarnation>),
     /// The tails that the sidecar holds.
-    Tails(Vec<Tail>),
+    Tails(#[serde(deserialize_with = "bounded")] Vec<Tail>),
     /// The tails of these programs are in the log and need not be held; answered by `Ack`.
-    Committed(Vec<Program>),
+    Committed(#[serde(deserialize_with = "bounded")] Vec<Program>),
 }
 
 impl Frame {
