--- a/src/commands/ctl/mod.rs
+++ b/src/commands/ctl/mod.rs
@@ -1,5 +1,6 @@
 //! `balsamhold ctl`: the operators' tool.
 
+mod pages;
 mod promote;
 mod render;
 mod rollout;
@@ -20,12 +21,14 @@
 
 const TOKEN_VARIABLE: &str = "BALSAMHOLD_TOKEN";
 const TARGET_TOKEN_VARIABLE: &str = "BALSAMHOLD_TARGET_TOKEN";
+const AUDIT_SPAN: Span = Span::from_ms(24 * 3_600_000);
 const ROLLOUT_TIMEOUT: Span = Span::from_ms(30_000);
 
 /// Arguments of `balsamhold ctl`.
 #[derive(Clone)]
 pub(crate) enum Options {
     Check {
+        kind: Kind,
         file: String,
     },
     Digest,
@@ -64,12 +67,33 @@
     },
 }
 
+/// What kind of file is checked.
+#[derive(Clone, Copy)]
+pub(crate) enum Kind {
+    Document,
+    Entry,
+    Sidecar,
+}
+
+impl std::str::FromStr for Kind {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        match text {
+            "document" => Ok(Kind::Document),
+            "entry" => Ok(Kind::Entry),
+            "sidecar" => Ok(Kind::Sidecar),
+            _ => Err("allowed: document, entry, sidecar"),
+        }
+    }
+}
+
 /// What can be shown.
 #[derive(Clone)]
 pub(crate) enum Query {
     Status,
-    History,
-    Audit,
+    History(Option<u64>),
+    Audit(Span),
     Programs,
     Top,
     Accounts,
@@ -80,8 +104,8 @@
     fn path(&self) -> String {
         match self {
             Query::Status => "/v1/status".into(),
-            Query::History => "/v1/environment/history".into(),
-            Query::Audit => "/v1/audit".into(),
+            Query::History(_) => "/v1/environment/history".into(),
+            Query::Audit(_) => "/v1/audit".into(),
             Query::Programs => "/v1/programs".into(),
             Query::Top => "/v1/top".into(),
             Query::Accounts => "/v1/accounts".into(),
@@ -89,11 +113,20 @@
         }
     }
 
+    /// What a server answers, all pages of it.
+    fn fetch(&self, server: &Server) -> Result<Value> {
+        match self {
+            Query::History(after) => pages::history(server, &self.path(), *after),
+            Query::Audit(span) => pages::audit(server, &self.path(), *span),
+            _ => server.get(&self.path()),
+        }
+    }
+
     fn render(&self, value: &Value) -> String {
         match self {
             Query::Status => render::status(value),
-            Query::History => render::history(value),
-            Query::Audit => render::audit(value),
+            Query::History(_) => render::history(value),
+            Query::Audit(_) => render::audit(value),
             Query::Programs => render::programs(value),
             Query::Top => render::top(value),
             Query::Accounts => render::accounts(value),
@@ -154,11 +187,49 @@
     .command("explain")
 }
 
+fn history() -> impl Parser<Options> {
+    let (server, json) = (server(), json());
+    let query = long("after")
+        .help("Lists the versions after this one; by default the last 50")
+        .argument("VERSION")
+        .optional()
+        .map(Query::History);
+    construct!(Options::Show {
+        query,
+        server,
+        json
+    })
+    .to_options()
+    .descr("Lists the accepted documents")
+    .command("history")
+}
+
+fn audit() -> impl Parser<Options> {
+    let (server, json) = (server(), json());
+    let query = long("since")
+        .help("How far to look back, for example 36h; by default 24h")
+        .argument("SPAN")
+        .fallback(AUDIT_SPAN)
+        .map(Query::Audit);
+    construct!(Options::Show {
+        query,
+        server,
+        json
+    })
+    .to_options()
+    .descr("Lists the changes by operators")
+    .command("audit")
+}
+
 fn changes() -> impl Parser<Options> {
-    let file = self::file();
-    let check = construct!(Options::Check { file })
+    let kind = long("kind")
+        .help("What the file is: document, entry or sidecar")
+        .argument("KIND")
+        .fallback(Kind::Document);
+    let file = positional("FILE").help("Environment document, or settings of a process");
+    let check = construct!(Options::Check { kind, file })
         .to_options()
-        .descr("Checks an environment document without a server")
+        .descr("Checks an environment document or settings without a server")
         .command("check");
     let digest = pure(Options::Digest)
         .to_options()
@@ -232,8 +303,6 @@
         "Shows the document in force at each host, and the endpoints",
         Query::Status,
     );
-    let history = show("history", "Lists the accepted documents", Query::History);
-    let audit = show("audit", "Lists all changes by operators", Query::Audit);
     let programs = show(
         "programs",
         "Lists the programs of an entry",
@@ -252,8 +321,8 @@
     construct!([
         changes(),
         status,
-        history,
-        audit,
+        history(),
+        audit(),
         programs,
         top,
         accounts,
@@ -266,7 +335,7 @@
 
 pub(crate) fn run(options: Options) -> Result<()> {
     match options {
-        Options::Check { file } => check(&file),
+        Options::Check { kind, file } => check(kind, &file),
         Options::Digest => digest(),
         Options::Apply {
             server,
@@ -318,7 +387,7 @@
             server,
             json,
         } => {
-            let value = Server::new(server, TOKEN_VARIABLE).get(&query.path())?;
+            let value = query.fetch(&Server::new(server, TOKEN_VARIABLE))?;
             if json {
                 println!("{value:#}");
             } else {
@@ -360,10 +429,17 @@
     Ok(())
 }
 
-fn check(file: &str) -> Result<()> {
+fn check(kind: Kind, file: &str) -> Result<()> {
     let text = std::fs::read_to_string(file).map_err(Error::File)?;
-    let document = Document::parse(file, &text).map_err(Error::Settings)?;
-    println!("{file}: valid document of environment {}", document.name);
+    let what = match kind {
+        Kind::Document => Document::parse(file, &text)
+            .map(|document| format!("document of environment {}", document.name)),
+        Kind::Entry => settings::Entry::parse(file, &text)
+            .map(|entry| format!("settings of an entry on host {}", entry.process.host)),
+        Kind::Sidecar => settings::Sidecar::parse(file, &text)
+            .map(|sidecar| format!("settings of a sidecar on host {}", sidecar.process.host)),
+    };
+    println!("{file}: valid {}", what.map_err(Error::Settings)?);
     Ok(())
 }
 
--- a/tests/all/documents.rs
+++ b/tests/all/documents.rs
@@ -1,6 +1,6 @@
 //! An accepted document is in force everywhere within seconds and never reverts.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use units::Digest;
@@ -24,9 +24,11 @@
 #[track_caller]
 fn eventually_agreed(cluster: &Cluster, entry: u16, version: u64) {
     let what = format!("version {version} in force everywhere, seen from entry {entry}");
+    let start = Instant::now();
     eventually(IN_FORCE_MAX, &what, || {
         agreed(cluster, entry) == Some(version)
     });
+    println!("{what}: after {} ms", start.elapsed().as_millis());
 }
 
 fn version(cluster: &Cluster, entry: u16) -> Option<u64> {
@@ -66,6 +68,8 @@
     assert_eq!(cluster.apply(1, &document(TWO_MINUTES)), Ok(2));
     eventually_agreed(&cluster, 0, 2);
     cluster.platform.state().rows.extend(old);
+    // Versions go on from the one in force, not from the store's.
+    assert_eq!(cluster.apply(1, &document("")), Err(409));
     cluster.kill("entry-1");
     cluster.restart("entry-1");
     eventually(
@@ -74,6 +78,8 @@
         || version(&cluster, 1) == Some(2),
     );
     eventually_agreed(&cluster, 0, 2);
+    assert_eq!(cluster.apply(2, &document("")), Ok(3));
+    eventually_agreed(&cluster, 1, 3);
 }
 
 #[test]
