--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,19 +1,24 @@
 //! One dispatch of a call to a sidecar, and the recovery of its answer when a connection is lost.
 
+use std::cell::Cell;
+
 use log::Route;
+use policy::{Stream, Ticket, Used};
 use slog::warn;
 use smol::future::FutureExt;
-use units::{Digest, Host, Incarnation, Span, Target, Time};
+use units::{Digest, Host, Incarnation, Span, Target, Time, Tokens};
 use wire::{Dispatch, Done, Epoch, Frame, Link, Ran, Reason, Refused, State, Work};
 
 use crate::calls::Run;
 use crate::links;
+use crate::routing;
 use crate::traffic::Traffic;
 
 const RECOVERY_TIMEOUT: Span = Span::from_ms(3_000);
 /// A call that may not be repeated is worth a longer wait for its sidecar than one that may.
 const ORDER_RECOVERY_TIMEOUT: Span = Span::from_ms(15_000);
 const RECOVERY_POLL: Span = Span::from_ms(100);
+const TOKEN_BYTES: u64 = 4;
 
 /// How one dispatch ended.
 pub(crate) enum Dispatched {
@@ -30,12 +35,10 @@
     work: &Work,
     route: &Route,
     input: &[u8],
+    request: &policy::Request,
 ) -> Dispatch {
     let program = run.live.program.borrow();
     let created = program.created();
-    let environment = traffic.shared.view.load().environment.clone();
-    let class = environment.and_then(|all| all.document.classes.get(&created.class).cloned());
-    let precedence = class.map_or(0, |class| class.precedence);
     let (id, seq) = (run.live.id, run.request.seq);
     Dispatch {
         call: units::Call {
@@ -49,7 +52,7 @@
         target: target.clone(),
         work: work.clone(),
         time_left: created.deadline.since(traffic.shared.clock.now()),
-        priority: policy::rank(precedence, program.ledger().spent()),
+        priority: routing::rank(traffic, run, request),
         input: input.to_vec(),
         trace: run.trace.to_string().into(),
         tail: Vec::new(),
@@ -105,6 +108,63 @@
     traffic: &Traffic,
     run: &Run,
     route: &Route,
+    ticket: Ticket,
+    dispatch: Dispatch,
+) -> Dispatched {
+    let outstanding = Outstanding::new(traffic, ticket);
+    let dispatched = follow(traffic, run, route, &outstanding.ticket, dispatch).await;
+    let used = match &dispatched {
+        Dispatched::Done(done) => Some(Used {
+            prompt: done.usage.prompt,
+            cached: done.usage.cached,
+            generated: done.usage.generated.max(Tokens(1)),
+        }),
+        Dispatched::Refused(_) => None,
+    };
+    outstanding.close(used);
+    dispatched
+}
+
+/// A call that counts as outstanding until it is closed or, when its future is dropped, given up.
+struct Outstanding<'a> {
+    traffic: &'a Traffic,
+    ticket: Ticket,
+    used: Option<Used>,
+}
+
+impl<'a> Outstanding<'a> {
+    fn new(traffic: &'a Traffic, ticket: Ticket) -> Self {
+        traffic.routing.fleet.borrow_mut().start(&ticket);
+        Outstanding {
+            traffic,
+            ticket,
+            used: None,
+        }
+    }
+
+    fn close(mut self, used: Option<Used>) {
+        let routing = &self.traffic.routing;
+        let share = routing.fleet.borrow().knobs().hedge_budget;
+        if used.is_some() {
+            routing.budget.borrow_mut().earn(self.ticket.service, share);
+        }
+        self.used = used;
+    }
+}
+
+impl Drop for Outstanding<'_> {
+    fn drop(&mut self) {
+        let now = self.traffic.shared.clock.now();
+        let mut fleet = self.traffic.routing.fleet.borrow_mut();
+        fleet.finish(&self.ticket, self.used, now);
+    }
+}
+
+async fn follow(
+    traffic: &Traffic,
+    run: &Run,
+    route: &Route,
+    ticket: &Ticket,
     dispatch: Dispatch,
 ) -> Dispatched {
     let Some((host, link)) = links::to(traffic, route.sidecar) else {
@@ -126,14 +186,10 @@
             ORDER_RECOVERY_TIMEOUT
         },
     };
-    *traffic
-        .outstanding
-        .borrow_mut()
-        .entry(host.clone())
-        .or_default() += 1;
     let request = Frame::Dispatch(dispatch);
-    let result = until(traffic, sent.deadline, exchange(run, &link, &request)).await;
-    let dispatched = match result {
+    let mut meter = Meter::new(traffic, ticket, &run.stream);
+    let followed = exchange(run, &link, &request, Some(&mut meter));
+    let dispatched = match until(traffic, sent.deadline, followed).await {
         Ok(dispatched) => dispatched,
         Err(why) if why.is_unserved() => Dispatched::Refused(refused(Ran::No, Reason::Leaving)),
         Err(why) => {
@@ -146,13 +202,47 @@
     {
         // The next attempt must not come here, though the board may not know it yet.
         link.leave();
-    }
-    if let Some(count) = traffic.outstanding.borrow_mut().get_mut(&host) {
-        *count -= 1;
+        traffic.routing.invalidate();
     }
     dispatched
 }
 
+/// Shows the policy the times of a stream.
+struct Meter<'a> {
+    traffic: &'a Traffic,
+    ticket: &'a Ticket,
+    stream: &'a Cell<Stream>,
+}
+
+impl<'a> Meter<'a> {
+    fn new(traffic: &'a Traffic, ticket: &'a Ticket, stream: &'a Cell<Stream>) -> Self {
+        stream.set(Stream {
+            since: traffic.shared.clock.now(),
+            ..Stream::default()
+        });
+        Meter {
+            traffic,
+            ticket,
+            stream,
+        }
+    }
+
+    /// Takes in that so many bytes of the answer came.
+    fn observe(&mut self, bytes: usize) {
+        let now = self.traffic.shared.clock.now();
+        let mut fleet = self.traffic.routing.fleet.borrow_mut();
+        let tokens = Tokens((bytes as u64).div_ceil(TOKEN_BYTES));
+        let mut stream = self.stream.get();
+        match stream.last {
+            Some(last) => fleet.progress(self.ticket, tokens, now.since(last), now),
+            None => fleet.first_token(self.ticket, now.since(stream.since), now),
+        }
+        stream.last = Some(now);
+        stream.received = stream.received.plus(tokens);
+        self.stream.set(stream);
+    }
+}
+
 /// Bounds an exchange by the call's deadline.
 async fn until<T>(
     traffic: &Traffic,
@@ -168,13 +258,21 @@
 }
 
 /// Sends a request and copies the answer that comes.
-async fn exchange(run: &Run, link: &Link, request: &Frame) -> wire::Result<Dispatched> {
+async fn exchange(
+    run: &Run,
+    link: &Link,
+    request: &Frame,
+    mut meter: Option<&mut Meter<'_>>,
+) -> wire::Result<Dispatched> {
     let mut stream = link.open(request).await?;
     stream.finish()?;
     loop {
         match stream.expect().await? {
             Frame::Accepted(_) => {}
             Frame::Delta(delta) if delta.offset == run.answer.len() as u64 => {
+                if let Some(meter) = &mut meter {
+                    meter.observe(delta.bytes.len());
+                }
                 run.answer.push(&delta.bytes);
             }
             Frame::Done(done) => {
@@ -245,7 +343,7 @@
             let offset = run.answer.len() as u64;
             let resume = Frame::Resume(wire::Resume { call, offset });
             let end = sent.deadline.max(limit);
-            until(traffic, end, exchange(run, link, &resume))
+            until(traffic, end, exchange(run, link, &resume, None))
                 .await
                 .map(Some)
         }
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -60,7 +60,7 @@
         if current.as_ref().is_none_or(Link::is_closed) {
             drop_link(&traffic, &info.host, current.take()).await;
             let now = traffic.shared.clock.now();
-            let delay = backoff.delay(now, &mut *traffic.rng.borrow_mut());
+            let delay = backoff.delay(now, &mut *traffic.routing.rng.borrow_mut());
             smol::Timer::after(delay.into()).await;
         }
     }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -5,7 +5,7 @@
 use http_types::Response;
 use program::Refusal as Admission;
 use serde_json::{Value, json};
-use units::Target;
+use units::{Span, Target};
 use wire::{Ran, Reason};
 
 const RETRY_AFTER_MS: u64 = 500;
@@ -44,6 +44,8 @@
     Unrecorded,
     /// No endpoint serves the target now.
     NoEndpoint,
+    /// A new program would not be done in time; a repeat makes sense after this delay.
+    Overloaded(Span),
     /// The endpoint gave no whole answer.
     Endpoint(Ran, Reason),
     /// The call may or may not have run; it is never dispatched again.
@@ -69,9 +71,11 @@
                 Admission::Loop => 429,
                 Admission::Deadline => 408,
             },
-            Refusal::Unready | Refusal::Unavailable | Refusal::Unrecorded | Refusal::NoEndpoint => {
-                503
-            }
+            Refusal::Unready
+            | Refusal::Unavailable
+            | Refusal::Unrecorded
+            | Refusal::NoEndpoint
+            | Refusal::Overloaded(_) => 503,
             Refusal::Endpoint(..) | Refusal::Indeterminate => 502,
         }
     }
@@ -102,6 +106,7 @@
             Refusal::Unavailable => "history-unavailable",
             Refusal::Unrecorded => "unrecorded",
             Refusal::NoEndpoint => "no-endpoint",
+            Refusal::Overloaded(_) => "overloaded",
             Refusal::Endpoint(..) => "endpoint",
             Refusal::Indeterminate => "indeterminate",
         }
@@ -118,6 +123,9 @@
 
     /// Milliseconds after which a repeat makes sense, if it does.
     pub(crate) fn retry_after_ms(&self) -> Option<u64> {
+        if let Refusal::Overloaded(delay) = self {
+            return Some(delay.as_ms());
+        }
         (self.status() == 503).then_some(RETRY_AFTER_MS)
     }
 
@@ -164,6 +172,9 @@
             Refusal::Unavailable => f.write_str("the program's history is not yet available"),
             Refusal::Unrecorded => f.write_str("the call's answer could not be recorded here"),
             Refusal::NoEndpoint => f.write_str("no endpoint serves the target now"),
+            Refusal::Overloaded(_) => {
+                f.write_str("a new program would not be done in time under this load")
+            }
             Refusal::Endpoint(_, reason) => reason.fmt(f),
             Refusal::Indeterminate => {
                 f.write_str("the call may or may not have run and is not dispatched again")
--- a/crates/settings/tests/document.rs
+++ b/crates/settings/tests/document.rs
@@ -15,6 +15,26 @@
     (1_u64..=24, unit).prop_map(|(number, unit)| format!("{number}{unit}"))
 }
 
+fn knobs() -> impl Strategy<Value = String> {
+    let routings = vec!["completion", "least-outstanding", "round-robin"];
+    let switch = || prop::sample::select(vec!["on", "off"]);
+    let words = (
+        prop::sample::select(routings),
+        prop::sample::select(vec!["attained", "arrival"]),
+        (switch(), switch()),
+    );
+    let numbers = (span(), span(), span(), 0.0..1e3_f64, 1_u32..1_000);
+    (words, numbers).prop_map(|((routing, order, (affinity, slowness)), numbers)| {
+        let (price, start, weight, rate, candidates) = numbers;
+        format!(
+            "routing = {routing}\norder = {order}\naffinity = {affinity}\nslowness = {slowness}\n\
+             link-price = {price}\nhead-start = {start}\nattained-weight = {weight}\n\
+             age-weight = {rate}\nlong-slots = {rate}\nadmission = {rate}\n\
+             candidates = {candidates}\n"
+        )
+    })
+}
+
 fn keys() -> impl Strategy<Value = String> {
     let wait = (0_u64..3_600_000).prop_map(|number| format!("{number}ms"));
     let number = || 1..=u64::MAX;
@@ -29,6 +49,7 @@
     let policy = policy.prop_map(|(hedge, retry, rate)| {
         format!("[policy]\nhedge-budget = {hedge}\nretry-budget = {retry}\nlink-rate = {rate}k\n")
     });
+    let policy = (policy, knobs()).prop_map(|(policy, knobs)| policy + &knobs);
     (prop::option::of(limits), prop::option::of(policy))
         .prop_map(|(limits, policy)| limits.unwrap_or_default() + &policy.unwrap_or_default())
 }
