--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -171,9 +171,10 @@
         Ok(())
     }
 
-    /// The version in force at the first entry.
-    pub fn version(&self) -> Result<u64> {
-        let status = self.operate("GET", "/v1/status", None)?;
+    /// The version in force at an entry.
+    pub fn version(&self, entry: u16) -> Result<u64> {
+        let status = self.send(12_000 + entry, OPERATOR, "GET", "/v1/status", None);
+        let status = smol::block_on(status)?;
         Ok(status["version"].as_u64().unwrap_or_default())
     }
 
--- a/crates/slopes/src/measure.rs
+++ b/crates/slopes/src/measure.rs
@@ -208,10 +208,10 @@
         let before = fleet.entry()?;
         let mut waited = Duration::ZERO;
         for _ in 0..count {
-            let version = fleet.version()?;
+            let version = fleet.version(1)?;
             fleet.apply(version, ACCOUNTS[0])?;
             let accepted = Instant::now();
-            while fleet.version()? == version {
+            while fleet.version(1)? == version {
                 std::thread::sleep(Duration::from_millis(20));
             }
             waited += accepted.elapsed();
@@ -231,7 +231,7 @@
     let mut cpu = Slope::new("idle entry, µs/s", "account");
     let mut rss = Slope::new("entry memory, bytes", "account");
     for count in ACCOUNTS {
-        fleet.apply(fleet.version()?, count)?;
+        fleet.apply(fleet.version(0)?, count)?;
         std::thread::sleep(SETTLE);
         let before = fleet.entry()?;
         std::thread::sleep(WINDOW);
