--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -8,14 +8,14 @@
 use admin::{Ask, Question};
 use async_channel::{Receiver, Sender};
 use board::{Environment, Observation};
-use log::{Budget, Cause, Created, Event, Handle, Parent, Record, Token};
+use log::{Cause, Event, Handle, Record, Token};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use serde_json::{Value, json};
+use serde_json::Value;
 use slog::{error, info};
 use smol::LocalExecutor;
 use smol::future::FutureExt;
-use units::{Account, Class, Host, Incarnation, Program, Span};
+use units::{Host, Incarnation, Program, Span, Time};
 use wire::{Error, Frame, Identity, Key, Link, Load, Stream};
 
 use crate::control::listen;
@@ -46,14 +46,16 @@
     pub(crate) connecting: RefCell<HashSet<Host>>,
     pub(crate) outstanding: RefCell<HashMap<Host, u32>>,
     pub(crate) rng: RefCell<StdRng>,
-    programs: RefCell<HashMap<Program, Rc<Live>>>,
-    created: Cell<u64>,
+    pub(crate) programs: RefCell<HashMap<Program, Rc<Live>>>,
+    pub(crate) created: Cell<u64>,
     /// Held by each request until its answer has been sent.
     pub(crate) requests: Arc<()>,
     pub(crate) leaving: Cell<bool>,
     /// Whether programs wait for their handover: nothing new begins in them.
     pub(crate) handing_over: Cell<bool>,
     pub(crate) logs: Logs,
+    /// When this thread was last seen to run.
+    pub(crate) ticked: Cell<Time>,
     pub(crate) quota: Quota,
     observations: Sender<Observation>,
 }
@@ -74,6 +76,7 @@
         leaving: Cell::new(false),
         handing_over: Cell::new(false),
         logs: Logs::default(),
+        ticked: Cell::new(shared.clock.now()),
         quota: Quota::default(),
         observations: inputs.observations,
         shared,
@@ -108,6 +111,7 @@
     spawn(Box::pin(quota::keep(traffic.clone())));
     spawn(Box::pin(sweep(traffic.clone())));
     spawn(Box::pin(takeover::watch(traffic.clone())));
+    spawn(Box::pin(takeover::tick(traffic.clone())));
     spawn(Box::pin(answer_asks(traffic.clone(), asked)));
     info!(traffic.shared.logger, "ready"; "callers" => %traffic.shared.settings.callers);
     // Nothing is ever sent: the channel closes when the process is told to stop.
@@ -140,7 +144,8 @@
             let (executor, key) = (traffic.executor.clone(), traffic.key.clone());
             let metrics = traffic.shared.metrics.clone();
             let refused = move |error: &Error| metrics.count(error.label());
-            wire::serve(executor, listener, key, own, handler, refused).await
+            let drain = wire::Drain::new();
+            wire::serve(executor, listener, key, own, handler, refused, drain).await
         }
         Err(why) => Err(why),
     };
@@ -220,15 +225,21 @@
         let all: Vec<Rc<Live>> = traffic.programs.borrow().values().cloned().collect();
         for live in all {
             let expired = live.program.borrow().expired(idle_timeout, now);
-            if let Some(cause) = expired
-                && traffic.end(&live, cause).await.is_err()
-            {
-                traffic.shared.metrics.count("end-failed");
+            if let Some(cause) = expired {
+                let ending = end_expired(traffic.clone(), live, cause);
+                traffic.executor.spawn(ending).detach();
             }
         }
     }
 }
 
+/// Ends a program on its own; with the store down that waits.
+async fn end_expired(traffic: Rc<Traffic>, live: Rc<Live>, cause: Cause) {
+    if traffic.end(&live, cause).await.is_err() {
+        traffic.shared.metrics.count("end-failed");
+    }
+}
+
 async fn answer_asks(traffic: Rc<Traffic>, asked: Receiver<Ask>) {
     while let Ok(ask) = asked.recv().await {
         let asked = traffic.clone();
@@ -248,11 +259,7 @@
             Question::Accounts => Some(account::accounts(self)),
             Question::Drain(host) => account::drain(self, &host).await,
             Question::Explain(id) => account::explain(self, id).await,
-            Question::End(id) => {
-                let live = self.local(id)?;
-                let ended = self.end(&live, Cause::Operator).await.is_ok();
-                Some(json!({"program": id.to_string(), "ended": ended}))
-            }
+            Question::End(id) => account::end(self, id).await,
         }
     }
 
@@ -277,24 +284,28 @@
         self.shared.log_handle.load_full().ok_or(Refusal::Unready)
     }
 
-    /// Appends records of `live` and applies them once they are durable.
+    /// Appends events of `live` and applies them once they are durable.
+    pub(crate) async fn append(&self, live: &Live, events: Vec<Event>) -> Result<()> {
+        self.commit(live, &events).await?;
+        let mut program = live.program.borrow_mut();
+        events.iter().for_each(|event| program.apply(event));
+        Ok(())
+    }
+
+    /// Appends events of `live`, as a span of its running call.
     ///
     /// They go to the log that holds the program and to no other: if that one was sealed, another
     /// entry owns the program.
-    pub(crate) async fn append(&self, live: &Live, events: Vec<Event>) -> Result<()> {
-        let records = events
-            .iter()
-            .map(|event| live.record(event.clone()))
-            .collect();
+    pub(crate) async fn commit(&self, live: &Live, events: &[Event]) -> Result<()> {
+        let records = events.iter().map(|event| live.record(event.clone()));
         let start = self.shared.clock.now();
-        self.append_records(&live.log, records).await?;
-        if let Some(call) = live.trace.get() {
+        let call = live.trace.get();
+        self.append_records(&live.log, records.collect()).await?;
+        if let Some(call) = call {
             let end = self.shared.clock.now();
             let append = call.child();
             append.finish(&self.shared.logger, "append", start, end);
         }
-        let mut program = live.program.borrow_mut();
-        events.iter().for_each(|event| program.apply(event));
         Ok(())
     }
 
@@ -362,113 +373,4 @@
             .borrow_mut()
             .retain(|_, live| !live.log.is_closed());
     }
-
-    /// A new program's identifier.
-    pub(crate) fn next_id(&self, log: &Handle) -> Program {
-        self.created.set(self.created.get() + 1);
-        Program {
-            origin: log.writer(),
-            number: self.created.get(),
-        }
-    }
-
-    /// Creates a program for a caller.
-    pub(crate) async fn create(
-        &self,
-        account: &Account,
-        class: Class,
-        budget: Budget,
-        deadline: Option<Span>,
-    ) -> Result<Rc<Live>> {
-        if self.is_leaving() {
-            return Err(Refusal::Unready);
-        }
-        let environment = self.environment()?;
-        let document = &environment.document;
-        let owner = document.accounts.get(account);
-        let allowed = owner.is_some_and(|owner| owner.classes.contains(&class));
-        let settings = document
-            .classes
-            .get(&class)
-            .filter(|_| allowed)
-            .ok_or(Refusal::Class)?;
-        let programs_max = owner.map_or(0, |owner| owner.programs_max);
-        let _permit = self.permit(account, programs_max)?;
-        let limits = &document.limits;
-        let budget = Budget {
-            tokens: budget.tokens.min(limits.tokens_max),
-            calls: budget.calls.min(limits.calls_max),
-        };
-        let now = self.shared.clock.now();
-        let created = Created {
-            account: account.clone(),
-            class,
-            budget,
-            deadline: now.after(deadline.unwrap_or(settings.deadline).min(settings.deadline)),
-            parent: None,
-            document: environment.version,
-            entry: self.shared.identity.host.clone(),
-            at: now,
-        };
-        let log = self.log()?;
-        let program = program::Program::new(created.clone());
-        let live = Live::new(self.next_id(&log), program, log);
-        self.append(&live, vec![Event::Created(created)]).await?;
-        self.adopt(live.clone());
-        Ok(live)
-    }
-
-    /// The start of a sub-agent of `parent`.
-    pub(crate) fn child(&self, parent: &Live, from: Parent, budget: Budget) -> Result<Created> {
-        let environment = self.environment()?;
-        let program = parent.program.borrow();
-        Ok(Created {
-            budget,
-            parent: Some(from),
-            document: environment.version,
-            entry: self.shared.identity.host.clone(),
-            at: self.shared.clock.now(),
-            ..program.created().clone()
-        })
-    }
-
-    /// Owns a program from now on.
-    pub(crate) fn adopt(&self, live: Rc<Live>) {
-        self.programs.borrow_mut().insert(live.id, live);
-        self.shared
-            .metrics
-            .set("programs-count", self.programs.borrow().len() as i64);
-    }
-
-    /// Ends a program and its sub-agents and frees the engines' memory of it.
-    pub(crate) async fn end(&self, live: &Rc<Live>, cause: Cause) -> Result<()> {
-        if live.program.borrow().ended().is_some() || live.ending.replace(true) {
-            return Ok(());
-        }
-        let at = self.shared.clock.now();
-        let ended = self.append(live, vec![Event::Ended { cause, at }]).await;
-        live.ending.set(false);
-        ended?;
-        links::release(self, live.id).await;
-        for child in self.children(live.id) {
-            Box::pin(self.end(&child, Cause::Parent)).await?;
-        }
-        Ok(())
-    }
-
-    fn children(&self, id: Program) -> Vec<Rc<Live>> {
-        let is_child = |live: &&Rc<Live>| {
-            let program = live.program.borrow();
-            program
-                .created()
-                .parent
-                .is_some_and(|parent| parent.program == id)
-        };
-        self.programs
-            .borrow()
-            .values()
-            .filter(is_child)
-            .cloned()
-            .collect()
-    }
 }
--- a/crates/log/src/trail.rs
+++ b/crates/log/src/trail.rs
@@ -10,6 +10,7 @@
 use units::{Host, Incarnation, Program, Slot};
 
 use crate::batch::{Batch, State, Writer, decode, writer_key};
+use crate::compact::{packs, unpack};
 use crate::error::Result;
 use crate::event::Event;
 
@@ -60,28 +61,51 @@
     }
 }
 
-/// Adds the program's events in one log, a page at a time.
+/// Adds the program's events in one log, wherever it is.
 async fn read(
     client: &Client,
     writer: Incarnation,
     host: &Host,
     program: Program,
     steps: &mut Vec<Step>,
+) -> Result<()> {
+    let own = |batch: Batch| {
+        let records = batch.records.into_iter();
+        let own = records.filter(move |record| record.program == program);
+        own.map(move |record| Step {
+            writer,
+            host: host.clone(),
+            slot: batch.slot,
+            event: record.event,
+        })
+    };
+    let before = steps.len();
+    if packs(client, writer).await?.is_none() {
+        read_rows(client, writer, |batch| steps.extend(own(batch))).await?;
+    }
+    if let Some(packs) = packs(client, writer).await? {
+        // Rows may have gone while they were read.
+        steps.truncate(before);
+        for pack in 0..packs {
+            let batches = unpack(client, writer, pack).await?;
+            steps.extend(batches.into_iter().flat_map(own));
+        }
+    }
+    Ok(())
+}
+
+/// Reads the batches of a log from the table, a page at a time.
+async fn read_rows(
+    client: &Client,
+    writer: Incarnation,
+    mut found: impl FnMut(Batch),
 ) -> Result<()> {
     let prefix = format!("log.{writer}.");
     let mut after = prefix.clone();
     loop {
         let rows = client.rows(&prefix, &after, PAGE_ROWS).await?;
         for row in &rows {
-            let batch: Batch = decode(&row.value.0, Slot(0))?;
-            let records = batch.records.into_iter();
-            let own = records.filter(|record| record.program == program);
-            steps.extend(own.map(|record| Step {
-                writer,
-                host: host.clone(),
-                slot: batch.slot,
-                event: record.event,
-            }));
+            found(decode(&row.value.0, Slot(0))?);
         }
         match rows.last() {
             Some(last) if rows.len() == PAGE_ROWS as usize => after = last.key.to_string(),
--- a/crates/sidecar/tests/process.rs
+++ b/crates/sidecar/tests/process.rs
@@ -14,9 +14,12 @@
 use async_channel::Sender;
 use slog::{Discard, Logger, o};
 use smol::LocalExecutor;
-use standins::service;
+use standins::{engine, service};
 use units::{Call, Incarnation, Program, Seq, Span};
-use wire::{Dispatch, Frame, Identity, Key, Link, Ran, Reason, Refused, Role, Stream, Work};
+use wire::{
+    Action, Dispatch, Fence, Frame, Identity, Key, Link, Order, Ordered, Ran, Reason, Refused,
+    Role, Stream, Work,
+};
 
 const START_MAX: Duration = Duration::from_secs(5);
 const POLL: Duration = Duration::from_millis(5);
@@ -42,7 +45,7 @@
         let text = format!(
             "[process]\nhost = sidecar-0\nregion = north\nzone = north-1\nenvironment = trial\n\
              key = {key}\n[platform]\naddress = 127.0.0.1:9\n\
-             [sidecar]\npeer-address = {peers}\nstatus-address = {}\n\
+             [sidecar]\npeer-address = {peers}\nstatus-address = {}\ndrain-max = 100ms\n\
              [endpoint]\nname = endpoint-0\nkind = {kind}\naddress = {endpoint}\nserves = stock advisor\n{more}",
             free(),
         );
@@ -198,3 +201,96 @@
         assert_eq!(service.state().executions.len(), 2);
     });
 }
+
+/// Bound for engine memory of an ended program to be freed.
+const RELEASE_MAX: Duration = Duration::from_secs(5);
+
+/// Reads a watch until the sidecar asks for programs; each report before it is passed over.
+async fn asked(watch: &mut Stream) -> Vec<Program> {
+    loop {
+        if let Frame::Held(programs) = watch.expect().await.unwrap() {
+            return programs;
+        }
+    }
+}
+
+#[test]
+fn engine_memory_that_nobody_claims_is_freed_after_a_restart() {
+    let engine = engine::start("127.0.0.1:0".parse().unwrap(), engine::Config::default()).unwrap();
+    let (live, gone) = (call(1, 1).program, call(2, 1).program);
+    for program in [live, gone] {
+        let held = engine::Cached::default();
+        engine.state().cache.insert(program.to_string(), held);
+    }
+    let sidecar = Sidecar::start("engine", engine.address, "");
+    run(|tasks| async move {
+        let link = sidecar.connect(&tasks, 1).await;
+        let mut watch = link.open(&Frame::Watch).await.unwrap();
+        assert_eq!(asked(&mut watch).await, [live, gone]);
+        let ack = link.call(&Frame::Claim(vec![live])).await.unwrap();
+        assert_eq!(ack, Frame::Ack);
+        let holds = |program: Program| engine.state().cache.contains_key(&program.to_string());
+        eventually(RELEASE_MAX, "the unclaimed is freed", || !holds(gone)).await;
+        assert!(holds(live));
+        // The entry goes away, and its claim with it.
+        drop(watch);
+        link.close();
+        eventually(RELEASE_MAX, "the orphan is freed", || !holds(live)).await;
+    });
+}
+
+/// Gives an order to load a model and returns what became of it.
+async fn load(link: &Link, fence: u64, model: &str) -> Ordered {
+    let order = Order {
+        fence: Fence(fence),
+        action: Action::Load(model.parse().unwrap()),
+    };
+    match link.call(&Frame::Order(order)).await.unwrap() {
+        Frame::Ordered(ordered) => ordered,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Old orders reach no engine, whether it checks them or not, before and after a sidecar's restart.
+fn check_fences(checks: bool) {
+    let config = engine::Config {
+        checks_fences: checks,
+        ..engine::Config::default()
+    };
+    let engine = engine::start("127.0.0.1:0".parse().unwrap(), config).unwrap();
+    let fences = if checks { "checked" } else { "ignored" };
+    let start = || {
+        let more = format!("fences = {fences}\n");
+        Sidecar::start("engine", engine.address, &more)
+    };
+    let sidecar = start();
+    run(|tasks| async move {
+        let link = sidecar.connect(&tasks, 1).await;
+        assert_eq!(load(&link, 5, "advisor").await, Ordered::Done);
+        assert_eq!(load(&link, 5, "advisor").await, Ordered::Done);
+        assert_eq!(load(&link, 5, "other").await, Ordered::Fenced(Fence(5)));
+        assert_eq!(load(&link, 4, "advisor").await, Ordered::Fenced(Fence(5)));
+    });
+    let sidecar = start();
+    run(|tasks| async move {
+        let link = sidecar.connect(&tasks, 1).await;
+        assert_eq!(load(&link, 4, "advisor").await, Ordered::Fenced(Fence(5)));
+        assert_eq!(load(&link, 6, "other").await, Ordered::Done);
+    });
+    let orders = engine.state().orders.clone();
+    let taken: Vec<u64> = orders
+        .iter()
+        .filter_map(|order| order["fence"].as_u64())
+        .collect();
+    assert_eq!(taken, [5, 5, 6]);
+}
+
+#[test]
+fn old_orders_are_refused_by_the_sidecar() {
+    check_fences(false);
+}
+
+#[test]
+fn refusal_of_an_engine_that_checks_is_passed_on() {
+    check_fences(true);
+}
