--- a/tests/all/scenario.rs
+++ b/tests/all/scenario.rs
@@ -196,11 +196,14 @@
         let account = line.text("account", "meche");
         let caller = self.cluster.caller(line.entries()[0], account);
         let tokens = line.number("tokens", 20_000);
-        let id = caller.create(
-            line.text("class", "reorder"),
-            tokens,
-            line.number("calls", 50),
-        );
+        let (class, calls) = (line.text("class", "reorder"), line.number("calls", 50));
+        let mut body = json!({"class": class, "tokens": tokens, "calls": calls});
+        if line.options.contains_key("deadline-ms") {
+            body["deadline_ms"] = json!(line.number("deadline-ms", 0));
+        }
+        let created = caller.request("POST", "/v1/programs", Some(&body.to_string()));
+        let created = created.unwrap().1;
+        let id = created["program"].as_str().unwrap().to_owned();
         self.add(name, id, account, tokens, None);
     }
 
@@ -374,7 +377,11 @@
         let bound = Duration::from_secs(line.number("within", AWAIT_MAX.as_secs()));
         let what = condition.join(" ");
         while !self.holds(condition, line) {
-            assert!(start.elapsed() < bound, "not within {bound:?}: {what}");
+            let so_far = &self.output;
+            assert!(
+                start.elapsed() < bound,
+                "not within {bound:?}: {what}, after\n{so_far}"
+            );
             std::thread::sleep(Duration::from_millis(5));
         }
     }
