--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -242,14 +242,6 @@
     Err(Refusal::Endpoint(ran, refused.reason))
 }
 
-/// Why no further attempt is made; the refusal must not hide that an earlier one may have run.
-fn unsettled(ran: Ran, reason: Reason, refusal: Refusal) -> Refusal {
-    match ran {
-        Ran::No => refusal,
-        ran => Refusal::Endpoint(ran, reason),
-    }
-}
-
 /// Records an intent; gives up at the program's deadline.
 async fn announce(traffic: &Rc<Traffic>, run: &Run, intent: Event) -> Result<()> {
     let deadline = run.live.program.borrow().created().deadline;
@@ -273,6 +265,14 @@
     announced
 }
 
+/// Why no further attempt is made; the refusal must not hide that an earlier one may have run.
+fn unsettled(ran: Ran, reason: Reason, refusal: Refusal) -> Refusal {
+    match ran {
+        Ran::No => refusal,
+        ran => Refusal::Endpoint(ran, reason),
+    }
+}
+
 /// Records that the announced dispatch was proved not to have run and never to run.
 pub(crate) async fn withdraw(traffic: &Traffic, run: &Run) -> Result<()> {
     let withdrawn = Event::Withdrawn(run.request.seq);
