--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -1,22 +1,12 @@
 //! `balsamhold entry`.
 
-use bpaf::{Parser, construct, long};
+use bpaf::Parser;
 
+use crate::commands::serve::{self, Options};
 use crate::commands::{Error, Result, output, stop, unusable};
 
-/// Arguments of `balsamhold entry`.
-pub(crate) struct Options {
-    settings: String,
-}
-
 pub(crate) fn options() -> impl Parser<Options> {
-    let settings = long("settings")
-        .help("INI file with the process's settings")
-        .argument("FILE");
-    construct!(Options { settings })
-        .to_options()
-        .descr("Runs an entry: the process before the callers")
-        .command("entry")
+    serve::options("entry", "Runs an entry: the process before the callers")
 }
 
 pub(crate) fn run(options: &Options) -> Result<()> {
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod ctl;
 mod entry;
+mod serve;
 mod sidecar;
 mod stop;
 
@@ -14,8 +15,8 @@
 const EXIT_INVALID: u8 = 2;
 
 enum Command {
-    Entry(entry::Options),
-    Sidecar(sidecar::Options),
+    Entry(serve::Options),
+    Sidecar(serve::Options),
     Ctl(ctl::Options),
 }
 
--- /dev/null
+++ b/src/commands/serve.rs
@@ -0,0 +1,20 @@
+//! What the commands that run a process have in common.
+
+use bpaf::{Parser, construct, long};
+
+/// Arguments of a command that runs a process.
+pub(crate) struct Options {
+    /// The INI file with the process's settings.
+    pub(crate) settings: String,
+}
+
+/// The parser of the subcommand `name`.
+pub(crate) fn options(name: &'static str, description: &'static str) -> impl Parser<Options> {
+    let settings = long("settings")
+        .help("INI file with the process's settings")
+        .argument("FILE");
+    construct!(Options { settings })
+        .to_options()
+        .descr(description)
+        .command(name)
+}
--- a/src/commands/sidecar.rs
+++ b/src/commands/sidecar.rs
@@ -1,22 +1,12 @@
 //! `balsamhold sidecar`.
 
-use bpaf::{Parser, construct, long};
+use bpaf::Parser;
 
+use crate::commands::serve::{self, Options};
 use crate::commands::{Error, Result, output, stop, unusable};
 
-/// Arguments of `balsamhold sidecar`.
-pub(crate) struct Options {
-    settings: String,
-}
-
 pub(crate) fn options() -> impl Parser<Options> {
-    let settings = long("settings")
-        .help("INI file with the process's settings")
-        .argument("FILE");
-    construct!(Options { settings })
-        .to_options()
-        .descr("Runs the sidecar of an endpoint")
-        .command("sidecar")
+    serve::options("sidecar", "Runs the sidecar of an endpoint")
 }
 
 pub(crate) fn run(options: &Options) -> Result<()> {
