--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -9,8 +9,6 @@
 use async_channel::{Receiver, Sender};
 use board::{Environment, Observation};
 use log::{Cause, Event, Handle, Record, Token};
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 use serde_json::Value;
 use slog::{error, info};
 use smol::LocalExecutor;
@@ -23,6 +21,7 @@
 use crate::owner::Logs;
 use crate::quota::{self, Quota};
 use crate::refusal::{Refusal, Result};
+use crate::routing::{self, Routing};
 use crate::{Shared, account, api, documents, drain, forward, links, takeover};
 
 const SWEEP_INTERVAL: Span = Span::from_ms(500);
@@ -44,8 +43,7 @@
     pub(crate) key: Key,
     pub(crate) links: RefCell<HashMap<Host, Link>>,
     pub(crate) connecting: RefCell<HashSet<Host>>,
-    pub(crate) outstanding: RefCell<HashMap<Host, u32>>,
-    pub(crate) rng: RefCell<StdRng>,
+    pub(crate) routing: Routing,
     pub(crate) programs: RefCell<HashMap<Program, Rc<Live>>>,
     pub(crate) created: Cell<u64>,
     /// Held by each request until its answer has been sent.
@@ -68,8 +66,7 @@
         key: Key::new(*shared.settings.process.key.bytes()),
         links: RefCell::default(),
         connecting: RefCell::default(),
-        outstanding: RefCell::default(),
-        rng: RefCell::new(StdRng::from_os_rng()),
+        routing: Routing::new(),
         programs: RefCell::default(),
         created: Cell::new(0),
         requests: Arc::new(()),
@@ -369,8 +366,12 @@
 
     /// Forgets the programs whose log was sealed: another entry owns them.
     fn drop_fenced(&self) {
-        self.programs
-            .borrow_mut()
-            .retain(|_, live| !live.log.is_closed());
+        self.programs.borrow_mut().retain(|_, live| {
+            let keep = !live.log.is_closed();
+            if !keep {
+                routing::give_up(self, live);
+            }
+            keep
+        });
     }
 }
