policy: a program past its objective loses the bonus of its age

Cause: at twice the shapes' demand, programs that can no longer be in time go before those that can, and most of both are late.

Change: `late-after = 1` (a share of the class's objective).

--- a/crates/entry/src/hedge.rs
+++ b/crates/entry/src/hedge.rs
@@ -125,7 +125,7 @@
         };
         let mut budget = traffic.routing.budget.borrow_mut();
         if fleet.worth_hedging(call.request, ticket, &stream, &other, now)
-            && budget.take(other.service)
+            && budget.take(fleet.hedge_cost(ticket, &stream, &other))
         {
             return;
         }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -146,6 +146,7 @@
     let fleet = traffic.routing.fleet.borrow();
     let standing = Standing {
         precedence: precedence(traffic, &created.class),
+        objective: objective(traffic, &created.class),
         attained: fleet.attained(run.live.id),
         began: created.at,
         long: fleet.is_long(request),
@@ -160,6 +161,13 @@
     class.map_or(0, |class| class.precedence)
 }
 
+/// The time in which programs of a class should be done.
+fn objective(traffic: &Traffic, class: &units::Class) -> Span {
+    let environment = traffic.shared.view.load().environment.clone();
+    let class = environment.and_then(|all| all.document.classes.get(class).cloned());
+    class.map_or(Span(0), |class| class.objective)
+}
+
 /// Takes in the board's view, if it has changed.
 fn sync(traffic: &Traffic) {
     let view = traffic.shared.view.load_full();
--- a/crates/load/src/model.rs
+++ b/crates/load/src/model.rs
@@ -355,6 +355,7 @@
         let plan = &self.workload.plans[agent.plan];
         let standing = Standing {
             precedence: precedence(plan),
+            objective: OBJECTIVE,
             attained: entry.fleet.attained(call.request.program),
             began: agent.began,
             long: entry.fleet.is_long(&call.request),
@@ -521,7 +522,9 @@
         let other = fleet.route(&call.request, Some(&ticket.host), self.now, &mut self.rng);
         if let Some(other) = other
             && fleet.worth_hedging(&call.request, ticket, &order.stream, &other, self.now)
-            && entry.budget.take(other.service)
+            && entry
+                .budget
+                .take(fleet.hedge_cost(ticket, &order.stream, &other))
         {
             self.run.hedges += 1;
             return self.dispatch(number, other);
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -72,6 +72,9 @@
         let Some(index) = self.index(&other.host) else {
             return false;
         };
+        if !self.has_free_slot(index) {
+            return false;
+        }
         let Some(last) = stream.last else {
             return now.since(stream.since).0 as f64 > group.first_token.value();
         };
@@ -83,6 +86,23 @@
         left * token_time > GAIN_MIN * self.expected(request, index, now)
     }
 
+    /// Work that is lost whichever dispatch wins: all of the second, or what the first has done.
+    pub fn hedge_cost(&self, ticket: &Ticket, stream: &Stream, other: &Ticket) -> Span {
+        let token_time = self
+            .groups
+            .get(&ticket.target)
+            .map_or(0.0, |group| group.token_time.value());
+        let prefill = ticket.service.0 as f64 - ticket.generated.0 as f64 * token_time;
+        let done = stream.received.0 as f64 * token_time + prefill.max(0.0);
+        Span(other.service.0.max(done as u64))
+    }
+
+    /// Whether a call would start at once there: a hedge never goes ahead of other work.
+    fn has_free_slot(&self, index: usize) -> bool {
+        let endpoint = &self.endpoints[index];
+        endpoint.outstanding + endpoint.others < endpoint.site.slots
+    }
+
     /// Time per token at the endpoint of `ticket` lately, in microseconds.
     fn recent(&self, ticket: &Ticket, now: Time) -> f64 {
         let token_time = self
--- a/crates/policy/src/knobs.rs
+++ b/crates/policy/src/knobs.rs
@@ -46,6 +46,8 @@
     pub attained_weight: Span,
     /// Waiting time that makes up for one second of a program's age; running programs go first.
     pub age_weight: Rate,
+    /// Share of its class's objective after which a program's age no longer counts; 0 for never.
+    pub late_after: Rate,
     /// Share of an endpoint's slots that long programs may hold.
     pub long_slots: Rate,
     /// Share of extra work that hedges may cause.
@@ -66,6 +68,7 @@
             head_start: Span::from_ms(30_000),
             attained_weight: Span::from_ms(1),
             age_weight: Rate(1.0),
+            late_after: Rate(1.0),
             long_slots: Rate(1.0),
             hedge_budget: Rate(0.0),
             admission: Rate(0.0),
--- a/crates/policy/src/order.rs
+++ b/crates/policy/src/order.rs
@@ -28,6 +28,8 @@
     pub attained: Tokens,
     /// When its program began.
     pub began: Time,
+    /// Time in which its program should be done.
+    pub objective: Span,
     /// Whether its program is one of the longest.
     pub long: bool,
 }
@@ -47,6 +49,9 @@
         let attained = standing.attained.0.min(ATTAINED_MAX_TOKENS);
         let age = now.since(standing.began).min(AGE_MAX);
         let late = knobs.head_start.0 * steps + knobs.attained_weight.0 * attained;
+        let late_after = standing.objective.0 as f64 * knobs.late_after.0;
+        let is_late = knobs.late_after.0 > 0.0 && age.0 as f64 > late_after;
+        let age = if is_late { Span(0) } else { age };
         let early = (age.0 as f64 * knobs.age_weight.0) as u64;
         Rank::from_parts((now.0 + late).saturating_sub(early), share)
     }
