policy: refuse new programs whose wait would exceed half the objective

Cause: without a bound, four times the shapes' demand makes every program late, the top class too.

Change: `admission = 0.5`: a new program is refused, before anything ran and with full jitter in Retry-After, when the work under way of its class and above it would keep it waiting for more than half its objective.

--- a/crates/policy/src/knobs.rs
+++ b/crates/policy/src/knobs.rs
@@ -71,7 +71,7 @@
             late_after: Rate(1.0),
             long_slots: Rate(1.0),
             hedge_budget: Rate(0.0),
-            admission: Rate(0.0),
+            admission: Rate(0.5),
         }
     }
 }
