--- /dev/null
+++ b/crates/policy/tests/policy.rs
@@ -0,0 +1,153 @@
+//! Properties of the decisions: nothing starves, budgets hold, estimates follow what is observed.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use policy::{Budget, Fleet, Gate, Knobs, Rank, Request, Site, Standing, Used};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use units::{Program, Rate, Span, Time, Tokens};
+
+const SLOTS: u32 = 4;
+const OBJECTIVE: Span = Span::from_ms(10_000);
+/// No key is moved by more than all steps of precedence, the longest age and the most tokens.
+const MOVE_MAX: Span = Span(255 * 30_000_000 + 60_000_000 + (1 << 24) * 1_000);
+
+fn fleet(endpoints: usize) -> Fleet {
+    let mut fleet = Fleet::new(Knobs::default());
+    fleet.sync((0..endpoints).map(|number| Site {
+        host: format!("host-{number}").parse().unwrap(),
+        serves: vec!["advisor".parse().unwrap()],
+        slots: SLOTS,
+        link_cost: Span(0),
+        model: true,
+    }));
+    fleet
+}
+
+fn request(program: u64) -> Request {
+    Request {
+        program: Program {
+            number: program,
+            ..Program::default()
+        },
+        target: "advisor".parse().unwrap(),
+        prompt: Tokens(1_000),
+        generated_max: Tokens(256),
+    }
+}
+
+fn standing() -> impl Strategy<Value = Standing> {
+    (0_u32..300, any::<u64>(), 0_u64..1 << 40, any::<bool>()).prop_map(
+        |(precedence, attained, began, long)| Standing {
+            precedence,
+            attained: Tokens(attained),
+            began: Time(began),
+            objective: OBJECTIVE,
+            long,
+        },
+    )
+}
+
+proptest! {
+    #[test]
+    fn no_call_waits_for_ever(early in standing(), late in standing(), now in 1_u64 << 41..1 << 50) {
+        let knobs = Knobs::default();
+        let first = Rank::new(&knobs, &early, Time(now));
+        let later = Rank::new(&knobs, &late, Time(now).after(MOVE_MAX).after(Span(1)));
+        prop_assert!(first < later);
+    }
+
+    #[test]
+    fn more_service_never_goes_first(one in standing(), more in 0_u64..1 << 20, now in 1_u64 << 41..1 << 50) {
+        let knobs = Knobs::default();
+        let served = Standing { attained: one.attained.plus(Tokens(more)), ..one };
+        let rank = |standing| Rank::new(&knobs, standing, Time(now));
+        prop_assert!(rank(&one) <= rank(&served));
+    }
+
+    #[test]
+    fn hedges_never_exceed_their_share(steps in prop::collection::vec((any::<bool>(), 0_u64..1 << 32), 0..200), share in 0.0_f64..1.0) {
+        let mut budget = Budget::new();
+        let (mut earned, mut taken) = (0.0, 0.0);
+        for (earn, work) in steps {
+            if earn {
+                budget.earn(Span(work), Rate(share));
+                earned += work as f64 * share;
+            } else if budget.take(Span(work)) {
+                taken += work as f64;
+            }
+            prop_assert!(taken <= earned * (1.0 + 1e-9));
+        }
+    }
+
+    #[test]
+    fn an_idle_fleet_admits_everything(precedence in 0_u32..300, slots in 0.0_f64..1e4, share in 0.0_f64..2.0) {
+        let mut rng = StdRng::seed_from_u64(1);
+        let admitted = Gate::new().admit(precedence, slots, OBJECTIVE, Rate(share), &mut rng);
+        prop_assert_eq!(admitted, Ok(()));
+    }
+
+    #[test]
+    fn lower_classes_are_refused_first(programs in prop::collection::vec(0_u32..10, 0..200), slots in 1.0_f64..50.0) {
+        let mut gate = Gate::new();
+        programs.iter().for_each(|precedence| gate.begin(*precedence));
+        let waits: Vec<Span> = (0..10).map(|precedence| gate.expected(precedence, slots)).collect();
+        prop_assert!(waits.is_sorted_by(|lower, higher| lower >= higher));
+    }
+}
+
+#[test]
+fn a_prefix_draws_the_next_call_to_its_endpoint() {
+    let mut fleet = fleet(100);
+    let mut rng = StdRng::seed_from_u64(2);
+    let first = fleet.route(&request(1), None, Time(1), &mut rng).unwrap();
+    fleet.start(&first);
+    let used = Used {
+        prompt: Tokens(1_000),
+        cached: Tokens(0),
+        generated: Tokens(50),
+    };
+    fleet.finish(&first, Some(used), Time(2));
+    let next = fleet.route(&request(1), None, Time(3), &mut rng).unwrap();
+    assert_eq!(next.host, first.host);
+    assert!(next.cached > Tokens(900));
+}
+
+#[test]
+fn an_endpoint_that_left_gets_no_call() {
+    let mut fleet = fleet(3);
+    let mut rng = StdRng::seed_from_u64(3);
+    let first = fleet.route(&request(1), None, Time(1), &mut rng).unwrap();
+    fleet.start(&first);
+    let used = Used {
+        prompt: Tokens(1_000),
+        cached: Tokens(0),
+        generated: Tokens(50),
+    };
+    fleet.finish(&first, Some(used), Time(2));
+    fleet.sync(std::iter::empty());
+    assert_eq!(fleet.route(&request(1), None, Time(3), &mut rng), None);
+}
+
+#[test]
+fn a_slowed_endpoint_is_shunned_and_tried_again() {
+    let mut fleet = fleet(2);
+    let mut rng = StdRng::seed_from_u64(4);
+    let usual = fleet.route(&request(1), None, Time(1), &mut rng).unwrap();
+    for _ in 0..20 {
+        fleet.progress(&usual, Tokens(4), Span(16_000), Time(1));
+    }
+    for _ in 0..4 {
+        fleet.progress(&usual, Tokens(4), Span(160_000), Time(1_000));
+    }
+    let shunned = |fleet: &mut Fleet, now| {
+        let mut rng = StdRng::seed_from_u64(5);
+        (0..20).all(|program| {
+            let ticket = fleet.route(&request(program), None, now, &mut rng);
+            ticket.unwrap().host != usual.host
+        })
+    };
+    assert!(shunned(&mut fleet, Time(1_000)));
+    assert!(!shunned(&mut fleet, Time(120_000_000)));
+}
