--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -6,6 +6,7 @@
 use log::{Answer, Call, Event, Intent, Parent, Route, Token, Turn, Usage};
 use policy::Stream;
 use program::{Admission, Reserve};
+use smol::future::FutureExt;
 use telemetry::Trace;
 use units::{Target, Tokens};
 use wire::{Done, Frame, Ran, Reason, Refused, Work};
@@ -14,7 +15,9 @@
 use crate::api::Request;
 use crate::dispatch::{self, Dispatched};
 use crate::hedge::{self, Hedged};
+use crate::links;
 use crate::live::{Ending, Live};
+use crate::outage;
 use crate::refusal::{Refusal, Result};
 use crate::reply::Reply;
 use crate::routing;
@@ -67,6 +70,8 @@
         .admit(&request, document.limits.loop_limit, now);
     let seq = request.seq;
     match admission {
+        Admission::Run if live.is_over() => Err(program::Refusal::Ended.into()),
+        Admission::Run if live.log.is_full() => Err(Refusal::Unready),
         Admission::Run => {
             live.program.borrow_mut().begin(&request);
             let answer = live.begin(seq);
@@ -113,7 +118,11 @@
 /// Ends the answer of a call with its result.
 pub(crate) fn conclude(run: &Run, result: Result<Turn>) {
     let ending = match result {
-        Ok(turn) => Ending::Turn(Rc::new(turn), run.live.token()),
+        Ok(turn) => Ending::Turn {
+            token: run.live.token(),
+            durable: run.live.is_durable(turn.call.seq),
+            turn: Rc::new(turn),
+        },
         Err(refusal) => {
             run.live.program.borrow_mut().release(run.request.seq);
             Ending::Refused(refusal)
@@ -140,7 +149,10 @@
     let turn = Turn {
         call: Call::from(&run.request),
         answer: Answer::Child(child.id, budget),
-        usage: Usage::default(),
+        usage: Usage {
+            tokens: run.live.program.borrow().lost(),
+            ..Usage::default()
+        },
         route: None,
         at: traffic.shared.clock.now(),
     };
@@ -159,6 +171,10 @@
 pub(crate) async fn reserve(traffic: &Traffic, run: &Run, worst: Tokens) -> Result<()> {
     let tranche = traffic.environment()?.document.limits.tranche;
     loop {
+        if run.live.is_over() {
+            // Its rest may have been returned to its parent.
+            return Err(program::Refusal::Ended.into());
+        }
         let answer = run.live.program.borrow_mut().reserve(worst, tranche);
         match answer {
             Reserve::Granted => return Ok(()),
@@ -173,7 +189,7 @@
 }
 
 /// Runs a call at an endpoint, again elsewhere if that is safe.
-async fn run_target(traffic: &Traffic, run: &Run, target: Target) -> Result<Turn> {
+async fn run_target(traffic: &Rc<Traffic>, run: &Run, target: Target) -> Result<Turn> {
     let environment = traffic.environment()?;
     let service = environment.document.services.get(&target);
     let work = match service {
@@ -195,9 +211,11 @@
     // One attempt that may have run makes it uncertain whether the call ran.
     let mut ran = Ran::No;
     for _ in 0..ATTEMPTS_MAX {
-        reserve(traffic, run, worst).await?;
+        let refuse = |refusal| unsettled(ran, refused.reason, refusal);
+        reserve(traffic, run, worst).await.map_err(refuse)?;
         let version = environment.version;
-        let chosen = routing::choose(traffic, run, &request, failed.as_ref(), version)?;
+        let chosen = routing::choose(traffic, run, &request, failed.as_ref(), version);
+        let chosen = chosen.map_err(refuse)?;
         let route = chosen.route.clone();
         let order = dispatch::make(traffic, run, &target, &work, &route, &input, &request);
         failed = Some(chosen.ticket.host.clone());
@@ -207,7 +225,7 @@
                 call,
                 route: route.clone(),
             });
-            traffic.append(&run.live, vec![intent]).await?;
+            announce(traffic, run, intent).await?;
         }
         let (route, dispatched) = if work.idempotent() && hedges {
             let call = Hedged {
@@ -249,6 +267,37 @@
     Err(Refusal::Endpoint(ran, refused.reason))
 }
 
+/// Records an intent; gives up at the program's deadline.
+async fn announce(traffic: &Rc<Traffic>, run: &Run, intent: Event) -> Result<()> {
+    let deadline = run.live.program.borrow().created().deadline;
+    let time_left = deadline.since(traffic.shared.clock.now());
+    let expire = async {
+        smol::Timer::after(time_left.into()).await;
+        Err(program::Refusal::Deadline.into())
+    };
+    let announced = traffic.append(&run.live, vec![intent]).or(expire).await;
+    if announced == Err(program::Refusal::Deadline.into()) {
+        // The intent may become durable yet. It was not acted on, which the next record says.
+        let withdrawn = run.live.record(Event::Withdrawn(run.request.seq));
+        let (traffic, log) = (traffic.clone(), run.live.log.clone());
+        let executor = traffic.executor.clone();
+        let withdraw = async move {
+            // A sealed log holds neither, or its successor asks the sidecar.
+            let _ = traffic.append_records(&log, vec![withdrawn]).await;
+        };
+        executor.spawn(withdraw).detach();
+    }
+    announced
+}
+
+/// Why no further attempt is made; the refusal must not hide that an earlier one may have run.
+fn unsettled(ran: Ran, reason: Reason, refusal: Refusal) -> Refusal {
+    match ran {
+        Ran::No => refusal,
+        ran => Refusal::Endpoint(ran, reason),
+    }
+}
+
 /// Records that the announced dispatch was proved not to have run and never to run.
 pub(crate) async fn withdraw(traffic: &Traffic, run: &Run) -> Result<()> {
     let withdrawn = Event::Withdrawn(run.request.seq);
@@ -271,7 +320,7 @@
 
 /// Records a whole answer and lets the sidecar free it.
 pub(crate) async fn finish(
-    traffic: &Traffic,
+    traffic: &Rc<Traffic>,
     run: &Run,
     work: &Work,
     route: Route,
@@ -294,14 +343,9 @@
         seq,
         attempt: route.attempt,
     };
-    let view = traffic.shared.view.load_full();
-    let endpoint = view
-        .endpoints
-        .iter()
-        .find(|endpoint| endpoint.incarnation == route.sidecar);
-    if let Some(link) = endpoint.and_then(|endpoint| traffic.link(&endpoint.host)) {
+    if let Some((_, link)) = links::to(traffic, route.sidecar) {
         let notify = async move {
-            // A sidecar that is not told frees the answer when it needs the room.
+            // A sidecar that is not told frees the answer with the program's next one, or its end.
             let _ = link.call(&Frame::Saved(vec![saved])).await;
         };
         traffic.executor.spawn(notify).detach();
@@ -310,7 +354,7 @@
 }
 
 /// Records that nobody can tell whether a non-idempotent call ran.
-pub(crate) async fn give_up(traffic: &Traffic, run: &Run, route: Route) -> Result<Turn> {
+pub(crate) async fn give_up(traffic: &Rc<Traffic>, run: &Run, route: Route) -> Result<Turn> {
     traffic.shared.metrics.count("indeterminate");
     record(
         traffic,
@@ -325,7 +369,7 @@
 
 /// Appends the turn of a call.
 async fn record(
-    traffic: &Traffic,
+    traffic: &Rc<Traffic>,
     run: &Run,
     route: Option<Route>,
     answer: Answer,
@@ -340,10 +384,8 @@
         route,
         at: traffic.shared.clock.now(),
     };
-    let appended = traffic
-        .append(&run.live, vec![Event::Turn(turn.clone())])
-        .await;
     // It has been dispatched: it must not be said that it did not run.
-    appended.map_err(|_| Refusal::Unrecorded)?;
+    let recorded = outage::record(traffic, &run.live, &turn).await;
+    recorded.map_err(|_| Refusal::Unrecorded)?;
     Ok(turn)
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -10,6 +10,7 @@
 use wire::{Dispatch, Done, Epoch, Frame, Link, Ran, Reason, Refused, State, Work};
 
 use crate::calls::Run;
+use crate::links;
 use crate::routing;
 use crate::traffic::Traffic;
 
@@ -60,7 +61,7 @@
 
 /// The sidecar's epoch as last heard: the dispatch is made before its intent is recorded.
 fn epoch(traffic: &Traffic, route: &Route) -> Epoch {
-    find(traffic, route).map_or(Epoch::default(), |(_, link)| link.epoch())
+    links::to(traffic, route.sidecar).map_or(Epoch::default(), |(_, link)| link.epoch())
 }
 
 /// A dispatch that was sent.
@@ -166,7 +167,7 @@
     ticket: &Ticket,
     dispatch: Dispatch,
 ) -> Dispatched {
-    let Some((host, link)) = find(traffic, route) else {
+    let Some((host, link)) = links::to(traffic, route.sidecar) else {
         return Dispatched::Refused(refused(Ran::No, Reason::Unreachable));
     };
     if link.epoch() > dispatch.epoch {
@@ -188,13 +189,21 @@
     let request = Frame::Dispatch(dispatch);
     let mut meter = Meter::new(traffic, ticket, &run.stream);
     let followed = exchange(run, &link, &request, Some(&mut meter));
-    match until(traffic, sent.deadline, followed).await {
+    let dispatched = match until(traffic, sent.deadline, followed).await {
         Ok(dispatched) => dispatched,
+        Err(why) if why.is_unserved() => Dispatched::Refused(refused(Ran::No, Reason::Leaving)),
         Err(why) => {
             warn!(traffic.shared.logger, "dispatch broken"; "call" => %sent.call, "error" => %why);
             recover(traffic, run, &sent).await
         }
+    };
+    if let Dispatched::Refused(refused) = &dispatched
+        && refused.reason == Reason::Leaving
+    {
+        // The next attempt must not come here, though the board may not know it yet.
+        link.leave();
     }
+    dispatched
 }
 
 /// Shows the policy the times of a stream.
@@ -233,16 +242,6 @@
     }
 }
 
-/// The host of a route's sidecar and the connection to it.
-fn find(traffic: &Traffic, route: &Route) -> Option<(Host, Link)> {
-    let view = traffic.shared.view.load();
-    let mut endpoints = view.endpoints.iter();
-    let endpoint = endpoints.find(|endpoint| endpoint.incarnation == route.sidecar)?;
-    let link = traffic.link(&endpoint.host)?;
-    let same = link.peer().incarnation == route.sidecar;
-    same.then(|| (endpoint.host.clone(), link))
-}
-
 /// Bounds an exchange by the call's deadline.
 async fn until<T>(
     traffic: &Traffic,
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -79,7 +79,16 @@
         fleet.route(request, except, now, &mut *rng)
     };
     // The only endpoint of a target is tried again.
-    let ticket = route(except).or_else(|| route(None));
+    let mut ticket = route(except).or_else(|| route(None));
+    if ticket
+        .as_ref()
+        .is_some_and(|ticket| !is_usable(traffic, &ticket.host))
+    {
+        // The connection knows better than the board's last view.
+        routing.synced.borrow_mut().take();
+        sync(traffic);
+        ticket = route(except).or_else(|| route(None));
+    }
     let ticket = ticket.ok_or(Refusal::NoEndpoint)?;
     let view = traffic.shared.view.load();
     let endpoint = view
@@ -168,6 +177,12 @@
     class.map_or(Span(0), |class| class.objective)
 }
 
+/// Whether a sidecar is connected and takes new work.
+fn is_usable(traffic: &Traffic, host: &Host) -> bool {
+    let link = traffic.link(host);
+    link.is_some_and(|link| !link.is_leaving())
+}
+
 /// Takes in the board's view, if it has changed.
 fn sync(traffic: &Traffic) {
     let view = traffic.shared.view.load_full();
@@ -183,7 +198,7 @@
     let open = view
         .endpoints
         .iter()
-        .filter(|endpoint| traffic.link(&endpoint.host).is_some());
+        .filter(|endpoint| is_usable(traffic, &endpoint.host));
     fleet.sync(open.map(|endpoint| Site {
         host: endpoint.host.clone(),
         serves: endpoint.serves.clone(),
--- a/crates/sidecar/src/status.rs
+++ b/crates/sidecar/src/status.rs
@@ -33,6 +33,8 @@
             calls.metrics.set("queued-calls", i64::from(load.queued));
             let version = calls.replica.borrow().version();
             calls.metrics.set("document-version", version.0 as i64);
+            let held = calls.witness.borrow().held();
+            calls.metrics.set("witness-bytes", held.0 as i64);
             let mut response = Response::new(StatusCode::Ok);
             response.set_body(calls.metrics.render());
             response.insert_header("content-type", "text/plain; version=0.0.4");
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -10,6 +10,9 @@
     Tokens, Version, Zone,
 };
 
+use crate::list::bounded;
+use crate::order::{Order, Ordered};
+
 /// One message of an exchange.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -46,11 +49,20 @@
     /// What the sidecar knows of a call.
     State(State),
     /// These answers are durable elsewhere and need not be retained; answered by `Ack`.
-    Saved(Vec<Call>),
+    Saved(#[serde(deserialize_with = "bounded")] Vec<Call>),
     /// The program has ended: its engine memory is to be freed; answered by `Ack`.
     Release(Program),
-    /// Subscribes to load reports; answered by `Load` frames without end.
+    /// Has the endpoint's engine do something; answered by `Ordered`.
+    Order(Order),
+    /// What became of an order.
+    Ordered(Ordered),
+    /// Subscribes to a sidecar's reports; answered by `Epoch`, `Load` and `Held` frames without end.
     Watch,
+    /// Programs that are held at a sidecar and that no entry claims. An entry claims those that it
+    /// owns and releases those that have ended.
+    Held(#[serde(deserialize_with = "bounded")] Vec<Program>),
+    /// The sender owns these programs; answered by `Ack`.
+    Claim(#[serde(deserialize_with = "bounded")] Vec<Program>),
     /// The sidecar's epoch, sent before its first load report and whenever it changes.
     Epoch(Epoch),
     /// A load report of a sidecar.
@@ -80,6 +92,15 @@
     Ask(Question),
     /// The process is to leave: it takes no new work and finishes what it has; answered by `Ack`.
     Drain,
+    /// Has a sidecar hold turns that their owner cannot record now; answered by `Ack`, or by
+    /// `Refused` for want of room.
+    Hold(Tail),
+    /// Asks for the tails of these writers' programs; answered by `Tails`.
+    Collect(Vec<Incarnation>),
+    /// The tails that the sidecar holds.
+    Tails(Vec<Tail>),
+    /// The tails of these programs are in the log and need not be held; answered by `Ack`.
+    Committed(Vec<Program>),
 }
 
 impl Frame {
@@ -100,7 +121,11 @@
             Frame::State(_) => "State",
             Frame::Saved(_) => "Saved",
             Frame::Release(_) => "Release",
+            Frame::Order(_) => "Order",
+            Frame::Ordered(_) => "Ordered",
             Frame::Watch => "Watch",
+            Frame::Held(_) => "Held",
+            Frame::Claim(_) => "Claim",
             Frame::Epoch(_) => "Epoch",
             Frame::Load(_) => "Load",
             Frame::Forward(_) => "Forward",
@@ -112,6 +137,10 @@
             Frame::Adopt(_) => "Adopt",
             Frame::Ask(_) => "Ask",
             Frame::Drain => "Drain",
+            Frame::Hold(_) => "Hold",
+            Frame::Collect(_) => "Collect",
+            Frame::Tails(_) => "Tails",
+            Frame::Committed(_) => "Committed",
         }
     }
 }
@@ -123,6 +152,8 @@
     Explain(Program),
     /// The usage of each account by the programs that it owns.
     Usage,
+    /// Whether it has ended a program that it owns, as an operator wants.
+    End(Program),
 }
 
 /// What a process does.
@@ -345,6 +376,17 @@
     pub reason: Reason,
 }
 
+/// The end of a program's history that is not in its log yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tail {
+    /// The program.
+    pub program: Program,
+    /// The writer of its log.
+    pub writer: Incarnation,
+    /// The turns, encoded by the log.
+    pub turns: Vec<u8>,
+}
+
 /// A request for the rest of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resume {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,8 @@
 mod frame;
 mod heartbeat;
 mod link;
+mod list;
+mod order;
 mod server;
 mod stream;
 
@@ -27,8 +29,10 @@
 pub use error::{Error, Result};
 pub use frame::{
     Accepted, Body, Delta, Dispatch, Done, Epoch, Forward, Frame, Head, Identity, Load, Question,
-    Ran, Reason, Refused, Resume, Role, State, Usage, Work,
+    Ran, Reason, Refused, Resume, Role, State, Tail, Usage, Work,
 };
 pub use link::Link;
-pub use server::serve;
+pub use list::LIST_MAX;
+pub use order::{Action, Fence, Order, Ordered};
+pub use server::{Drain, serve};
 pub use stream::Stream;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,20 +7,26 @@
 )]
 
 mod bad_input;
+mod budget;
 mod budgets;
 mod caller;
+mod caller_api;
+mod chaos;
 mod cluster;
 mod documents;
 mod drain;
 mod explain;
 mod failures;
 mod history;
+mod leave;
 mod links;
 mod observability;
 mod operators;
+mod outage;
 mod races;
 mod scenario;
 mod scenarios;
+mod settings;
 mod store;
 mod takeover;
 mod whole_path;
--- a/tests/all/scenarios.rs
+++ b/tests/all/scenarios.rs
@@ -35,8 +35,15 @@
 }
 
 cases! { script;
+    order_while_its_entry_is_killed: "order_entry_killed",
     store_slow_or_losing_answers: "store",
+    store_down_and_an_entry_killed: "store_entry_killed",
     sidecar_killed_in_a_stream_or_an_order: "sidecar_killed",
+    last_engine_killed_in_a_stream: "last_engine_killed",
     requests_at_once_or_out_of_order: "mixing",
+    budget_while_sidecars_are_killed: "lost_usage",
+    entry_stopped_under_load: "stop_entry",
+    memory_after_an_entry_was_killed: "memory_entry_killed",
+    connection_silent_for_good: "silence",
     limits_of_programs: "limits",
 }
--- a/tests/all/takeover.rs
+++ b/tests/all/takeover.rs
@@ -186,3 +186,66 @@
         newer != old
     });
 }
+
+#[test]
+fn frozen_entry_is_taken_over_and_fenced_when_it_wakes() {
+    let cluster = Config::new().start();
+    let (here, there) = (cluster.caller(0, "meche"), cluster.caller(1, "meche"));
+    let program = here.create("reorder", 20_000, 20);
+    begin_order(&cluster, &program, 500);
+    cluster.pause("entry-0");
+    let answer = insist("the order is answered elsewhere", || {
+        there.service(&program, 1, "stock", ORDER)
+    });
+    assert_eq!(answer.text, format!("done: {ORDER}"), "{answer:?}");
+    assert!(there.service(&program, 2, "stock", ORDER).is_whole());
+    cluster.resume("entry-0");
+    let answer = insist("the woken entry passes the call on", || {
+        here.service(&program, 3, "stock", ORDER)
+    });
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(orders(&cluster), 3);
+    let histories = [&here, &there].map(|caller| caller.history(&program).unwrap().1);
+    assert_eq!(histories[0], histories[1]);
+}
+
+#[test]
+fn adopted_log_leaves_the_table_and_nothing_is_lost() {
+    let mut cluster = Config::new().start();
+    let (here, there) = (cluster.caller(0, "meche"), cluster.caller(1, "meche"));
+    let program = here.create("reorder", 20_000, 20);
+    let first = here.model(&program, 1, "Which braid?", 12);
+    assert!(here.service(&program, 2, "stock", ORDER).is_whole());
+    let rows = format!("log.{}.", program.parse::<Program>().unwrap().origin);
+    let batches = |cluster: &Cluster| {
+        let state = cluster.platform.state();
+        state
+            .rows
+            .keys()
+            .filter(|key| key.starts_with(&rows))
+            .count()
+    };
+    assert!(batches(&cluster) > 0);
+    cluster.kill("entry-0");
+    let next = insist("the program goes on", || {
+        there.service(&program, 3, "stock", ORDER)
+    });
+    assert!(next.is_whole());
+    eventually(TAKEOVER_MAX, "the log has left the table", || {
+        batches(&cluster) == 0 && cluster.log("entry-1").contains("log compacted")
+    });
+    cluster.restart("entry-0");
+    cluster.eventually_sees(0, 3);
+    cluster.kill("entry-1");
+    let again = insist("the history is there", || {
+        here.model(&program, 1, "Which braid?", 12)
+    });
+    assert_eq!(again.text, first.text);
+    let account = cluster.explain(&program).unwrap();
+    let mut events = account["events"].as_array().unwrap().iter();
+    assert!(
+        events.any(|event| event["event"] == "created"),
+        "{account:#}"
+    );
+    assert_eq!(orders(&cluster), 2);
+}
