--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -217,7 +217,7 @@
         let chosen = routing::choose(traffic, run, &request, failed.as_ref(), version);
         let chosen = chosen.map_err(refuse)?;
         let route = chosen.route.clone();
-        let order = dispatch::make(traffic, run, &target, &work, &route, &input, &request);
+        let order = dispatch::make(traffic, run, &target, &work, &route, &input);
         failed = Some(chosen.ticket.host.clone());
         if !work.idempotent() {
             let call = Call::from(&run.request);
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -35,7 +35,6 @@
     work: &Work,
     route: &Route,
     input: &[u8],
-    request: &policy::Request,
 ) -> Dispatch {
     let program = run.live.program.borrow();
     let created = program.created();
@@ -52,7 +51,7 @@
         target: target.clone(),
         work: work.clone(),
         time_left: created.deadline.since(traffic.shared.clock.now()),
-        priority: routing::rank(traffic, run, request),
+        priority: routing::rank(traffic, run),
         input: input.to_vec(),
         trace: run.trace.to_string().into(),
         tail: Vec::new(),
--- a/crates/entry/src/hedge.rs
+++ b/crates/entry/src/hedge.rs
@@ -160,15 +160,7 @@
 }
 
 fn make(traffic: &Traffic, run: &Run, call: &Hedged<'_>, route: &Route) -> Dispatch {
-    dispatch::make(
-        traffic,
-        run,
-        call.target,
-        call.work,
-        route,
-        call.input,
-        call.request,
-    )
+    dispatch::make(traffic, run, call.target, call.work, route, call.input)
 }
 
 /// Replaces the answer so far by that of the second dispatch.
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -149,7 +149,7 @@
 }
 
 /// The rank of a call in the sidecar's queue.
-pub(crate) fn rank(traffic: &Traffic, run: &Run, request: &policy::Request) -> u64 {
+pub(crate) fn rank(traffic: &Traffic, run: &Run) -> u64 {
     let program = run.live.program.borrow();
     let created = program.created();
     let fleet = traffic.routing.fleet.borrow();
@@ -158,7 +158,6 @@
         objective: objective(traffic, &created.class),
         attained: fleet.attained(run.live.id),
         began: created.at,
-        long: fleet.is_long(request),
     };
     Rank::new(fleet.knobs(), &standing, traffic.shared.clock.now()).bits()
 }
--- a/crates/load/src/engine.rs
+++ b/crates/load/src/engine.rs
@@ -100,7 +100,6 @@
 pub(crate) struct Engine {
     windows: Vec<Window>,
     running: u32,
-    limited: u32,
     queue: BTreeMap<(Rank, usize), ()>,
     cache: HashMap<Program, (Tokens, u64)>,
     uses: u64,
@@ -111,7 +110,6 @@
         Engine {
             windows,
             running: 0,
-            limited: 0,
             queue: BTreeMap::new(),
             cache: HashMap::new(),
             uses: 0,
@@ -125,17 +123,13 @@
     }
 
     /// Takes the next call that may have a slot.
-    pub(crate) fn pop(&mut self, execs: &[Exec]) -> Option<usize> {
+    pub(crate) fn pop(&mut self) -> Option<usize> {
         if self.running >= SLOTS {
             return None;
         }
-        let limited = self.limited;
-        let may_run = |rank: &Rank| rank.slots_max(SLOTS).is_none_or(|most| limited < most);
-        let key = *self.queue.keys().find(|(rank, _)| may_run(rank))?;
-        self.queue.remove(&key);
+        let ((_, number), ()) = self.queue.pop_first()?;
         self.running += 1;
-        self.limited += u32::from(execs[key.1].rank.slots_max(SLOTS).is_some());
-        Some(key.1)
+        Some(number)
     }
 
     /// Time until the next part of a running call is done.
@@ -159,7 +153,7 @@
     }
 
     pub(crate) fn finish(&mut self, exec: &Exec) {
-        self.free(exec);
+        self.running -= 1;
         if exec.length == Span(0) {
             self.uses += 1;
             let tokens = exec.prompt.plus(exec.made);
@@ -168,11 +162,6 @@
         }
     }
 
-    fn free(&mut self, exec: &Exec) {
-        self.running -= 1;
-        self.limited -= u32::from(exec.rank.slots_max(SLOTS).is_some());
-    }
-
     fn evict(&mut self) {
         let mut total: u64 = self.cache.values().map(|(tokens, _)| tokens.0).sum();
         while total > CACHE.0 {
@@ -188,7 +177,7 @@
 
     pub(crate) fn cancel(&mut self, number: usize, exec: &Exec) {
         if exec.running {
-            self.free(exec);
+            self.running -= 1;
         } else {
             self.queue.remove(&(exec.rank, number));
         }
--- a/crates/load/src/model.rs
+++ b/crates/load/src/model.rs
@@ -358,7 +358,6 @@
             objective: OBJECTIVE,
             attained: entry.fleet.attained(call.request.program),
             began: agent.began,
-            long: entry.fleet.is_long(&call.request),
         };
         entry.fleet.start(&ticket);
         let engine = self.index[&ticket.host];
@@ -392,7 +391,7 @@
 
     /// Starts waiting calls while there are slots.
     fn fill(&mut self, engine: usize) {
-        while let Some(number) = self.engines[engine].pop(&self.execs) {
+        while let Some(number) = self.engines[engine].pop() {
             let exec = &self.execs[number];
             let prompt = exec.prompt;
             let elsewhere = self.engines.iter().map(|other| other.held(exec.program));
--- a/crates/load/src/variant.rs
+++ b/crates/load/src/variant.rs
@@ -6,7 +6,7 @@
 use policy::Knobs;
 use settings::Document;
 
-const OFF: &str = "order = arrival\naffinity = off\nslowness = off\nlong-slots = 1\n\
+const OFF: &str = "order = arrival\naffinity = off\nslowness = off\n\
                    hedge-budget = 0\nadmission = 0\n";
 
 /// A policy to be measured.
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -20,7 +20,6 @@
 const CACHE_LIFE_MAX: Span = Span::from_ms(600_000);
 const HOLDERS_MAX: usize = 3;
 const OWN_CALLS_WEIGHT: f64 = 2.0;
-const LONG_FACTOR: f64 = 6.0;
 
 /// A place where calls can go.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -260,18 +259,6 @@
         Tokens(known.map_or(0, |known| known.generated))
     }
 
-    /// Whether the calls of a program are far longer than those of others.
-    pub fn is_long(&self, request: &Request) -> bool {
-        let Some(known) = self.programs.get(&request.program) else {
-            return false;
-        };
-        let mean = self
-            .groups
-            .get(&request.target)
-            .map_or(GENERATED_START.0 as f64, |group| group.generated.value());
-        known.calls > 0 && known.generated as f64 / known.calls as f64 > mean * LONG_FACTOR
-    }
-
     /// Tokens that a call will probably generate: the program's own calls and those of others.
     pub(crate) fn predicted(&self, request: &Request) -> f64 {
         let Some(group) = self.groups.get(&request.target) else {
--- a/crates/policy/src/knobs.rs
+++ b/crates/policy/src/knobs.rs
@@ -50,8 +50,6 @@
     pub age_weight: Rate,
     /// Share of its class's objective after which a program's age no longer counts; 0 for never.
     pub late_after: Rate,
-    /// Share of an endpoint's slots that long programs may hold.
-    pub long_slots: Rate,
     /// Share of extra work that hedges may cause.
     pub hedge_budget: Rate,
     /// Share of the deadline that the expected completion of a new program may take; 0 admits all.
@@ -71,7 +69,6 @@
             attained_weight: Span::from_ms(1),
             age_weight: Rate(1.0),
             late_after: Rate(1.0),
-            long_slots: Rate(1.0),
             hedge_budget: Rate(0.0),
             admission: Rate(0.5),
         }
--- a/crates/policy/tests/policy.rs
+++ b/crates/policy/tests/policy.rs
@@ -38,15 +38,12 @@
 }
 
 fn standing() -> impl Strategy<Value = Standing> {
-    (0_u32..300, any::<u64>(), 0_u64..1 << 40, any::<bool>()).prop_map(
-        |(precedence, attained, began, long)| Standing {
-            precedence,
-            attained: Tokens(attained),
-            began: Time(began),
-            objective: OBJECTIVE,
-            long,
-        },
-    )
+    (0_u32..300, any::<u64>(), 0_u64..1 << 40).prop_map(|(precedence, attained, began)| Standing {
+        precedence,
+        attained: Tokens(attained),
+        began: Time(began),
+        objective: OBJECTIVE,
+    })
 }
 
 proptest! {
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -297,7 +297,6 @@
     knobs.attained_weight = section.get_or("attained-weight", SPAN, knobs.attained_weight)?;
     knobs.age_weight = section.get_or("age-weight", RATE, knobs.age_weight)?;
     knobs.late_after = section.get_or("late-after", RATE, knobs.late_after)?;
-    knobs.long_slots = section.get_or("long-slots", RATE, knobs.long_slots)?;
     knobs.hedge_budget = section.get_or("hedge-budget", RATE, knobs.hedge_budget)?;
     knobs.admission = section.get_or("admission", RATE, knobs.admission)?;
     Ok(())
--- a/crates/settings/src/render.rs
+++ b/crates/settings/src/render.rs
@@ -100,7 +100,6 @@
         attained_weight,
         age_weight,
         late_after,
-        long_slots,
         hedge_budget,
         admission,
     } = knobs;
@@ -113,7 +112,6 @@
     writeln!(f, "head-start = {head_start}")?;
     writeln!(f, "attained-weight = {attained_weight}")?;
     writeln!(f, "age-weight = {age_weight}\nlate-after = {late_after}")?;
-    writeln!(f, "long-slots = {long_slots}")?;
     writeln!(f, "hedge-budget = {hedge_budget}")?;
     writeln!(f, "admission = {admission}")
 }
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -136,17 +136,17 @@
     /// Starts waiting calls while there are slots.
     fn fill(self: &Rc<Self>) {
         loop {
-            let Some(slot) = self.queue.borrow_mut().pop() else {
+            let Some(call) = self.queue.borrow_mut().pop() else {
                 return;
             };
-            let Some(waiting) = self.take(slot.call) else {
-                self.queue.borrow_mut().finish(slot);
+            let Some(waiting) = self.take(call) else {
+                self.queue.borrow_mut().finish();
                 continue;
             };
             let calls = self.clone();
             let run = async move {
                 calls.run(waiting).await;
-                calls.queue.borrow_mut().finish(slot);
+                calls.queue.borrow_mut().finish();
                 calls.fill();
             };
             self.executor.spawn(run).detach();
