--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -214,8 +214,8 @@
         let refuse = |refusal| unsettled(ran, refused.reason, refusal);
         reserve(traffic, run, worst).await.map_err(refuse)?;
         let version = environment.version;
-        let chosen = routing::choose(traffic, run, &request, failed.as_ref(), version);
-        let chosen = chosen.map_err(refuse)?;
+        let chosen =
+            routing::choose(traffic, run, &request, failed.as_ref(), version).map_err(refuse)?;
         let route = chosen.route.clone();
         let order = dispatch::make(traffic, run, &target, &work, &route, &input);
         failed = Some(chosen.ticket.host.clone());
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -201,6 +201,7 @@
     {
         // The next attempt must not come here, though the board may not know it yet.
         link.leave();
+        traffic.routing.invalidate();
     }
     dispatched
 }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -37,6 +37,11 @@
             synced: RefCell::default(),
         }
     }
+
+    /// Has the endpoints taken in anew before the next choice.
+    pub(crate) fn invalidate(&self) {
+        self.synced.borrow_mut().take();
+    }
 }
 
 /// A chosen endpoint.
--- a/crates/policy/src/knobs.rs
+++ b/crates/policy/src/knobs.rs
@@ -1,7 +1,5 @@
 //! What operators set: the `[policy]` section of the environment document as the policy reads it.
 
-use std::fmt;
-
 use serde::{Deserialize, Serialize};
 use units::{Rate, Span};
 
@@ -74,22 +72,3 @@
         }
     }
 }
-
-impl fmt::Display for Routing {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Routing::Completion => "completion",
-            Routing::LeastOutstanding => "least-outstanding",
-            Routing::RoundRobin => "round-robin",
-        })
-    }
-}
-
-impl fmt::Display for Order {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Order::Attained => "attained",
-            Order::Arrival => "arrival",
-        })
-    }
-}
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -18,6 +18,18 @@
 const COMMIT_WAIT_MAX: Span = Span::from_ms(3_600_000);
 const RATE: &str = "a number, 0 or more";
 
+/// The words for the choice of an endpoint.
+pub(crate) const ROUTINGS: [(&str, Routing); 3] = [
+    ("completion", Routing::Completion),
+    ("least-outstanding", Routing::LeastOutstanding),
+    ("round-robin", Routing::RoundRobin),
+];
+/// The words for the order in a queue.
+pub(crate) const ORDERS: [(&str, Order); 2] =
+    [("attained", Order::Attained), ("arrival", Order::Arrival)];
+/// The words for a switch.
+pub(crate) const SWITCH: [(&str, bool); 2] = [("on", true), ("off", false)];
+
 /// A checked environment document.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Document {
@@ -274,23 +286,16 @@
 }
 
 fn knobs(section: &Section<'_>, knobs: &mut Knobs) -> Result<()> {
-    let routings = [
-        ("completion", Routing::Completion),
-        ("least-outstanding", Routing::LeastOutstanding),
-        ("round-robin", Routing::RoundRobin),
-    ];
-    let orders = [("attained", Order::Attained), ("arrival", Order::Arrival)];
-    let switch = [("on", true), ("off", false)];
     knobs.routing = section
-        .choice("routing", &routings)?
+        .choice("routing", &ROUTINGS)?
         .unwrap_or(knobs.routing);
-    knobs.order = section.choice("order", &orders)?.unwrap_or(knobs.order);
+    knobs.order = section.choice("order", &ORDERS)?.unwrap_or(knobs.order);
     knobs.candidates = section.get_or("candidates", NUMBER, knobs.candidates)?;
     knobs.affinity = section
-        .choice("affinity", &switch)?
+        .choice("affinity", &SWITCH)?
         .unwrap_or(knobs.affinity);
     knobs.slowness = section
-        .choice("slowness", &switch)?
+        .choice("slowness", &SWITCH)?
         .unwrap_or(knobs.slowness);
     knobs.link_price = section.get_or("link-price", SPAN, knobs.link_price)?;
     knobs.head_start = section.get_or("head-start", SPAN, knobs.head_start)?;
--- a/crates/settings/src/render.rs
+++ b/crates/settings/src/render.rs
@@ -5,7 +5,9 @@
 use policy::Knobs;
 use units::Target;
 
-use crate::document::{Account, Class, Document, Limits, Model, Policy, Service};
+use crate::document::{
+    Account, Class, Document, Limits, Model, ORDERS, Policy, ROUTINGS, SWITCH, Service,
+};
 
 /// The document in INI with every key: parsing it gives the same document.
 impl fmt::Display for Document {
@@ -29,7 +31,8 @@
         objective,
     } = class;
     writeln!(f, "\n[class {name}]\nprecedence = {precedence}")?;
-    writeln!(f, "deadline = {deadline}\nobjective = {objective}")
+    writeln!(f, "deadline = {deadline}")?;
+    writeln!(f, "objective = {objective}")
 }
 
 fn account(
@@ -79,13 +82,13 @@
 
 fn policy(f: &mut fmt::Formatter<'_>, policy: &Policy) -> fmt::Result {
     let Policy {
-        knobs: all,
+        knobs: decisions,
         retry_budget,
         link_rate,
     } = policy;
     writeln!(f, "\n[policy]\nretry-budget = {retry_budget}")?;
     writeln!(f, "link-rate = {link_rate}")?;
-    knobs(f, all)
+    knobs(f, decisions)
 }
 
 fn knobs(f: &mut fmt::Formatter<'_>, knobs: &Knobs) -> fmt::Result {
@@ -103,15 +106,22 @@
         hedge_budget,
         admission,
     } = knobs;
-    let switch = |on: bool| if on { "on" } else { "off" };
-    writeln!(f, "routing = {routing}\norder = {order}")?;
+    writeln!(f, "routing = {}", word(&ROUTINGS, *routing))?;
+    writeln!(f, "order = {}", word(&ORDERS, *order))?;
     writeln!(f, "candidates = {candidates}")?;
-    writeln!(f, "affinity = {}", switch(*affinity))?;
-    writeln!(f, "slowness = {}", switch(*slowness))?;
+    writeln!(f, "affinity = {}", word(&SWITCH, *affinity))?;
+    writeln!(f, "slowness = {}", word(&SWITCH, *slowness))?;
     writeln!(f, "link-price = {link_price}")?;
     writeln!(f, "head-start = {head_start}")?;
     writeln!(f, "attained-weight = {attained_weight}")?;
-    writeln!(f, "age-weight = {age_weight}\nlate-after = {late_after}")?;
+    writeln!(f, "age-weight = {age_weight}")?;
+    writeln!(f, "late-after = {late_after}")?;
     writeln!(f, "hedge-budget = {hedge_budget}")?;
     writeln!(f, "admission = {admission}")
 }
+
+/// The word that stands for a value.
+fn word<T: PartialEq>(words: &[(&'static str, T)], value: T) -> &'static str {
+    let found = words.iter().find(|(_, meant)| *meant == value);
+    found.map_or("", |(word, _)| word)
+}
