--- a/crates/entry/src/hedge.rs
+++ b/crates/entry/src/hedge.rs
@@ -125,7 +125,7 @@
         };
         let mut budget = traffic.routing.budget.borrow_mut();
         if fleet.worth_hedging(call.request, ticket, &stream, &other, now)
-            && budget.take(other.service)
+            && budget.take(fleet.hedge_cost(ticket, &stream, &other))
         {
             return;
         }
@@ -160,15 +160,7 @@
 }
 
 fn make(traffic: &Traffic, run: &Run, call: &Hedged<'_>, route: &Route) -> Dispatch {
-    dispatch::make(
-        traffic,
-        run,
-        call.target,
-        call.work,
-        route,
-        call.input,
-        call.request,
-    )
+    dispatch::make(traffic, run, call.target, call.work, route, call.input)
 }
 
 /// Replaces the answer so far by that of the second dispatch.
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -84,7 +84,16 @@
         fleet.route(request, except, now, &mut *rng)
     };
     // The only endpoint of a target is tried again.
-    let ticket = route(except).or_else(|| route(None));
+    let mut ticket = route(except).or_else(|| route(None));
+    if ticket
+        .as_ref()
+        .is_some_and(|ticket| !is_usable(traffic, &ticket.host))
+    {
+        // The connection knows better than the board's last view.
+        routing.synced.borrow_mut().take();
+        sync(traffic);
+        ticket = route(except).or_else(|| route(None));
+    }
     let ticket = ticket.ok_or(Refusal::NoEndpoint)?;
     let view = traffic.shared.view.load();
     let endpoint = view
@@ -145,15 +154,15 @@
 }
 
 /// The rank of a call in the sidecar's queue.
-pub(crate) fn rank(traffic: &Traffic, run: &Run, request: &policy::Request) -> u64 {
+pub(crate) fn rank(traffic: &Traffic, run: &Run) -> u64 {
     let program = run.live.program.borrow();
     let created = program.created();
     let fleet = traffic.routing.fleet.borrow();
     let standing = Standing {
         precedence: precedence(traffic, &created.class),
+        objective: objective(traffic, &created.class),
         attained: fleet.attained(run.live.id),
         began: created.at,
-        long: fleet.is_long(request),
     };
     Rank::new(fleet.knobs(), &standing, traffic.shared.clock.now()).bits()
 }
@@ -165,6 +174,19 @@
     class.map_or(0, |class| class.precedence)
 }
 
+/// The time in which programs of a class should be done.
+fn objective(traffic: &Traffic, class: &units::Class) -> Span {
+    let environment = traffic.shared.view.load().environment.clone();
+    let class = environment.and_then(|all| all.document.classes.get(class).cloned());
+    class.map_or(Span(0), |class| class.objective)
+}
+
+/// Whether a sidecar is connected and takes new work.
+fn is_usable(traffic: &Traffic, host: &Host) -> bool {
+    let link = traffic.link(host);
+    link.is_some_and(|link| !link.is_leaving())
+}
+
 /// Takes in the board's view, if it has changed.
 fn sync(traffic: &Traffic) {
     let view = traffic.shared.view.load_full();
@@ -177,11 +199,10 @@
         fleet.configure(environment.document.policy.knobs);
     }
     let own = &traffic.shared.identity.region;
-    let usable = |endpoint: &&board::Endpoint| {
-        let link = traffic.link(&endpoint.host);
-        link.is_some_and(|link| !link.is_leaving())
-    };
-    let open = view.endpoints.iter().filter(usable);
+    let open = view
+        .endpoints
+        .iter()
+        .filter(|endpoint| is_usable(traffic, &endpoint.host));
     fleet.sync(open.map(|endpoint| Site {
         host: endpoint.host.clone(),
         serves: endpoint.serves.clone(),
--- a/crates/load/src/model.rs
+++ b/crates/load/src/model.rs
@@ -355,9 +355,9 @@
         let plan = &self.workload.plans[agent.plan];
         let standing = Standing {
             precedence: precedence(plan),
+            objective: OBJECTIVE,
             attained: entry.fleet.attained(call.request.program),
             began: agent.began,
-            long: entry.fleet.is_long(&call.request),
         };
         entry.fleet.start(&ticket);
         let engine = self.index[&ticket.host];
@@ -391,7 +391,7 @@
 
     /// Starts waiting calls while there are slots.
     fn fill(&mut self, engine: usize) {
-        while let Some(number) = self.engines[engine].pop(&self.execs) {
+        while let Some(number) = self.engines[engine].pop() {
             let exec = &self.execs[number];
             let prompt = exec.prompt;
             let elsewhere = self.engines.iter().map(|other| other.held(exec.program));
@@ -521,7 +521,9 @@
         let other = fleet.route(&call.request, Some(&ticket.host), self.now, &mut self.rng);
         if let Some(other) = other
             && fleet.worth_hedging(&call.request, ticket, &order.stream, &other, self.now)
-            && entry.budget.take(other.service)
+            && entry
+                .budget
+                .take(fleet.hedge_cost(ticket, &order.stream, &other))
         {
             self.run.hedges += 1;
             return self.dispatch(number, other);
--- a/crates/settings/tests/document.rs
+++ b/crates/settings/tests/document.rs
@@ -29,7 +29,7 @@
         format!(
             "routing = {routing}\norder = {order}\naffinity = {affinity}\nslowness = {slowness}\n\
              link-price = {price}\nhead-start = {start}\nattained-weight = {weight}\n\
-             age-weight = {rate}\nlong-slots = {rate}\nadmission = {rate}\n\
+             age-weight = {rate}\nlate-after = {rate}\nadmission = {rate}\n\
              candidates = {candidates}\n"
         )
     })
