entry: programs that ended long ago leave memory

Cause: an entry kept every program that it had ever owned, ended ones with all their bodies, so its memory grew with traffic for as long as it ran. Ruled out: reading a forgotten program back for a repeat, which costs a scan of a whole log; answering a repeat with ran "no", which would be untrue. Change: limits.ended-retention, 10 min by default; afterwards 404 with ran "unknown". Before, the new test's program was never forgotten. Not measured: the memory saved.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -156,7 +156,11 @@
                 return Err(Refusal::Unavailable);
             }
         }
-        Err(Refusal::UnknownProgram)
+        if id.origin == own && id.number > self.created.get() {
+            return Err(Refusal::UnknownProgram);
+        }
+        // It may have ended and been forgotten, so that a repeated call may have run.
+        Err(Refusal::ForgottenProgram)
     }
 
     /// Whether a log is known to be sealed.
--- a/crates/entry/src/programs.rs
+++ b/crates/entry/src/programs.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use log::{Budget, Cause, Created, Event, Handle, Parent};
-use units::{Account, Class, Program, Span};
+use units::{Account, Class, Program, Span, Time};
 
 use crate::links;
 use crate::live::Live;
@@ -86,9 +86,21 @@
     pub(crate) fn adopt(&self, live: Rc<Live>) {
         routing::begin(self, &live);
         self.programs.borrow_mut().insert(live.id, live);
-        self.shared
-            .metrics
-            .set("programs-count", self.programs.borrow().len() as i64);
+        self.show_programs();
+    }
+
+    /// Forgets programs that ended more than `retention` ago; the log keeps their account.
+    pub(crate) fn drop_ended(&self, retention: Span, now: Time) {
+        self.programs.borrow_mut().retain(|_, live| {
+            let ended = live.program.borrow().ended();
+            ended.is_none_or(|(_, at)| now.since(at) <= retention)
+        });
+        self.show_programs();
+    }
+
+    fn show_programs(&self) {
+        let count = self.programs.borrow().len();
+        self.shared.metrics.set("programs-count", count as i64);
     }
 
     /// Ends a program and its sub-agents and frees the engines' memory of it. Sub-agents end first,
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -25,6 +25,8 @@
     Quota(u64),
     /// There is no such program of this account.
     UnknownProgram,
+    /// There is no such program, or it ended so long ago that its calls are not at hand.
+    ForgottenProgram,
     /// There is no such call.
     UnknownCall,
     /// There is no such path.
@@ -61,7 +63,10 @@
             Refusal::Unauthorized => 401,
             Refusal::Class => 403,
             Refusal::Quota(_) => 429,
-            Refusal::UnknownProgram | Refusal::UnknownCall | Refusal::UnknownPath => 404,
+            Refusal::UnknownProgram
+            | Refusal::ForgottenProgram
+            | Refusal::UnknownCall
+            | Refusal::UnknownPath => 404,
             Refusal::UnknownTarget(_) => 422,
             Refusal::Token => 400,
             Refusal::Admission(admission) => match admission {
@@ -88,7 +93,7 @@
             Refusal::Unauthorized => "unauthorized",
             Refusal::Class => "class-not-allowed",
             Refusal::Quota(_) => "quota",
-            Refusal::UnknownProgram => "unknown-program",
+            Refusal::UnknownProgram | Refusal::ForgottenProgram => "unknown-program",
             Refusal::UnknownCall => "unknown-call",
             Refusal::UnknownPath => "unknown-path",
             Refusal::UnknownTarget(_) => "unknown-target",
@@ -116,7 +121,9 @@
     pub(crate) fn ran(&self) -> Ran {
         match self {
             Refusal::Endpoint(ran, _) => *ran,
-            Refusal::Indeterminate | Refusal::Unrecorded => Ran::Unknown,
+            Refusal::Indeterminate | Refusal::Unrecorded | Refusal::ForgottenProgram => {
+                Ran::Unknown
+            }
             _ => Ran::No,
         }
     }
@@ -163,6 +170,9 @@
                 )
             }
             Refusal::UnknownProgram => f.write_str("there is no such program"),
+            Refusal::ForgottenProgram => {
+                f.write_str("there is no such program, or it ended long ago")
+            }
             Refusal::UnknownCall => f.write_str("there is no such call"),
             Refusal::UnknownPath => f.write_str("there is no such path"),
             Refusal::UnknownTarget(target) => write!(f, "{target} is no model or service"),
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -218,7 +218,9 @@
             continue;
         };
         let now = traffic.shared.clock.now();
-        let idle_timeout = environment.document.limits.idle_timeout;
+        let limits = &environment.document.limits;
+        let idle_timeout = limits.idle_timeout;
+        traffic.drop_ended(limits.ended_retention, now);
         let all: Vec<Rc<Live>> = traffic.programs.borrow().values().cloned().collect();
         for live in all {
             let expired = live.program.borrow().expired(idle_timeout, now);
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -102,6 +102,8 @@
     pub tranche: Tokens,
     /// How long an answer waits for its durable record before it is released without.
     pub commit_wait: Span,
+    /// How long a program that has ended can be read by its caller and its calls repeated.
+    pub ended_retention: Span,
 }
 
 /// Settings of the policy.
@@ -249,6 +251,7 @@
         loop_limit: 8,
         tranche: Tokens(20_000),
         commit_wait: Span::from_ms(1_000),
+        ended_retention: Span::from_ms(600_000),
     };
     let Some(section) = section else {
         return Ok(limits);
@@ -265,6 +268,7 @@
     limits.loop_limit = section.within("loop-limit", POSITIVE, limits.loop_limit, 1..=u32::MAX)?;
     limits.tranche = section.within("tranche", POSITIVE, limits.tranche, tokens)?;
     limits.commit_wait = section.within("commit-wait", "0s to 1h", limits.commit_wait, wait)?;
+    limits.ended_retention = section.get_or("ended-retention", SPAN, limits.ended_retention)?;
     section.close()?;
     Ok(limits)
 }
--- a/crates/settings/src/render.rs
+++ b/crates/settings/src/render.rs
@@ -71,13 +71,15 @@
         loop_limit,
         tranche,
         commit_wait,
+        ended_retention,
     } = limits;
     writeln!(f, "\n[limits]\ntokens-max = {tokens_max}")?;
     writeln!(f, "calls-max = {calls_max}")?;
     writeln!(f, "idle-timeout = {idle_timeout}")?;
     writeln!(f, "loop-limit = {loop_limit}")?;
     writeln!(f, "tranche = {tranche}")?;
-    writeln!(f, "commit-wait = {commit_wait}")
+    writeln!(f, "commit-wait = {commit_wait}")?;
+    writeln!(f, "ended-retention = {ended_retention}")
 }
 
 fn policy(f: &mut fmt::Formatter<'_>, policy: &Policy) -> fmt::Result {
--- a/crates/settings/tests/document.rs
+++ b/crates/settings/tests/document.rs
@@ -42,7 +42,7 @@
     let limits = limits.prop_map(|(tokens, calls, idle, repeats, tranche, wait)| {
         format!(
             "[limits]\ntokens-max = {tokens}\ncalls-max={calls}\n idle-timeout = {idle}\n\
-             ; a comment\nloop-limit = {repeats}\ntranche = {tranche}\ncommit-wait : {wait}\n"
+             ; a comment\nloop-limit = {repeats}\ntranche = {tranche}\ncommit-wait : {wait}\nended-retention = {idle}\n"
         )
     });
     let policy = (0.0..1e9, 0.0..1.0_f64, 0_u64..1 << 20);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -24,6 +24,7 @@
 mod operators;
 mod outage;
 mod races;
+mod retention;
 mod scenario;
 mod scenarios;
 mod settings;
