--- a/crates/settings/src/render.rs
+++ b/crates/settings/src/render.rs
@@ -102,7 +102,7 @@
         head_start,
         attained_weight,
         age_weight,
-        long_slots,
+        late_after,
         hedge_budget,
         admission,
     } = knobs;
@@ -115,7 +115,7 @@
     writeln!(f, "head-start = {head_start}")?;
     writeln!(f, "attained-weight = {attained_weight}")?;
     writeln!(f, "age-weight = {age_weight}")?;
-    writeln!(f, "long-slots = {long_slots}")?;
+    writeln!(f, "late-after = {late_after}")?;
     writeln!(f, "hedge-budget = {hedge_budget}")?;
     writeln!(f, "admission = {admission}")
 }
