--- a/tests/all/budgets.rs
+++ b/tests/all/budgets.rs
@@ -8,9 +8,10 @@
 
 use crate::caller::{Answer, Caller};
 use crate::cluster::{Cluster, Config};
-use crate::history::{History, Kind, Program, input};
-use crate::scenario::{Order, attempt};
+use crate::history::{History, Kind, input};
+use crate::scenario::attempt;
 use crate::scenarios::seeds;
+use crate::script::Order;
 
 const PROGRAMS: usize = 200;
 const CALLERS: usize = 20;
@@ -27,18 +28,6 @@
 }
 
 impl Agent {
-    fn program(&self, name: &str, id: &str, tokens: u64, parent: Option<&str>) {
-        let program = Program {
-            id: id.to_owned(),
-            account: "meche".to_owned(),
-            tokens,
-            after: None,
-            parent: parent.map(str::to_owned),
-            ended: false,
-        };
-        self.history.programs().insert(name.to_owned(), program);
-    }
-
     fn call(&self, name: &str, seq: u64, kind: Kind, body: Value) -> Answer {
         let order = Order {
             program: name.to_owned(),
@@ -79,13 +68,14 @@
         let Some(id) = created else {
             return;
         };
-        self.program(name, &id, BUDGET_TOKENS, None);
+        self.history.add(name, &id, "meche", BUDGET_TOKENS, None);
         let carve = json!({"seq": 1, "program": {"tokens": CHILD_TOKENS, "calls": 20}});
         let child = self.call(name, 1, Kind::Child, carve);
         std::thread::scope(|scope| {
             if let Some(child_id) = child.end["program"].as_str() {
                 let child_name = format!("{name}-child");
-                self.program(&child_name, child_id, CHILD_TOKENS, Some(name));
+                self.history
+                    .add(&child_name, child_id, "meche", CHILD_TOKENS, Some(name));
                 scope.spawn(move || self.exhaust(&child_name, 1));
             }
             self.exhaust(name, 2);
--- a/tests/all/chaos.rs
+++ b/tests/all/chaos.rs
@@ -11,9 +11,10 @@
 use standins::link::Direction;
 
 use crate::cluster::{Cluster, Config};
-use crate::history::{History, Kind, Program, input};
-use crate::scenario::{Order, attempt};
+use crate::history::{History, Kind, input};
+use crate::scenario::attempt;
 use crate::scenarios::seeds;
+use crate::script::Order;
 
 const CALLERS: u64 = 6;
 const CALLS: u64 = 8;
@@ -53,15 +54,7 @@
     let Some(id) = created else {
         return BTreeMap::from([("not created".to_owned(), 1)]);
     };
-    let program = Program {
-        id,
-        account: "meche".to_owned(),
-        tokens: TOKENS,
-        after: None,
-        parent: None,
-        ended: false,
-    };
-    history.programs().insert(name.clone(), program);
+    history.add(&name, &id, "meche", TOKENS, None);
     for seq in 1..=CALLS {
         let first = rng.random_range(0..ENTRIES);
         let order = call(&name, seq, &mut rng, first);
--- a/tests/all/history.rs
+++ b/tests/all/history.rs
@@ -81,6 +81,19 @@
         self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds a program that its caller has created.
+    pub fn add(&self, name: &str, id: &str, account: &str, tokens: u64, parent: Option<&str>) {
+        let program = Program {
+            id: id.to_owned(),
+            account: account.to_owned(),
+            tokens,
+            after: None,
+            parent: parent.map(str::to_owned),
+            ended: false,
+        };
+        self.programs().insert(name.to_owned(), program);
+    }
+
     /// Records an answer and keeps its token.
     pub fn record(&self, attempt: Attempt) {
         if let Some(after) = attempt.answer.end["after"].as_str()
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -26,6 +26,7 @@
 mod races;
 mod scenario;
 mod scenarios;
+mod script;
 mod settings;
 mod store;
 mod takeover;
--- a/tests/all/scenario.rs
+++ b/tests/all/scenario.rs
@@ -12,83 +12,20 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use serde_json::{Value, json};
+use serde_json::json;
 use standins::engine;
 use standins::link::Direction;
 
 use crate::caller::{Answer, Caller};
 use crate::cluster::{Cluster, Config};
-use crate::history::{self, Attempt, History, Kind, Program, input};
+use crate::history::{self, Attempt, History, Kind, input};
+use crate::script::{Line, Order};
 
 /// Bound for a condition that a script waits for.
 const AWAIT_MAX: Duration = Duration::from_secs(15);
 /// Time between a caller's retries.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// One command.
-struct Line<'a> {
-    words: Vec<&'a str>,
-    options: HashMap<&'a str, &'a str>,
-    background: bool,
-}
-
-impl<'a> Line<'a> {
-    fn parse(line: &'a str) -> Self {
-        let (line, background) = match line.strip_suffix(" &") {
-            Some(line) => (line, true),
-            None => (line, false),
-        };
-        let (options, words) = line
-            .split_whitespace()
-            .partition::<Vec<_>, _>(|word| word.contains('='));
-        let options = options.iter().filter_map(|option| option.split_once('='));
-        Line {
-            words,
-            options: options.collect(),
-            background,
-        }
-    }
-
-    fn number(&self, key: &str, default: u64) -> u64 {
-        self.options
-            .get(key)
-            .map_or(default, |value| value.parse().unwrap())
-    }
-
-    fn text(&self, key: &str, default: &'a str) -> &'a str {
-        self.options.get(key).copied().unwrap_or(default)
-    }
-
-    /// Whether it is the second request for a call at the same time.
-    fn is_again(&self) -> bool {
-        self.words.last() == Some(&"again")
-    }
-
-    /// The entries that the caller tries in turn.
-    fn entries(&self) -> Vec<u16> {
-        let list = self.text("at", "0").split(',');
-        list.map(|entry| entry.parse().unwrap()).collect()
-    }
-}
-
-/// A call as a caller makes it.
-pub struct Order {
-    /// The program's name.
-    pub program: String,
-    /// The call's position.
-    pub seq: u64,
-    /// What it does.
-    pub kind: Kind,
-    /// Its input.
-    pub input: String,
-    /// The body of the request, without the token of the last answer.
-    pub body: Value,
-    /// The entries that the caller tries in turn.
-    pub entries: Vec<u16>,
-    /// How long the caller tries.
-    pub patience: Duration,
-}
-
 /// A running scenario.
 struct Stage {
     cluster: Cluster,
@@ -171,7 +108,7 @@
             ["cut", process] => self.cluster.links[*process].cut(),
             ["store", state] => self.store(state),
             ["store"] => self.break_store(line),
-            ["hang", "services"] => self.hang(true),
+            ["hang", "services"] => self.hang(),
             ["await", condition @ ..] => self.wait(condition, line),
             ["jitter"] => {
                 let ms = self.rng.random_range(0..=line.number("ms", 10));
@@ -204,68 +141,19 @@
         let created = caller.request("POST", "/v1/programs", Some(&body.to_string()));
         let created = created.unwrap().1;
         let id = created["program"].as_str().unwrap().to_owned();
-        self.add(name, id, account, tokens, None);
-    }
-
-    fn add(&mut self, name: &str, id: String, account: &str, tokens: u64, parent: Option<String>) {
-        let program = Program {
-            id,
-            account: account.to_owned(),
-            tokens,
-            after: None,
-            parent,
-            ended: false,
-        };
-        self.history.programs().insert(name.to_owned(), program);
+        self.history.add(name, &id, account, tokens, None);
     }
 
     fn call(&mut self, line: &Line<'_>) {
-        let (verb, name) = (line.words[0], line.words[1]);
-        let seq: u64 = line.words[2].parse().unwrap();
-        let text = line
-            .options
-            .get("text")
-            .map_or_else(|| input(name, seq), |text| text.to_string());
-        let (kind, body) = match verb {
-            "model" => {
-                let max = line.number("max", 16);
-                let body =
-                    json!({"seq": seq, "model": "advisor", "input": text, "max_tokens": max});
-                (Kind::Model(max), body)
-            }
-            "order" => (
-                Kind::Order,
-                json!({"seq": seq, "service": "stock", "input": text}),
-            ),
-            "lookup" => (
-                Kind::Lookup,
-                json!({"seq": seq, "service": "catalogue", "input": text}),
-            ),
-            _ => {
-                let (tokens, calls) = (line.number("tokens", 1_000), line.number("calls", 5));
-                let program = json!({"tokens": tokens, "calls": calls});
-                (
-                    Kind::Child,
-                    json!({"seq": seq, "program": program, "input": text}),
-                )
-            }
-        };
-        let order = Order {
-            program: name.to_owned(),
-            seq,
-            kind,
-            input: text,
-            body,
-            entries: line.entries(),
-            patience: Duration::from_secs(line.number("patience", 0)),
-        };
+        let order = line.order();
+        let (name, seq, kind) = (order.program.clone(), order.seq, order.kind);
         let timeout = Duration::from_secs(line.number("timeout", 30));
-        let (history, callers) = (self.history.clone(), self.callers(name, timeout));
+        let (history, callers) = (self.history.clone(), self.callers(&name, timeout));
         let call = std::thread::spawn(move || attempt(&history, &callers, &order));
         self.running
-            .insert((name.to_owned(), seq, line.is_again()), call);
+            .insert((name.clone(), seq, line.is_again()), call);
         if !line.background {
-            self.join(name, seq, line);
+            self.join(&name, seq, line);
         }
         if kind == Kind::Child {
             self.add_child(line);
@@ -297,13 +185,9 @@
         let (parent, child) = (line.words[1].to_owned(), line.words[3]);
         if let Some(id) = id {
             let account = self.history.programs()[&parent].account.clone();
-            self.add(
-                child,
-                id,
-                &account,
-                line.number("tokens", 1_000),
-                Some(parent),
-            );
+            let tokens = line.number("tokens", 1_000);
+            self.history
+                .add(child, &id, &account, tokens, Some(&parent));
         }
     }
 
@@ -366,9 +250,9 @@
         link.silence(direction);
     }
 
-    fn hang(&mut self, hangs: bool) {
+    fn hang(&mut self) {
         for service in &self.cluster.services {
-            service.state().hangs = hangs;
+            service.state().hangs = true;
         }
     }
 
