--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -73,7 +73,7 @@
         fleet.wait(|fleet| fleet.operate("GET", "/live", None).is_ok())?;
         fleet.apply(0, 1)?;
         let all = usize::from(sidecars);
-        fleet.wait(|fleet| fleet.operate("GET", "/ready", None).is_ok())?;
+        fleet.wait(|fleet| (0..entries).all(|entry| fleet.is_ready(entry)))?;
         fleet.wait(|fleet| fleet.endpoints().is_ok_and(|seen| seen == all))?;
         Ok(fleet)
     }
@@ -171,6 +171,11 @@
         Ok(())
     }
 
+    fn is_ready(&self, entry: u16) -> bool {
+        let ready = self.send(12_000 + entry, OPERATOR, "GET", "/ready", None);
+        smol::block_on(ready).is_ok()
+    }
+
     /// The version in force at an entry.
     pub fn version(&self, entry: u16) -> Result<u64> {
         let status = self.send(12_000 + entry, OPERATOR, "GET", "/v1/status", None);
