--- a/crates/entry/src/programs.rs
+++ b/crates/entry/src/programs.rs
@@ -8,6 +8,7 @@
 use crate::links;
 use crate::live::Live;
 use crate::refusal::{Refusal, Result};
+use crate::routing;
 use crate::traffic::Traffic;
 
 impl Traffic {
@@ -42,6 +43,7 @@
             .ok_or(Refusal::Class)?;
         let programs_max = owner.map_or(0, |owner| owner.programs_max);
         let _permit = self.permit(account, programs_max)?;
+        routing::admit(self, settings)?;
         let limits = &document.limits;
         let budget = Budget {
             tokens: budget.tokens.min(limits.tokens_max),
@@ -82,6 +84,7 @@
 
     /// Owns a program from now on.
     pub(crate) fn adopt(&self, live: Rc<Live>) {
+        routing::begin(self, &live);
         self.programs.borrow_mut().insert(live.id, live);
         self.shared
             .metrics
@@ -97,6 +100,7 @@
         let ended = self.end_all(live, cause).await;
         live.ending.set(false);
         ended?;
+        routing::forget(self, live);
         links::release(self, live.id);
         Ok(())
     }
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -45,6 +45,7 @@
         answer: live.begin(request.seq),
         request,
         trace: Trace::new(),
+        stream: std::cell::Cell::default(),
     };
     let traffic = traffic.clone();
     let executor = traffic.executor.clone();
