--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod retention;
 mod scenario;
 mod scenarios;
+mod script;
 mod settings;
 mod store;
 mod takeover;
