--- a/tests/all/scenarios.rs
+++ b/tests/all/scenarios.rs
@@ -45,5 +45,10 @@
     entry_stopped_under_load: "stop_entry",
     memory_after_an_entry_was_killed: "memory_entry_killed",
     connection_silent_for_good: "silence",
+    entry_paused_and_taken_over: "entry_paused",
+    store_down_under_a_model_call: "outage",
+    sidecar_stopped_under_load: "stop_sidecar",
+    memory_after_a_sidecar_was_killed: "memory_sidecar_killed",
+    hung_tool: "hang",
     limits_of_programs: "limits",
 }
