policy: the noise of a loaded host is not taken for slowness

Change: a sample moves the estimate by 0.1 up and 0.05 down (were 0.5 and 0.1), and a ratio below 2 counts as none.

Over processes: see docs/design/policy.md.

--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -68,8 +68,8 @@
     }
 }
 
-const UP_WEIGHT: f64 = 0.5;
-const DOWN_WEIGHT: f64 = 0.1;
+const UP_WEIGHT: f64 = 0.1;
+const DOWN_WEIGHT: f64 = 0.05;
 const HALF_LIFE: Span = Span::from_ms(2_000);
 
 /// How many times slower an endpoint is than its peers: fast up, slow down.
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -18,6 +18,8 @@
 const CACHE_LIFE_START: Span = Span::from_ms(60_000);
 const CACHE_LIFE_MIN: Span = Span::from_ms(2_000);
 const CACHE_LIFE_MAX: Span = Span::from_ms(600_000);
+/// Less than this is the noise of a loaded host; leaving a prefix for it costs more than it gives.
+const SLOWNESS_MIN: f64 = 2.0;
 const HOLDERS_MAX: usize = 3;
 const OWN_CALLS_WEIGHT: f64 = 2.0;
 
@@ -297,8 +299,9 @@
 
     /// How many times slower than its peers an endpoint is.
     pub(crate) fn slowness(&self, index: usize, now: Time) -> f64 {
-        if self.knobs.slowness {
-            self.endpoints[index].slowness.at(now)
+        let slowness = self.endpoints[index].slowness.at(now);
+        if self.knobs.slowness && slowness >= SLOWNESS_MIN {
+            slowness
         } else {
             1.0
         }
