--- a/crates/overhead/src/environment.rs
+++ b/crates/overhead/src/environment.rs
@@ -102,7 +102,7 @@
 
     async fn accept(&self, document: &str) -> http_io::Result<Vec<u8>> {
         let client = self.admin_client();
-        let mut request = client.request(Method::Put, "/v1/environment?base=0")?;
+        let mut request = client.request(Method::Put, "/v1/environment?base=0&author=overhead")?;
         request.set_body(Body::from_string(document.to_owned()));
         client.whole(request).await
     }
--- a/crates/overhead/src/main.rs
+++ b/crates/overhead/src/main.rs
@@ -17,7 +17,7 @@
 #[bpaf(options)]
 struct Options {
     /// Pairs of calls in the latency part
-    #[bpaf(fallback(2_000))]
+    #[bpaf(fallback(1_000))]
     pairs: u32,
     /// Callers at a time in the throughput part
     #[bpaf(fallback(64))]
