--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -13,14 +13,14 @@
 
 use crate::answers;
 use crate::api::Request;
-use crate::dispatch::{self, Dispatched};
-use crate::hedge::{self, Hedged};
+use crate::dispatch::{self, Dispatched, Plan};
+use crate::hedge;
 use crate::links;
 use crate::live::{Ending, Live};
 use crate::outage;
 use crate::refusal::{Refusal, Result};
 use crate::reply::Reply;
-use crate::routing;
+use crate::routing::{self, Chosen};
 use crate::traffic::Traffic;
 
 const ATTEMPTS_MAX: u32 = 3;
@@ -191,80 +191,94 @@
 /// Runs a call at an endpoint, again elsewhere if that is safe.
 async fn run_target(traffic: &Rc<Traffic>, run: &Run, target: Target) -> Result<Turn> {
     let environment = traffic.environment()?;
-    let service = environment.document.services.get(&target);
-    let work = match service {
-        Some(service) => Work::Service {
-            idempotent: service.idempotent,
-        },
-        None => Work::Model {
-            max_tokens: run.request.budget.tokens,
-        },
-    };
+    let work = work(run, environment.document.services.get(&target));
     let (input, worst) = prepare(run, &work);
-    let mut refused = Refused {
-        ran: Ran::No,
-        reason: Reason::Unreachable,
+    let is_model = matches!(work, Work::Model { .. });
+    let request = routing::request(run, &target, is_model);
+    let hedges = work.idempotent() && environment.document.policy.knobs.hedge_budget.0 > 0.0;
+    let plan = Plan {
+        target: &target,
+        work: &work,
+        input: &input,
+        request: &request,
+        worst,
+        version: environment.version,
     };
-    let request = routing::request(run, &target, service.is_none());
-    let hedges = environment.document.policy.knobs.hedge_budget.0 > 0.0;
+    let mut reason = Reason::Unreachable;
     let mut failed = None;
     // One attempt that may have run makes it uncertain whether the call ran.
     let mut ran = Ran::No;
     for _ in 0..ATTEMPTS_MAX {
-        let refuse = |refusal| unsettled(ran, refused.reason, refusal);
+        let refuse = |refusal| unsettled(ran, reason, refusal);
         reserve(traffic, run, worst).await.map_err(refuse)?;
-        let version = environment.version;
-        let chosen =
-            routing::choose(traffic, run, &request, failed.as_ref(), version).map_err(refuse)?;
-        let route = chosen.route.clone();
-        let order = dispatch::make(traffic, run, &target, &work, &route, &input);
+        let chosen = routing::choose(traffic, run, &request, failed.as_ref(), plan.version)
+            .map_err(refuse)?;
         failed = Some(chosen.ticket.host.clone());
-        if !work.idempotent() {
-            let call = Call::from(&run.request);
-            let intent = Event::Intent(Intent {
-                call,
-                route: route.clone(),
-            });
-            announce(traffic, run, intent).await?;
-        }
-        let (route, dispatched) = if work.idempotent() && hedges {
-            let call = Hedged {
-                target: &target,
-                work: &work,
-                input: &input,
-                request: &request,
-                worst,
-                version,
-            };
-            hedge::send(traffic, run, &call, chosen, order).await
-        } else {
-            let dispatched = dispatch::send(traffic, run, &route, chosen.ticket, order).await;
-            (route, dispatched)
-        };
-        match dispatched {
+        let (route, dispatched) = attempt(traffic, run, &plan, chosen, hedges).await?;
+        let refused = match dispatched {
             Dispatched::Done(done) => return finish(traffic, run, &work, route, &done).await,
-            Dispatched::Refused(why) if work.idempotent() => {
-                let mut program = run.live.program.borrow_mut();
-                if why.ran == Ran::No {
-                    program.unreserve(worst);
-                } else {
-                    program.lose(worst);
-                    ran = Ran::Unknown;
-                }
-                refused = why;
-            }
-            Dispatched::Refused(why) if why.ran == Ran::No => {
-                withdraw(traffic, run).await?;
-                run.live.program.borrow_mut().unreserve(worst);
-                refused = why;
+            Dispatched::Refused(refused) => refused,
+        };
+        if refused.ran != Ran::No {
+            if !work.idempotent() {
+                return give_up(traffic, run, route).await;
             }
-            Dispatched::Refused(_) => return give_up(traffic, run, route).await,
+            ran = Ran::Unknown;
         }
+        account(traffic, run, &plan, &refused).await?;
+        reason = refused.reason;
         if !run.answer.is_empty() {
             run.answer.restart();
         }
     }
-    Err(Refusal::Endpoint(ran, refused.reason))
+    Err(Refusal::Endpoint(ran, reason))
+}
+
+/// The work of a call to a service, or to a model if there is no such service.
+fn work(run: &Run, service: Option<&settings::Service>) -> Work {
+    match service {
+        Some(service) => Work::Service {
+            idempotent: service.idempotent,
+        },
+        None => Work::Model {
+            max_tokens: run.request.budget.tokens,
+        },
+    }
+}
+
+/// Dispatches a call once, or with a hedge; a non-idempotent one after its intent is durable.
+async fn attempt(
+    traffic: &Rc<Traffic>,
+    run: &Run,
+    plan: &Plan<'_>,
+    chosen: Chosen,
+    hedges: bool,
+) -> Result<(Route, Dispatched)> {
+    let route = chosen.route.clone();
+    let order = dispatch::make(traffic, run, plan.target, plan.work, &route, plan.input);
+    if hedges {
+        return Ok(hedge::send(traffic, run, plan, chosen, order).await);
+    }
+    if !plan.work.idempotent() {
+        let call = Call::from(&run.request);
+        let route = route.clone();
+        announce(traffic, run, Event::Intent(Intent { call, route })).await?;
+    }
+    let dispatched = dispatch::send(traffic, run, &route, chosen.ticket, order).await;
+    Ok((route, dispatched))
+}
+
+/// Accounts for an attempt that gave no answer before the next one is made.
+async fn account(traffic: &Traffic, run: &Run, plan: &Plan<'_>, refused: &Refused) -> Result<()> {
+    if refused.ran != Ran::No {
+        run.live.program.borrow_mut().lose(plan.worst);
+        return Ok(());
+    }
+    if !plan.work.idempotent() {
+        withdraw(traffic, run).await?;
+    }
+    run.live.program.borrow_mut().unreserve(plan.worst);
+    Ok(())
 }
 
 /// Records an intent; gives up at the program's deadline.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -6,7 +6,7 @@
 use policy::{Stream, Ticket, Used};
 use slog::warn;
 use smol::future::FutureExt;
-use units::{Digest, Host, Incarnation, Span, Target, Time, Tokens};
+use units::{Digest, Host, Incarnation, Span, Target, Time, Tokens, Version};
 use wire::{Dispatch, Done, Epoch, Frame, Link, Ran, Reason, Refused, State, Work};
 
 use crate::calls::Run;
@@ -20,6 +20,18 @@
 const RECOVERY_POLL: Span = Span::from_ms(100);
 const TOKEN_BYTES: u64 = 4;
 
+/// What all dispatches of a call have in common.
+pub(crate) struct Plan<'a> {
+    pub(crate) target: &'a Target,
+    pub(crate) work: &'a Work,
+    pub(crate) input: &'a [u8],
+    pub(crate) request: &'a policy::Request,
+    /// Tokens that one dispatch can use at most.
+    pub(crate) worst: Tokens,
+    /// The environment document in force when the call began.
+    pub(crate) version: Version,
+}
+
 /// How one dispatch ended.
 pub(crate) enum Dispatched {
     /// With a whole answer.
--- a/crates/entry/src/hedge.rs
+++ b/crates/entry/src/hedge.rs
@@ -7,26 +7,16 @@
 use log::Route;
 use policy::Ticket;
 use smol::future::FutureExt;
-use units::{Span, Target, Tokens, Version};
-use wire::{Answer, Dispatch, Frame, Ran, Refused, Work};
+use units::Span;
+use wire::{Answer, Dispatch, Frame, Ran, Refused};
 
 use crate::calls::{Run, reserve};
-use crate::dispatch::{self, Dispatched};
+use crate::dispatch::{self, Dispatched, Plan};
 use crate::routing::{self, Chosen};
 use crate::traffic::Traffic;
 
 const CHECK_INTERVAL: Span = Span::from_ms(20);
 
-/// A call that may be dispatched twice.
-pub(crate) struct Hedged<'a> {
-    pub(crate) target: &'a Target,
-    pub(crate) work: &'a Work,
-    pub(crate) input: &'a [u8],
-    pub(crate) request: &'a policy::Request,
-    pub(crate) worst: Tokens,
-    pub(crate) version: Version,
-}
-
 enum Winner {
     First(Dispatched),
     Second(Dispatched),
@@ -37,7 +27,7 @@
 pub(crate) async fn send(
     traffic: &Traffic,
     run: &Run,
-    call: &Hedged<'_>,
+    call: &Plan<'_>,
     chosen: Chosen,
     order: Dispatch,
 ) -> (Route, Dispatched) {
@@ -95,7 +85,7 @@
 
 /// Accounts for the dispatch that was refused first. If both are refused, one that may have run makes
 /// it uncertain whether the call ran.
-fn settle(run: &Run, call: &Hedged<'_>, why: &Refused, other: Dispatched) -> Dispatched {
+fn settle(run: &Run, call: &Plan<'_>, why: &Refused, other: Dispatched) -> Dispatched {
     let mut program = run.live.program.borrow_mut();
     if why.ran == Ran::No {
         program.unreserve(call.worst);
@@ -112,7 +102,7 @@
 }
 
 /// Returns once a second dispatch is worth its work.
-async fn wait_until_late(traffic: &Traffic, run: &Run, call: &Hedged<'_>, ticket: &Ticket) {
+async fn wait_until_late(traffic: &Traffic, run: &Run, call: &Plan<'_>, ticket: &Ticket) {
     loop {
         smol::Timer::after(CHECK_INTERVAL.into()).await;
         let now = traffic.shared.clock.now();
@@ -133,12 +123,7 @@
 }
 
 /// Chooses the endpoint of the second dispatch and reserves its tokens.
-async fn second(
-    traffic: &Traffic,
-    run: &Run,
-    call: &Hedged<'_>,
-    ticket: &Ticket,
-) -> Option<Chosen> {
+async fn second(traffic: &Traffic, run: &Run, call: &Plan<'_>, ticket: &Ticket) -> Option<Chosen> {
     let host = Some(&ticket.host);
     let other = routing::choose(traffic, run, call.request, host, call.version).ok()?;
     if other.ticket.host == ticket.host {
@@ -159,7 +144,7 @@
     }
 }
 
-fn make(traffic: &Traffic, run: &Run, call: &Hedged<'_>, route: &Route) -> Dispatch {
+fn make(traffic: &Traffic, run: &Run, call: &Plan<'_>, route: &Route) -> Dispatch {
     dispatch::make(traffic, run, call.target, call.work, route, call.input)
 }
 
--- a/tests/all/caller.rs
+++ b/tests/all/caller.rs
@@ -145,6 +145,18 @@
         self.call(program, &call)
     }
 
+    /// Makes a model call on a thread of its own.
+    pub fn model_in_background(
+        &self,
+        program: &str,
+        seq: u64,
+        input: &'static str,
+        max_tokens: u64,
+    ) -> std::thread::JoinHandle<Answer> {
+        let (caller, program) = (self.clone(), program.to_owned());
+        std::thread::spawn(move || caller.model(&program, seq, input, max_tokens))
+    }
+
     /// Makes a call to a plain service.
     pub fn service(&self, program: &str, seq: u64, service: &str, input: &str) -> Answer {
         self.call(
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -453,6 +453,20 @@
         }
     }
 
+    /// Waits until an engine runs a call and returns its index.
+    pub fn eventually_runs(&self) -> usize {
+        let running = || {
+            let mut engines = self.engines.iter();
+            engines.position(|engine| engine.state().running > 0)
+        };
+        let mut found = None;
+        eventually(START_MAX, "an engine runs the call", || {
+            found = running();
+            found.is_some()
+        });
+        found.unwrap()
+    }
+
     /// Waits until an entry has a document and sees so many endpoints and all other entries.
     pub fn eventually_sees(&self, entry: u16, endpoints: usize) {
         let peers = usize::from(self.entries) - 1;
--- a/tests/all/drain.rs
+++ b/tests/all/drain.rs
@@ -81,14 +81,8 @@
     let mut cluster = Config::new().with_engine(slow).start();
     let caller = cluster.caller(0, "meche");
     let program = caller.create("advisor", 50_000, 20);
-    let call = {
-        let (caller, program) = (caller.clone(), program.clone());
-        std::thread::spawn(move || caller.model(&program, 1, "Which wax?", 200))
-    };
-    eventually(START_MAX, "an engine runs the call", || {
-        let mut engines = cluster.engines.iter();
-        engines.any(|engine| engine.state().running > 0)
-    });
+    let call = caller.model_in_background(&program, 1, "Which wax?", 200);
+    cluster.eventually_runs();
     cluster.stop("entry-0");
     let answer = call.join().unwrap();
     assert!(answer.is_whole(), "{answer:?}");
--- a/tests/all/failures.rs
+++ b/tests/all/failures.rs
@@ -4,7 +4,7 @@
 
 use standins::engine;
 
-use crate::cluster::{Config, START_MAX, eventually};
+use crate::cluster::{Config, eventually};
 
 /// Bound for a leaving process to end once its calls have ended.
 const STOP_MAX: Duration = Duration::from_secs(10);
@@ -18,20 +18,8 @@
     let mut cluster = Config::new().with_engine(slow).start();
     let caller = cluster.caller(0, "meche");
     let program = caller.create("advisor", 50_000, 20);
-    let call = {
-        let (caller, program) = (caller.clone(), program.clone());
-        std::thread::spawn(move || caller.model(&program, 1, "Which wax?", 100))
-    };
-    let running = |cluster: &crate::cluster::Cluster| {
-        cluster
-            .engines
-            .iter()
-            .position(|engine| engine.state().running > 0)
-    };
-    eventually(START_MAX, "an engine runs the call", || {
-        running(&cluster).is_some()
-    });
-    let engine = running(&cluster).unwrap();
+    let call = caller.model_in_background(&program, 1, "Which wax?", 100);
+    let engine = cluster.eventually_runs();
     cluster.kill(&format!("sidecar-engine-{engine}"));
     let answer = call.join().unwrap();
     assert!(answer.is_whole(), "{answer:?}");
@@ -47,13 +35,8 @@
     let mut cluster = Config::new().with_engines(1).with_engine(slow).start();
     let caller = cluster.caller(0, "meche");
     let program = caller.create("advisor", 50_000, 20);
-    let call = {
-        let (caller, program) = (caller.clone(), program.clone());
-        std::thread::spawn(move || caller.model(&program, 1, "Which wax?", 100))
-    };
-    eventually(START_MAX, "the engine runs the call", || {
-        cluster.engines[0].state().running > 0
-    });
+    let call = caller.model_in_background(&program, 1, "Which wax?", 100);
+    cluster.eventually_runs();
     cluster.stop("sidecar-engine-0");
     let answer = call.join().unwrap();
     assert!(answer.is_whole(), "{answer:?}");
