--- a/crates/policy/tests/policy.rs
+++ b/crates/policy/tests/policy.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-use policy::{Budget, Fleet, Gate, Knobs, Rank, Request, Site, Standing, Used};
+use policy::{Budget, Fleet, Gate, Knobs, Rank, Request, Site, Standing, Ticket, Used};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -94,11 +94,9 @@
     }
 }
 
-#[test]
-fn a_prefix_draws_the_next_call_to_its_endpoint() {
-    let mut fleet = fleet(100);
-    let mut rng = StdRng::seed_from_u64(2);
-    let first = fleet.route(&request(1), None, Time(1), &mut rng).unwrap();
+/// Runs the first call of a program to its end and returns where it went.
+fn first_call(fleet: &mut Fleet, rng: &mut StdRng) -> Ticket {
+    let first = fleet.route(&request(1), None, Time(1), rng).unwrap();
     fleet.start(&first);
     let used = Used {
         prompt: Tokens(1_000),
@@ -106,6 +104,14 @@
         generated: Tokens(50),
     };
     fleet.finish(&first, Some(used), Time(2));
+    first
+}
+
+#[test]
+fn a_prefix_draws_the_next_call_to_its_endpoint() {
+    let mut fleet = fleet(100);
+    let mut rng = StdRng::seed_from_u64(2);
+    let first = first_call(&mut fleet, &mut rng);
     let next = fleet.route(&request(1), None, Time(3), &mut rng).unwrap();
     assert_eq!(next.host, first.host);
     assert!(next.cached > Tokens(900));
@@ -115,14 +121,7 @@
 fn an_endpoint_that_left_gets_no_call() {
     let mut fleet = fleet(3);
     let mut rng = StdRng::seed_from_u64(3);
-    let first = fleet.route(&request(1), None, Time(1), &mut rng).unwrap();
-    fleet.start(&first);
-    let used = Used {
-        prompt: Tokens(1_000),
-        cached: Tokens(0),
-        generated: Tokens(50),
-    };
-    fleet.finish(&first, Some(used), Time(2));
+    first_call(&mut fleet, &mut rng);
     fleet.sync(std::iter::empty());
     assert_eq!(fleet.route(&request(1), None, Time(3), &mut rng), None);
 }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -68,11 +68,7 @@
 
     /// The handshake has succeeded.
     pub fn open(self, now: Time) -> Connection<Open> {
-        let state = Open {
-            heard: now,
-            pinged: None,
-        };
-        Connection { state }
+        opened(now)
     }
 
     /// The handshake has failed.
@@ -103,11 +99,7 @@
 
     /// A pong has come.
     pub fn pong(self, now: Time) -> Self {
-        let state = Open {
-            heard: now,
-            pinged: None,
-        };
-        Connection { state }
+        opened(now)
     }
 
     /// Suspects the connection if its pong is overdue.
@@ -134,11 +126,7 @@
 
     /// The pong has come after all.
     pub fn pong(self, now: Time) -> Connection<Open> {
-        let state = Open {
-            heard: now,
-            pinged: None,
-        };
-        Connection { state }
+        opened(now)
     }
 
     /// Another connection has taken its place, or the pong never came.
@@ -154,6 +142,15 @@
     }
 }
 
+/// A connection from which the peer was heard at `now`.
+fn opened(now: Time) -> Connection<Open> {
+    let state = Open {
+        heard: now,
+        pinged: None,
+    };
+    Connection { state }
+}
+
 fn closed(now: Time) -> Connection<Closed> {
     let state = Closed { at: now };
     Connection { state }
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -88,6 +88,14 @@
         self
     }
 
+    /// Uses engines that take so many microseconds for a token.
+    pub fn with_token_us(self, token_us: u64) -> Self {
+        self.with_engine(engine::Config {
+            token_us,
+            ..engine::Config::default()
+        })
+    }
+
     /// Uses engines of this speed and size.
     pub fn with_engine(mut self, engine: engine::Config) -> Self {
         self.engine = engine;
--- a/tests/all/drain.rs
+++ b/tests/all/drain.rs
@@ -4,8 +4,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use standins::engine;
-
 use crate::caller::{Answer, Caller};
 use crate::cluster::{Config, START_MAX, eventually};
 
@@ -74,11 +72,7 @@
 
 #[test]
 fn long_answer_is_finished_before_the_entry_ends() {
-    let slow = engine::Config {
-        token_us: 20_000,
-        ..engine::Config::default()
-    };
-    let mut cluster = Config::new().with_engine(slow).start();
+    let mut cluster = Config::new().with_token_us(20_000).start();
     let caller = cluster.caller(0, "meche");
     let program = caller.create("advisor", 50_000, 20);
     let call = caller.model_in_background(&program, 1, "Which wax?", 200);
--- a/tests/all/failures.rs
+++ b/tests/all/failures.rs
@@ -11,11 +11,7 @@
 
 #[test]
 fn model_call_survives_the_kill_of_its_sidecar() {
-    let slow = engine::Config {
-        token_us: 20_000,
-        ..engine::Config::default()
-    };
-    let mut cluster = Config::new().with_engine(slow).start();
+    let mut cluster = Config::new().with_token_us(20_000).start();
     let caller = cluster.caller(0, "meche");
     let program = caller.create("advisor", 50_000, 20);
     let call = caller.model_in_background(&program, 1, "Which wax?", 100);
@@ -28,11 +24,7 @@
 
 #[test]
 fn sidecar_told_to_stop_finishes_its_call_first() {
-    let slow = engine::Config {
-        token_us: 10_000,
-        ..engine::Config::default()
-    };
-    let mut cluster = Config::new().with_engines(1).with_engine(slow).start();
+    let mut cluster = Config::new().with_engines(1).with_token_us(10_000).start();
     let caller = cluster.caller(0, "meche");
     let program = caller.create("advisor", 50_000, 20);
     let call = caller.model_in_background(&program, 1, "Which wax?", 100);
