gateway on the platform: the whole path, thin

Cause: the product could not run where hosts have no disk, operators and endpoints write to a table service, and callers speak the platform's messages.

Change: crate store (moved from crates/platform) with the seam Table; crate turns (accounts, turns, events; pure); crate gateway (request path, feeds, budgets, history, drain); policy::Places; http_io::Pool on hyper; platform/ as the adapter; command 'gateway'; deploy/.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -6,8 +6,8 @@
 use async_channel::Sender;
 use board::{Observation, View};
 use http_types::{Method, Request, Response, StatusCode};
-use platform::Client;
 use serde_json::{Value, json};
+use store::Client;
 use telemetry::Metrics;
 use units::{Clock, Digest, Host, Program, Span, Time, Version};
 
--- a/crates/admin/src/audit.rs
+++ b/crates/admin/src/audit.rs
@@ -1,8 +1,8 @@
 //! The audit trail: who changed what, when, in the platform's table.
 
-use platform::Client;
-use platform::api::Transaction;
 use serde::{Deserialize, Serialize};
+use store::Client;
+use store::api::Transaction;
 use units::{Digest, Host, Program, Time, Version};
 
 use crate::document::{Promoted, decode, encode};
--- a/crates/admin/src/document.rs
+++ b/crates/admin/src/document.rs
@@ -11,11 +11,11 @@
 use std::time::Duration;
 
 use board::Environment;
-use platform::Client;
-use platform::api::{Outcome, Transaction};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use settings::Document;
+use store::Client;
+use store::api::{Outcome, Transaction};
 use units::{Digest, Time, Version};
 
 use crate::audit::{self, Action, Record};
--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -29,7 +29,7 @@
     /// A row of the platform's table cannot be read.
     Corrupt,
     /// The platform's service gave no usable answer.
-    Platform(platform::Error),
+    Platform(store::Error),
 }
 
 /// Another version is in force than the one that a change is based on.
@@ -123,8 +123,8 @@
 
 impl std::error::Error for Error {}
 
-impl From<platform::Error> for Error {
-    fn from(error: platform::Error) -> Self {
+impl From<store::Error> for Error {
+    fn from(error: store::Error) -> Self {
         Error::Platform(error)
     }
 }
--- a/crates/admin/src/status.rs
+++ b/crates/admin/src/status.rs
@@ -1,8 +1,8 @@
 //! What an entry shows of its environment: hosts, versions in force, endpoints.
 
 use board::{Endpoint, Member, View};
-use platform::api::HostRole;
 use serde_json::{Value, json};
+use store::api::HostRole;
 use telemetry::Metrics;
 use units::{Host, Span, Time};
 
--- a/crates/board/src/board.rs
+++ b/crates/board/src/board.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use platform::api::HostInfo;
+use store::api::HostInfo;
 use units::{Host, Incarnation, Time, Version};
 use wire::{Identity, Load};
 
--- a/crates/board/src/membership.rs
+++ b/crates/board/src/membership.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeSet;
 
-use platform::api::{HostInfo, HostRole};
+use store::api::{HostInfo, HostRole};
 use units::{Host, Span, Time, Version};
 use wire::{Identity, Load, Role};
 
--- a/crates/board/src/view.rs
+++ b/crates/board/src/view.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use platform::api::{HostInfo, HostRole};
 use settings::Document;
+use store::api::{HostInfo, HostRole};
 use units::{Host, Incarnation, Region, Target, Time, Version, Zone};
 use wire::Load;
 
--- a/crates/board/tests/membership.rs
+++ b/crates/board/tests/membership.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use board::{Board, Observation};
-use platform::api::{HostInfo, HostRole};
 use proptest::prelude::*;
+use store::api::{HostInfo, HostRole};
 use units::{Host, Incarnation, Time};
 use wire::{Identity, Load, Role};
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,9 +36,9 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use board::View;
-use platform::Client;
 use settings::Entry;
 use slog::{Logger, o};
+use store::Client;
 use telemetry::Metrics;
 use units::{Clock, Incarnation};
 use wire::{Identity, Role};
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 
 use board::Observation;
-use platform::api::HostInfo;
 use smol::LocalExecutor;
 use smol::future::FutureExt;
+use store::api::HostInfo;
 use units::{Host, Incarnation, Program, Span};
 use wire::{Backoff, Error, Frame, Link, Result, Role};
 
--- /dev/null
+++ b/crates/gateway/src/reply.rs
@@ -0,0 +1,170 @@
+//! Answers of the gateway's own.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::{Response, StatusCode};
+use rand::Rng;
+use units::Span;
+
+use crate::call::Malformed;
+use crate::dialect::Dialect;
+
+/// The body of an answer; an error ends the connection, so that a cut answer never looks whole.
+pub(crate) type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Longest share of a caller's patience that it is asked to stay away: it honours no more.
+const DELAY_SHARE: u64 = 3;
+/// Delay that a caller is given when a queue is full: about the time of a turn.
+const FULL_DELAY: Span = Span::from_ms(250);
+/// Delay that a caller is given when the store is away; outages last seconds.
+const AWAY_DELAY: Span = Span::from_ms(900);
+/// Delay that a caller is given when another host holds tokens that it will give back when idle.
+const HELD_DELAY: Span = Span::from_ms(700);
+
+/// Why a request gets no answer of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its framing is in doubt; the connection ends.
+    Framing,
+    /// Its head cannot be used.
+    Malformed(Malformed),
+    /// Its body is too long.
+    TooLarge,
+    /// Its body did not come in time, or broke off.
+    BodyCut,
+    /// No route matches.
+    NoRoute,
+    /// It goes on from a turn that does not exist.
+    NoTurn,
+    /// The program's budget is spent.
+    Spent,
+    /// Did not run: no environment is known yet.
+    Starting,
+    /// Did not run: the store, which it needs first, is away.
+    Away,
+    /// Did not run: tokens that it needs are reserved elsewhere.
+    Held,
+    /// Did not run: the beginning of the stream was not kept.
+    NoBeginning,
+    /// Did not run: every endpoint that was asked is full or cannot be reached.
+    Full,
+    /// Did not run: there was no time left.
+    Late,
+    /// Whether it ran is not known: the connection to its endpoint broke, or the answer was no
+    /// answer.
+    Broken,
+    /// Whether it ran is not known: its endpoint did not answer in time.
+    TimedOut,
+}
+
+impl Refusal {
+    /// The status.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Refusal::Framing | Refusal::Malformed(_) | Refusal::BodyCut => StatusCode::BAD_REQUEST,
+            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::NoRoute | Refusal::NoTurn => StatusCode::NOT_FOUND,
+            Refusal::Spent => StatusCode::PAYMENT_REQUIRED,
+            Refusal::Broken => StatusCode::BAD_GATEWAY,
+            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::Starting
+            | Refusal::Away
+            | Refusal::Held
+            | Refusal::NoBeginning
+            | Refusal::Full
+            | Refusal::Late => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// A code for programs and logs.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Refusal::Framing => "framing",
+            Refusal::Malformed(_) => "malformed",
+            Refusal::TooLarge => "too-large",
+            Refusal::BodyCut => "body-cut",
+            Refusal::NoRoute => "no-route",
+            Refusal::NoTurn => "no-turn",
+            Refusal::Spent => "budget-spent",
+            Refusal::Starting => "starting",
+            Refusal::Away => "store-away",
+            Refusal::Held => "budget-held",
+            Refusal::NoBeginning => "no-beginning",
+            Refusal::Full => "no-endpoint",
+            Refusal::Late => "no-time-left",
+            Refusal::Broken => "endpoint-broke-off",
+            Refusal::TimedOut => "endpoint-timed-out",
+        }
+    }
+
+    /// When the caller should come back, with jitter so that callers do not come back together;
+    /// `None` where it should not.
+    pub fn delay(&self, patience: Span, rng: &mut impl Rng) -> Option<Span> {
+        let base = match self {
+            Refusal::Full => FULL_DELAY,
+            Refusal::Away | Refusal::Starting => AWAY_DELAY,
+            Refusal::Held => HELD_DELAY,
+            _ => return None,
+        };
+        let jittered = rng.random_range(base.0 / 2..=base.0 * 3 / 2);
+        Some(Span(jittered.min(patience.0 / DELAY_SHARE)))
+    }
+
+    /// Whether it is certain that no endpoint ran or will run the request.
+    pub fn ran(&self) -> &'static str {
+        match self {
+            Refusal::Broken | Refusal::TimedOut => "unknown",
+            _ => "no",
+        }
+    }
+}
+
+/// The answer for a refusal.
+pub(crate) fn refuse(
+    dialect: &dyn Dialect,
+    id: &CompactString,
+    refusal: &Refusal,
+    delay: Option<Span>,
+) -> Response<Body> {
+    let retry_ms = delay.map_or(0, Span::as_ms);
+    let message = match refusal {
+        Refusal::Malformed(why) => why.to_string(),
+        _ => String::new(),
+    };
+    let text = format!(
+        "{{\"code\":\"{}\",\"ran\":\"{}\",\"retry_after_ms\":{retry_ms},\"message\":\"{message}\"}}\n",
+        refusal.code(),
+        refusal.ran()
+    );
+    let mut response = Response::new(whole(text.into()));
+    *response.status_mut() = refusal.status();
+    let headers = response.headers_mut();
+    headers.extend(dialect.own_answer(id));
+    if let Some(delay) = delay {
+        headers.extend(dialect.retry_after(delay));
+    }
+    if matches!(
+        refusal,
+        Refusal::Framing | Refusal::TooLarge | Refusal::BodyCut
+    ) {
+        close(&mut response);
+    }
+    response
+}
+
+/// Makes the connection end with this answer.
+pub(crate) fn close(response: &mut Response<Body>) {
+    let value = hyper::header::HeaderValue::from_static("close");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONNECTION, value);
+}
+
+/// A body that is all there.
+pub(crate) fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
--- a/crates/load/src/real/cluster.rs
+++ b/crates/load/src/real/cluster.rs
@@ -8,9 +8,9 @@
 use std::time::{Duration, Instant};
 
 use http_types::{Body, Method};
-use platform::api::{HostInfo, HostRole};
 use serde_json::Value;
 use standins::{Handle, engine, platform as table, service};
+use store::api::{HostInfo, HostRole};
 use units::Digest;
 
 use crate::variant::Variant;
--- a/crates/log/examples/commit_rate.rs
+++ b/crates/log/examples/commit_rate.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use platform::Client;
 use program_log::{Event, Handle, Record, Writer};
 use smol::LocalExecutor;
+use store::Client;
 use units::{Incarnation, Program, Span, Tokens};
 
 const RUN: Duration = Duration::from_secs(4);
--- a/crates/log/examples/takeover_time.rs
+++ b/crates/log/examples/takeover_time.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use platform::Client;
 use program_log::{Event, Record, Sealing, Writer};
+use store::Client;
 use units::{Incarnation, Program, Span, Tokens};
 
 const BATCHES: [u64; 3] = [100, 1_000, 10_000];
--- a/crates/log/src/batch.rs
+++ b/crates/log/src/batch.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use platform::api::Transaction;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use store::api::Transaction;
 use units::{Digest, Host, Incarnation, Slot};
 
 use crate::error::{Error, Result};
--- a/crates/log/src/commit.rs
+++ b/crates/log/src/commit.rs
@@ -5,7 +5,7 @@
 //!   writer row was read back and names the batch as its last.
 //! - Nothing is written once the writer row was seen to be sealed.
 
-use platform::api::Transaction;
+use store::api::Transaction;
 use units::{Incarnation, Slot};
 
 use crate::batch::{Batch, State, Writer, batch_key, encode, seal, writer_key};
--- a/crates/log/src/compact.rs
+++ b/crates/log/src/compact.rs
@@ -3,9 +3,9 @@
 //! Batches are packed unchanged, in the order of their slots. The marker row is written after all
 //! objects and before the first row goes, so a reader that misses a row finds the objects.
 
-use platform::Client;
-use platform::api::{Outcome, Transaction};
 use serde::{Deserialize, Serialize};
+use store::Client;
+use store::api::{Outcome, Transaction};
 use units::{Incarnation, Slot, Span};
 
 use crate::batch::{Batch, batch_key, decode, encode};
--- a/crates/log/src/error.rs
+++ b/crates/log/src/error.rs
@@ -8,7 +8,7 @@
 #[derive(Debug)]
 pub enum Error {
     /// The platform's service gave no usable answer.
-    Platform(platform::Error),
+    Platform(store::Error),
     /// The log was sealed at this slot by this successor: the writer is fenced.
     Sealed(Slot, Incarnation),
     /// A row is there that this writer did not write.
@@ -42,8 +42,8 @@
 
 impl std::error::Error for Error {}
 
-impl From<platform::Error> for Error {
-    fn from(error: platform::Error) -> Self {
+impl From<store::Error> for Error {
+    fn from(error: store::Error) -> Self {
         Error::Platform(error)
     }
 }
--- a/crates/log/src/takeover.rs
+++ b/crates/log/src/takeover.rs
@@ -3,8 +3,8 @@
 use std::collections::{HashMap, HashSet};
 
 use futures_util::stream::{self, StreamExt, TryStreamExt};
-use platform::Client;
-use platform::api::{Outcome, Row};
+use store::Client;
+use store::api::{Outcome, Row};
 use units::{Incarnation, Slot, Span};
 
 use crate::batch::{Batch, State, Writer, batch_key, decode, seal, writer_key};
--- a/crates/log/src/trail.rs
+++ b/crates/log/src/trail.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashSet;
 
-use platform::Client;
+use store::Client;
 use units::{Host, Incarnation, Program, Slot};
 
 use crate::batch::{Batch, State, Writer, decode, writer_key};
--- a/crates/log/src/writer.rs
+++ b/crates/log/src/writer.rs
@@ -3,9 +3,9 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use platform::Client;
-use platform::api::{Outcome, Transaction};
 use smol::future::FutureExt;
+use store::Client;
+use store::api::{Outcome, Transaction};
 use units::{Incarnation, Slot, Span};
 
 use crate::batch::{State, Writer, open_transaction};
--- a/crates/log/tests/commit.rs
+++ b/crates/log/tests/commit.rs
@@ -5,12 +5,12 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use platform::api::{Outcome, Transaction};
 use program_log as log;
 use program_log::{
     Batch, Commit, Error, Event, Next, Record, Reply, State, Writer, batch_key, writer_key,
 };
 use proptest::prelude::*;
+use store::api::{Outcome, Transaction};
 use units::{Incarnation, Program, Slot, Tokens};
 
 const OWN: Incarnation = Incarnation(1);
@@ -30,7 +30,7 @@
     }
 
     fn commit(&mut self, transaction: &Transaction) -> Outcome {
-        let stale = |check: &&platform::api::Check| self.version(&check.key) != check.version;
+        let stale = |check: &&store::api::Check| self.version(&check.key) != check.version;
         let conflicts: Vec<_> = transaction.checks.iter().filter(stale).collect();
         if !conflicts.is_empty() {
             return Outcome::Conflict(conflicts.iter().map(|check| check.key.clone()).collect());
--- a/crates/overhead/src/environment.rs
+++ b/crates/overhead/src/environment.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use http_types::{Body, Method};
-use platform::api::{HostInfo, HostRole};
 use serde_json::Value;
 use standins::{Handle, engine, platform as table};
+use store::api::{HostInfo, HostRole};
 use units::Digest;
 
 const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod hedge;
 mod knobs;
 mod order;
+mod place;
 mod route;
 
 pub use admit::Gate;
@@ -16,4 +17,5 @@
 pub use hedge::{Budget, Stream};
 pub use knobs::{Knobs, Order, Routing};
 pub use order::{Rank, Standing};
+pub use place::{Choice, Chunk, Demand, Places, Spot, Way};
 pub use route::{Request, Ticket, Why};
--- /dev/null
+++ b/crates/policy/src/place.rs
@@ -0,0 +1,328 @@
+//! The choice of an endpoint for a request by the parts of its prompt.
+//!
+//! It answers two loads. On a calm day most of a prompt is in some endpoint's memory, and a request
+//! that goes elsewhere costs the time to read it again. At a crest the queue is what counts. So each
+//! endpoint is rated by the expected time to the first token: the work queued there, the part of
+//! the prompt that is probably missing, and the way. A host sees its own requests only; how long
+//! first tokens really took tells of the work of the others.
+
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+use units::{Span, Time, Tokens, Zone};
+
+use crate::estimate::Mean;
+
+/// Time to read a token of a prompt, in microseconds: about 30 tokens a millisecond, the slower of
+/// the engines served.
+const PREFILL: f64 = 34.0;
+/// Time that a request of a plain service takes before any was observed.
+const SERVICE_START: f64 = 50_000.0;
+/// Half-life of an observed delay: queues of bursts last seconds.
+const DELAY_HALF_LIFE_SECONDS: f64 = 1.0;
+/// Weight of a new observation in the delay of an endpoint.
+const DELAY_WEIGHT: f64 = 0.4;
+/// How long a part is believed to be in memory after its last use.
+const MEMORY_LIFE: Span = Span::from_ms(30_000);
+/// Parts remembered for one endpoint.
+const PARTS_MAX: usize = 4_096;
+/// How much a fault counts as delay: more than any calm queue, less than a timeout.
+const FAULT_DELAY: f64 = 400_000.0;
+/// Half-life of a fault.
+const FAULT_HALF_LIFE_SECONDS: f64 = 2.0;
+/// How much better the endpoint is rated that all hosts prefer for an unknown program, so that they
+/// agree on it as long as loads are about equal.
+const AGREED_BONUS: f64 = 4_000.0;
+/// Share of the memory of an endpoint that a home is believed to hold of an unseen prompt.
+const HOME_SHARE: f64 = 0.9;
+
+/// A part of a prompt, identified together with all parts before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Chunk {
+    /// Identity of the prompt up to the end of this part.
+    pub id: u64,
+    /// Length of this part.
+    pub tokens: Tokens,
+}
+
+/// What is known of an endpoint from its entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spot {
+    /// Its identifier.
+    pub id: CompactString,
+    /// Its service.
+    pub service: CompactString,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is a model engine.
+    pub model: bool,
+    /// Tells starts under the same identifier apart.
+    pub born: u64,
+    /// How much the way there counts, by round trip and by each kilobyte.
+    pub way: Way,
+}
+
+/// What the way to an endpoint costs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    /// Per request.
+    pub request: Span,
+    /// Per kilobyte of the request.
+    pub kilobyte: Span,
+}
+
+/// A request to be placed.
+#[derive(Clone, Debug)]
+pub struct Demand<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The prompt; empty for plain services.
+    pub chunks: &'a [Chunk],
+    /// Size of the request in bytes.
+    pub bytes: u64,
+    /// The endpoint that ran the latest turn of the program.
+    pub home: &'a str,
+    /// Spreads programs, or objects, over endpoints in the same way at each host.
+    pub key: u64,
+}
+
+/// A choice, to be given back by [`Places::finish`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The endpoint.
+    pub id: CompactString,
+    /// Tokens that it will probably have to read.
+    pub missing: Tokens,
+    /// Expected time to the first token.
+    pub expected: Span,
+    /// Endpoints that were compared.
+    pub compared: usize,
+    born: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Seat {
+    spot: Spot,
+    present: bool,
+    outstanding: u32,
+    backlog: f64,
+    delay: f64,
+    delay_at: Time,
+    faults: f64,
+    fault_at: Time,
+    memory: HashMap<u64, Time>,
+}
+
+/// The endpoints as one host sees them.
+#[derive(Clone, Debug, Default)]
+pub struct Places {
+    seats: HashMap<CompactString, Seat>,
+    service_time: HashMap<CompactString, Mean>,
+}
+
+impl Places {
+    /// Takes in the endpoints that may get requests; what is known of the others is kept while they
+    /// have requests.
+    pub fn sync(&mut self, spots: impl Iterator<Item = Spot>) {
+        self.seats
+            .values_mut()
+            .for_each(|seat| seat.present = false);
+        for spot in spots {
+            match self.seats.get_mut(&spot.id) {
+                Some(seat) if seat.spot.born == spot.born => {
+                    seat.spot = spot;
+                    seat.present = true;
+                }
+                _ => drop(self.seats.insert(spot.id.clone(), Seat::new(spot))),
+            }
+        }
+        self.seats
+            .retain(|_, seat| seat.present || seat.outstanding > 0);
+    }
+
+    /// Chooses an endpoint, other than those in `except`, and counts the request there.
+    pub fn choose(
+        &mut self,
+        demand: &Demand<'_>,
+        except: &[CompactString],
+        now: Time,
+    ) -> Option<Choice> {
+        let service_time = self
+            .service_time
+            .get(demand.service)
+            .map_or(SERVICE_START, Mean::value);
+        let candidates = self.seats.values().filter(|seat| {
+            seat.present && seat.spot.service == demand.service && !except.contains(&seat.spot.id)
+        });
+        let agreed = candidates
+            .clone()
+            .max_by_key(|seat| weight(demand.key, &seat.spot.id))
+            .map(|seat| seat.spot.id.clone());
+        let mut compared = 0;
+        let mut best: Option<(f64, &Seat)> = None;
+        for seat in candidates {
+            compared += 1;
+            let mut cost = seat.cost(demand, service_time, now);
+            if agreed.as_ref() == Some(&seat.spot.id) {
+                cost -= AGREED_BONUS;
+            }
+            let better =
+                best.is_none_or(|(least, other)| (cost, &seat.spot.id) < (least, &other.spot.id));
+            if better {
+                best = Some((cost, seat));
+            }
+        }
+        let (cost, seat) = best?;
+        let missing = seat.missing(demand, now);
+        let id = seat.spot.id.clone();
+        let seat = self.seats.get_mut(&id)?;
+        seat.outstanding += 1;
+        seat.backlog += missing.0 as f64;
+        seat.remember(demand.chunks, now);
+        Some(Choice {
+            id,
+            missing,
+            expected: Span(cost.max(0.0) as u64),
+            compared,
+            born: seat.spot.born,
+        })
+    }
+
+    /// Takes in that the first token, or the answer of a plain service, came after `span`.
+    pub fn first(&mut self, choice: &Choice, span: Span, now: Time) {
+        let Some(seat) = self.seat(choice) else {
+            return;
+        };
+        seat.backlog = (seat.backlog - choice.missing.0 as f64).max(0.0);
+        if seat.spot.model {
+            let own = choice.missing.0 as f64 * PREFILL;
+            let excess = (span.0 as f64 - own - seat.spot.way.request.0 as f64).max(0.0);
+            seat.observe(excess, now);
+        } else {
+            let service = seat.spot.service.clone();
+            self.service_time
+                .entry(service)
+                .or_insert_with(|| Mean::new(SERVICE_START, 0.05))
+                .add_limited(span.0 as f64, 4.0);
+        }
+    }
+
+    /// Takes in that a request is no longer at its endpoint; `fault` if the endpoint failed it, or
+    /// could not be reached.
+    pub fn finish(&mut self, choice: &Choice, begun: bool, fault: bool, now: Time) {
+        let Some(seat) = self.seat(choice) else {
+            return;
+        };
+        seat.outstanding = seat.outstanding.saturating_sub(1);
+        if !begun {
+            seat.backlog = (seat.backlog - choice.missing.0 as f64).max(0.0);
+        }
+        if fault {
+            seat.faults = seat.fault_level(now) + 1.0;
+            seat.fault_at = now;
+        }
+    }
+
+    /// Requests of this host at an endpoint.
+    pub fn outstanding(&self, id: &str) -> u32 {
+        self.seats.get(id).map_or(0, |seat| seat.outstanding)
+    }
+
+    fn seat(&mut self, choice: &Choice) -> Option<&mut Seat> {
+        let seat = self.seats.get_mut(&choice.id)?;
+        (seat.spot.born == choice.born).then_some(seat)
+    }
+}
+
+impl Seat {
+    fn new(spot: Spot) -> Self {
+        Seat {
+            spot,
+            present: true,
+            outstanding: 0,
+            backlog: 0.0,
+            delay: 0.0,
+            delay_at: Time(0),
+            faults: 0.0,
+            fault_at: Time(0),
+            memory: HashMap::new(),
+        }
+    }
+
+    fn cost(&self, demand: &Demand<'_>, service_time: f64, now: Time) -> f64 {
+        let way = self.spot.way;
+        let way = way.request.0 as f64 + way.kilobyte.0 as f64 * demand.bytes as f64 / 1_000.0;
+        let faults = FAULT_DELAY * self.fault_level(now);
+        let work = if self.spot.model {
+            let missing = self.missing(demand, now).0 as f64;
+            (missing + self.backlog) * PREFILL + self.delay_level(now)
+        } else {
+            f64::from(self.outstanding) * service_time
+        };
+        way + faults + work + self.waiting(service_time)
+    }
+
+    /// What a request beyond the slots waits for one.
+    fn waiting(&self, service_time: f64) -> f64 {
+        let slots = self.spot.slots.max(1);
+        let over = (self.outstanding + 1).saturating_sub(slots);
+        f64::from(over) * service_time / f64::from(slots)
+    }
+
+    fn missing(&self, demand: &Demand<'_>, now: Time) -> Tokens {
+        let fresh = |chunk: &&Chunk| {
+            self.memory
+                .get(&chunk.id)
+                .is_some_and(|at| now.since(*at) < MEMORY_LIFE)
+        };
+        let held = demand.chunks.iter().take_while(fresh).count();
+        let missing = demand.chunks[held..].iter();
+        let missing = missing.fold(Tokens(0), |sum, chunk| sum.plus(chunk.tokens));
+        // The last part is new with each request; what comes before it is at the home.
+        let last = demand.chunks.last().map_or(Tokens(0), |chunk| chunk.tokens);
+        if !demand.home.is_empty() && demand.home == self.spot.id && missing > last {
+            let before = missing.minus(last).0 as f64;
+            return last.plus(Tokens((before * (1.0 - HOME_SHARE)) as u64));
+        }
+        missing
+    }
+
+    fn remember(&mut self, chunks: &[Chunk], now: Time) {
+        if self.memory.len() + chunks.len() > PARTS_MAX {
+            self.memory.retain(|_, at| now.since(*at) < MEMORY_LIFE);
+        }
+        if self.memory.len() + chunks.len() > PARTS_MAX {
+            self.memory.clear();
+        }
+        for chunk in chunks {
+            self.memory.insert(chunk.id, now);
+        }
+    }
+
+    fn observe(&mut self, excess: f64, now: Time) {
+        let level = self.delay_level(now);
+        self.delay = level + DELAY_WEIGHT * (excess - level);
+        self.delay_at = now;
+    }
+
+    fn delay_level(&self, now: Time) -> f64 {
+        let age = now.since(self.delay_at).as_secs_f64();
+        self.delay * (-age / DELAY_HALF_LIFE_SECONDS).exp2()
+    }
+
+    fn fault_level(&self, now: Time) -> f64 {
+        let age = now.since(self.fault_at).as_secs_f64();
+        self.faults * (-age / FAULT_HALF_LIFE_SECONDS).exp2()
+    }
+}
+
+/// A weight of an endpoint for a key that is the same at each host.
+fn weight(key: u64, id: &str) -> u64 {
+    let mut hash = key ^ 0x9e37_79b9_7f4a_7c15;
+    for byte in id.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    hash ^ (hash >> 29)
+}
--- /dev/null
+++ b/crates/settings/src/gateway.rs
@@ -0,0 +1,82 @@
+//! Settings of a gateway.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use units::{Host, Rate, Region, Span, Zone};
+
+use crate::error::Result;
+use crate::process::{ADDRESS, Format, NAME, Platform, read};
+use crate::reader::Reader;
+
+/// Time within which a stopping process has to end, by default and at most, in seconds.
+const STOP_DEFAULT_SECONDS: Rate = Rate(8.0);
+const STOP_MAX_SECONDS: Rate = Rate(3_600.0);
+
+/// Settings of a gateway.
+#[derive(Clone, Debug)]
+pub struct Gateway {
+    /// The host's name.
+    pub host: Host,
+    /// The host's region.
+    pub region: Region,
+    /// The host's availability zone.
+    pub zone: Zone,
+    /// How log lines look.
+    pub format: Format,
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address of `/ready`, `/live` and `/metrics`.
+    pub status: SocketAddr,
+    /// Time from the signal to stop until the process is killed.
+    pub stop_within: Span,
+    /// The region of each availability zone.
+    pub zones: HashMap<Zone, Region>,
+    /// The platform's store.
+    pub platform: Platform,
+}
+
+impl Gateway {
+    /// Reads the settings in `text`; `file` names it in errors.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let reader = Reader::new(file, text)?;
+        let process = reader.required("process")?;
+        let formats = [("json", Format::Json), ("terminal", Format::Terminal)];
+        let host = process.get("host", NAME)?;
+        let region = process.get("region", NAME)?;
+        let zone = process.get("zone", NAME)?;
+        let format = process
+            .choice("log-format", &formats)?
+            .unwrap_or(Format::Json);
+        process.close()?;
+        let gateway = reader.required("gateway")?;
+        let callers = gateway.get("caller-address", ADDRESS)?;
+        let status = gateway.get("status-address", ADDRESS)?;
+        let seconds = gateway.within(
+            "stop-within-seconds",
+            "1 to 3600",
+            STOP_DEFAULT_SECONDS,
+            Rate(1.0)..=STOP_MAX_SECONDS,
+        )?;
+        gateway.close()?;
+        let zones = reader.required("zones")?.all(NAME, NAME)?;
+        let platform = Platform::read(reader.required("platform")?)?;
+        reader.close()?;
+        Ok(Gateway {
+            host,
+            region,
+            zone,
+            format,
+            callers,
+            status,
+            stop_within: Span((seconds.0 * 1e6) as u64),
+            zones,
+            platform,
+        })
+    }
+
+    /// Reads the settings in a file.
+    pub fn load(file: &str) -> Result<Self> {
+        Self::parse(file, &read(file)?)
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,12 +8,14 @@
 
 mod document;
 mod error;
+mod gateway;
 mod process;
 mod reader;
 mod render;
 
 pub use document::{Account, Class, Document, Limits, Model, Policy, Service};
 pub use error::{Error, Problem, Result};
+pub use gateway::Gateway;
 pub use process::{
     Admin, Endpoint, Entry, Format, Kind, Platform, Process, Secret, Sidecar, Timing, reject,
 };
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -9,8 +9,8 @@
 use crate::error::{Error, Problem, Result};
 use crate::reader::{HEX, Reader, Section, line};
 
-const ADDRESS: &str = "IP:PORT";
-const NAME: &str = "a-z, 0-9, '-', '_', '.', at most 64 characters";
+pub(crate) const ADDRESS: &str = "IP:PORT";
+pub(crate) const NAME: &str = "a-z, 0-9, '-', '_', '.', at most 64 characters";
 const SPAN: &str = "a whole number with us, ms, s, m or h";
 const SIZE: &str = "a whole number, optionally with k, m or g";
 const SHARE: &str = "a number from 0 to 1";
@@ -91,6 +91,18 @@
     pub timeout: Span,
 }
 
+impl Platform {
+    /// Reads the section `[platform]`.
+    pub(crate) fn read(section: Section<'_>) -> Result<Self> {
+        let platform = Platform {
+            address: section.get("address", ADDRESS)?,
+            timeout: section.get_or("timeout", SPAN, Span::from_ms(2_000))?,
+        };
+        section.close()?;
+        Ok(platform)
+    }
+}
+
 /// Settings of an entry.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -240,7 +252,7 @@
     }
 }
 
-fn read(file: &str) -> Result<String> {
+pub(crate) fn read(file: &str) -> Result<String> {
     std::fs::read_to_string(file).map_err(|error| Error {
         file: file.into(),
         line: 0,
@@ -272,12 +284,7 @@
             .ok_or_else(|| section.missing("key", HEX))?,
     );
     section.close()?;
-    let section = reader.required("platform")?;
-    let platform = Platform {
-        address: section.get("address", ADDRESS)?,
-        timeout: section.get_or("timeout", SPAN, Span::from_ms(2_000))?,
-    };
-    section.close()?;
+    let platform = Platform::read(reader.required("platform")?)?;
     Ok(Process {
         trace_share,
         timing: timing(reader.optional("timing"))?,
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -1,8 +1,9 @@
 //! Checked access to the sections and keys of an INI text.
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt::Display;
+use std::hash::Hash;
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 
@@ -240,6 +241,27 @@
         text.split_whitespace().map(parse).collect()
     }
 
+    /// All keys of a section whose keys are names, with their values; consumes the section.
+    pub(crate) fn all<K, V>(self, keys: &str, values: &str) -> Result<HashMap<K, V>>
+    where
+        K: FromStr + Eq + Hash,
+        K::Err: Display,
+        V: FromStr,
+        V::Err: Display,
+    {
+        let properties = self.reader.ini.section(Some(self.name.as_str()));
+        let names = properties.into_iter().flat_map(|all| all.iter());
+        let mut found = HashMap::new();
+        for (name, _) in names {
+            let key = name.trim().parse().map_err(|error: K::Err| {
+                self.invalid(name, name, &error.to_compact_string(), keys)
+            })?;
+            found.insert(key, self.get(name, values)?);
+        }
+        self.close()?;
+        Ok(found)
+    }
+
     /// A key whose value is one of a few words.
     pub(crate) fn choice<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Result<Option<T>> {
         let Some(value): Option<CompactString> = self.maybe(key, "a word")? else {
--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -8,10 +8,10 @@
 use std::time::{Duration, Instant};
 
 use http_types::{Body, Method};
-use platform::api::{HostInfo, HostRole};
 use serde_json::{Value, json};
 use standins::link::{self, Link};
 use standins::{Handle, engine, platform as table};
+use store::api::{HostInfo, HostRole};
 use units::Digest;
 
 use crate::sample::Sample;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use ::platform::api::{HostInfo, Outcome, Row, Transaction, Value};
+use ::store::api::{HostInfo, Outcome, Row, Transaction, Value};
 use http_types::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,4 +1,4 @@
-//! Client of the platform's service: a transactional table, an object store and the host list.
+//! What the product keeps outside its processes: rows, transactions, feeds, objects, the host list.
 //!
 //! The table is the only place where anything is agreed. A transaction is a set of row versions that
 //! must hold and a set of writes that then happen together. Its answer may be lost after it has taken
@@ -7,6 +7,8 @@
 pub mod api;
 mod client;
 mod error;
+mod table;
 
 pub use client::Client;
 pub use error::{Error, Result};
+pub use table::{Change, Feed, Page, Place, Table, Written};
--- /dev/null
+++ b/crates/store/src/table.rs
@@ -0,0 +1,92 @@
+//! The seam between the product and whatever keeps its rows.
+//!
+//! A part is the unit of atomicity: one transaction touches rows of one part of one table. An
+//! answer that is lost leaves it open whether the transaction happened; [`Error::is_uncertain`]
+//! says so, and whoever wrote reads back.
+
+use compact_str::CompactString;
+use futures_util::future::BoxFuture;
+use units::Span;
+
+use crate::api::{Row, Transaction};
+use crate::error::Result;
+
+/// Where rows lie.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Place {
+    /// The table.
+    pub table: CompactString,
+    /// The part of the table; may be empty.
+    pub part: CompactString,
+}
+
+impl Place {
+    /// A part of a table.
+    pub fn new(table: &str, part: &str) -> Self {
+        Place {
+            table: table.into(),
+            part: part.into(),
+        }
+    }
+}
+
+/// What became of a transaction on a [`Table`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// All conditions held and all writes happened; the new version of the rows written.
+    Committed(u64),
+    /// A condition did not hold and nothing was written: the rows of the conditions that exist.
+    Conflict(Vec<Row>),
+}
+
+/// Rows read at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The rows in the order of their keys.
+    pub rows: Vec<Row>,
+    /// The version of the store at that moment.
+    pub version: u64,
+    /// Whether there are rows after the last one.
+    pub more: bool,
+}
+
+/// A row that was written or dropped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The row's part.
+    pub part: CompactString,
+    /// The row; its value is empty if it was dropped.
+    pub row: Row,
+    /// Whether it was dropped.
+    pub dropped: bool,
+}
+
+/// What happened to a table after a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Feed {
+    /// The changes in order, and the version to go on from.
+    Changes(Vec<Change>, u64),
+    /// The history that was asked for is gone: the table has to be read anew.
+    Forgotten,
+}
+
+/// A table service as the product uses it.
+pub trait Table: Send + Sync {
+    /// Runs a transaction on one part.
+    fn write<'a>(
+        &'a self,
+        place: &'a Place,
+        transaction: &'a Transaction,
+    ) -> BoxFuture<'a, Result<Written>>;
+
+    /// Reads the rows from `from` to `to`, which is excluded; an empty `to` reads to the end.
+    fn read<'a>(
+        &'a self,
+        place: &'a Place,
+        from: &'a str,
+        to: &'a str,
+    ) -> BoxFuture<'a, Result<Page>>;
+
+    /// Waits for changes after `version` for at most `wait`.
+    fn feed<'a>(&'a self, table: &'a str, version: u64, wait: Span) -> BoxFuture<'a, Result<Feed>>;
+}
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -13,6 +13,22 @@
     Terminal,
 }
 
+/// Lines that may wait to be written; more are dropped and counted.
+const WAITING_MAX: usize = 4_096;
+
+/// A root logger that writes JSON lines to standard output and never makes its caller wait.
+///
+/// Lines beyond a bound are dropped, and a line says how many. The guard writes what still waits
+/// when it is dropped.
+pub fn stdout() -> (Logger, slog_async::AsyncGuard) {
+    let drain = slog_json::Json::default(std::io::stdout());
+    let (drain, guard) = slog_async::Async::new(drain.fuse())
+        .chan_size(WAITING_MAX)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    (Logger::root(drain.fuse(), o!()), guard)
+}
+
 /// The root logger, which writes to standard error.
 pub fn root(output: Output) -> Logger {
     match output {
--- /dev/null
+++ b/crates/turns/src/key.rs
@@ -0,0 +1,80 @@
+//! Where rows lie.
+//!
+//! An account is found by its program, a turn by its own identifier: a program may go on from a turn
+//! of another one.
+
+use compact_str::{CompactString, format_compact};
+use store::Place;
+
+/// Parts that each table is spread over: enough that the transactions which a store runs in a part
+/// one after another do not queue, few enough that all can be read through.
+const PARTS: u8 = 64;
+
+/// Longest identifier that is used as it is; a key with it stays well under 200 bytes.
+const PLAIN_MAX_BYTES: usize = 128;
+
+/// The row of a program's account.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AccountKey {
+    /// The row's table and part.
+    pub place: Place,
+    /// The row's key.
+    pub key: CompactString,
+}
+
+impl AccountKey {
+    /// The account of `program`.
+    pub fn new(program: &str) -> Self {
+        AccountKey {
+            place: place("accounts", program),
+            key: plain(program),
+        }
+    }
+}
+
+/// The rows of a turn.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TurnKey {
+    /// The rows' table and part.
+    pub place: Place,
+    /// The first key that they may have.
+    pub first: CompactString,
+    /// The first key after them.
+    pub end: CompactString,
+}
+
+impl TurnKey {
+    /// The rows of `turn`.
+    pub fn new(turn: &str) -> Self {
+        let id = plain(turn);
+        TurnKey {
+            place: place("turns", turn),
+            first: format_compact!("{id}/"),
+            // '0' is the character after '/'.
+            end: format_compact!("{id}0"),
+        }
+    }
+
+    /// The key of one of the rows.
+    pub fn row(&self, index: usize) -> CompactString {
+        format_compact!("{}{index:03}", self.first)
+    }
+}
+
+fn place(table: &str, id: &str) -> Place {
+    let hash = blake3::hash(id.as_bytes());
+    Place::new(
+        table,
+        &format_compact!("{:02x}", hash.as_bytes()[0] % PARTS),
+    )
+}
+
+/// An identifier as it stands in a key: itself if it is short and plain, else its digest.
+fn plain(identifier: &str) -> CompactString {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    if (1..=PLAIN_MAX_BYTES).contains(&identifier.len()) && identifier.chars().all(allowed) {
+        identifier.into()
+    } else {
+        format_compact!("~{}", blake3::hash(identifier.as_bytes()).to_hex())
+    }
+}
--- /dev/null
+++ b/crates/turns/src/ledger.rs
@@ -0,0 +1,167 @@
+//! One host's view of a program's account, and what to write next.
+//!
+//! A host asks for more than the next turn needs where the budget has room, so that later turns
+//! start without waiting for the store, and go on while it is away.
+
+use units::{Incarnation, Tokens};
+
+use crate::account::{Account, Grant};
+
+/// Share of the room left that a host may hold ahead, as a divisor: half of it still leaves the
+/// other hosts of a program as much again.
+const AHEAD_DIVISOR: u64 = 2;
+
+/// Whether a turn may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It is reserved: it may start.
+    Start,
+    /// The account row has to be written first.
+    Write,
+    /// The budget does not hold it, if the account is as last read.
+    Spent,
+    /// Other hosts hold more than they have taken; what they give back may be enough.
+    Held,
+}
+
+/// A write of the account row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// The version that the row must have; 0 if it must not exist.
+    pub version: u64,
+    /// The account to write.
+    pub account: Account,
+    /// The grant in it.
+    pub grant: Grant,
+}
+
+/// The state of one program's budget at one host.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    me: Incarnation,
+    version: u64,
+    account: Account,
+    granted: Tokens,
+    used: Tokens,
+    running: Tokens,
+    budget: Tokens,
+}
+
+impl Ledger {
+    /// A ledger of a program that this host knows nothing of.
+    pub fn new(me: Incarnation) -> Self {
+        Ledger {
+            me,
+            version: 0,
+            account: Account::default(),
+            granted: Tokens(0),
+            used: Tokens(0),
+            running: Tokens(0),
+            budget: Tokens(0),
+        }
+    }
+
+    /// The endpoint that ran the program's latest turn, as far as known; may be empty.
+    pub fn home(&self) -> &str {
+        &self.account.home
+    }
+
+    /// Whether turns of this host run.
+    pub fn is_running(&self) -> bool {
+        self.running.0 > 0
+    }
+
+    /// Tokens granted beyond what is used and reserved.
+    pub fn spare(&self) -> Tokens {
+        self.granted.minus(self.taken())
+    }
+
+    /// Whether the budget holds `wanted` tokens beside all that is granted and taken.
+    pub fn fits(&self, wanted: Tokens) -> bool {
+        let others = self.account.granted_to_others(self.me);
+        others.plus(self.taken()).plus(wanted) <= self.budget
+    }
+
+    /// Reserves `need` tokens of a program with this budget, if the grant has them.
+    pub fn admit(&mut self, need: Tokens, budget: Tokens) -> Admission {
+        self.budget = budget;
+        let taken = self.taken().plus(need);
+        if taken <= self.granted {
+            self.running = self.running.plus(need);
+            return Admission::Start;
+        }
+        if self.account.granted_to_others(self.me).plus(taken) <= budget {
+            return Admission::Write;
+        }
+        if self.account.taken_by_others(self.me).plus(taken) <= budget {
+            return Admission::Held;
+        }
+        Admission::Spent
+    }
+
+    /// Gives back a reservation of `reserved` tokens of which `used` were handed out.
+    pub fn settle(&mut self, reserved: Tokens, used: Tokens) {
+        self.running = self.running.minus(reserved);
+        self.used = self.used.plus(used);
+    }
+
+    /// The next write, with room for `wanted` tokens of waiting turns; `home` is the endpoint of the
+    /// latest turn. With `ahead`, room for later turns is taken as well.
+    ///
+    /// From here on the host keeps to the smaller of the old and the new grant, as the write may take
+    /// effect at any moment.
+    pub fn plan(&mut self, wanted: Tokens, ahead: bool, home: Option<&str>) -> Plan {
+        let taken = self.taken();
+        let needed = taken.plus(wanted);
+        let others = self.account.granted_to_others(self.me);
+        let fits = self.fits(wanted);
+        let room = self.budget.minus(others.plus(needed));
+        let granted = match (fits, ahead) {
+            (true, true) => needed.plus(Tokens(room.0 / AHEAD_DIVISOR)),
+            (true, false) => needed,
+            // What is granted already stays; nothing more can be had.
+            (false, _) => self.granted.max(taken),
+        };
+        let grant = Grant {
+            holder: self.me,
+            granted,
+            taken: needed.min(granted),
+        };
+        let mut account = self.account.clone().with_grant(grant);
+        if let Some(home) = home {
+            account.home = home.into();
+        }
+        self.granted = self.granted.min(granted);
+        Plan {
+            version: self.version,
+            account,
+            grant,
+        }
+    }
+
+    /// Takes in that a plan was committed as this version.
+    pub fn committed(&mut self, plan: Plan, version: u64) {
+        self.granted = plan.grant.granted;
+        self.account = plan.account;
+        self.version = version;
+    }
+
+    /// Takes in the account row as it was read; version 0 if there is none.
+    ///
+    /// The row tells by itself which of this host's writes took effect: the grant is what it says.
+    pub fn refresh(&mut self, account: Account, version: u64) {
+        let mine = account.grant(self.me).copied();
+        self.account = account;
+        self.version = version;
+        self.granted = mine.map_or(Tokens(0), |grant| grant.granted);
+    }
+
+    /// The version of the account row last seen.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn taken(&self) -> Tokens {
+        self.used.plus(self.running)
+    }
+}
--- /dev/null
+++ b/crates/turns/src/lib.rs
@@ -0,0 +1,27 @@
+//! Turns and token budgets of programs that several hosts serve without talking to each other.
+//!
+//! Everything that must survive the loss of every host lies in rows: one account row a program and
+//! one or more rows a turn. The invariants, whatever is lost, late or repeated:
+//!
+//! - A host hands out tokens of a program only within its grant in the account row. All grants of a
+//!   program together never exceed its budget.
+//! - A write of an account whose answer was lost is repeated under the same condition, so it
+//!   happens once.
+//! - A turn is found by every host once its rows are committed, and only committed turns have
+//!   successors.
+//!
+//! Nothing here reads a clock or a socket.
+
+mod account;
+mod chain;
+mod error;
+mod events;
+mod key;
+mod ledger;
+
+pub use account::{Account, Grant};
+pub use chain::{History, Past, Turn};
+pub use error::{Error, Result};
+pub use events::{Events, Piece};
+pub use key::{AccountKey, TurnKey};
+pub use ledger::{Admission, Ledger, Plan};
--- /dev/null
+++ b/src/commands/gateway.rs
@@ -0,0 +1,29 @@
+//! `balsamhold gateway`.
+
+use bpaf::Parser;
+
+use crate::commands::serve::{self, Options};
+use crate::commands::{Error, Result, stop, unusable};
+
+pub(crate) fn options() -> impl Parser<Options> {
+    serve::options(
+        "gateway",
+        "Runs a gateway: an entry on a platform that lists endpoints",
+    )
+}
+
+pub(crate) fn run(options: &Options) -> Result<()> {
+    let settings = settings::Gateway::load(&options.settings).map_err(Error::Settings)?;
+    let (log, _flush) = telemetry::stdout();
+    let addresses = [
+        ("gateway", "caller-address", settings.callers),
+        ("gateway", "status-address", settings.status),
+    ];
+    let adapter = platform::adapter(&settings);
+    ::gateway::run(settings, adapter, log, stop::signal()?).map_err(|error| match error {
+        ::gateway::Error::Listen(address, why) => {
+            unusable(&options.settings, &addresses, address, &why)
+        }
+        error => Error::Gateway(error),
+    })
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod ctl;
 mod entry;
+mod gateway;
 mod serve;
 mod sidecar;
 mod stop;
@@ -16,6 +17,7 @@
 
 enum Command {
     Entry(serve::Options),
+    Gateway(serve::Options),
     Sidecar(serve::Options),
     Ctl(ctl::Options),
 }
@@ -27,6 +29,8 @@
     Settings(settings::Error),
     /// An entry cannot run.
     Entry(::entry::Error),
+    /// A gateway cannot run.
+    Gateway(::gateway::Error),
     /// A sidecar cannot run.
     Sidecar(::sidecar::Error),
     /// Signals cannot be handled.
@@ -53,6 +57,7 @@
         match self {
             Error::Settings(error) => error.fmt(f),
             Error::Entry(error) => error.fmt(f),
+            Error::Gateway(error) => error.fmt(f),
             Error::Sidecar(error) => error.fmt(f),
             Error::Signals(error) => write!(f, "cannot handle signals: {error}"),
             Error::File(error) => write!(f, "cannot read file: {error}"),
@@ -99,9 +104,10 @@
 
 fn options() -> OptionParser<Command> {
     let entry = entry::options().map(Command::Entry);
+    let gateway = gateway::options().map(Command::Gateway);
     let sidecar = sidecar::options().map(Command::Sidecar);
     let ctl = ctl::options().map(Command::Ctl);
-    construct!([entry, sidecar, ctl])
+    construct!([entry, gateway, sidecar, ctl])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Schedules agent programs")
@@ -111,6 +117,7 @@
 pub(crate) fn run() -> ExitCode {
     let result = match options().run() {
         Command::Entry(options) => entry::run(&options),
+        Command::Gateway(options) => gateway::run(&options),
         Command::Sidecar(options) => sidecar::run(&options),
         Command::Ctl(options) => ctl::run(options),
     };
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -13,9 +13,9 @@
 use ::settings::Document;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use platform::api::{HostInfo, HostRole};
 use serde_json::{Value, json};
 use standins::{Handle, engine, link, platform as table, service};
+use store::api::{HostInfo, HostRole};
 use units::Digest;
 
 use crate::caller::{Caller, request};
--- a/tests/all/takeover.rs
+++ b/tests/all/takeover.rs
@@ -160,7 +160,7 @@
     let (here, there) = (cluster.caller(0, "meche"), cluster.caller(1, "meche"));
     let program = here.create("reorder", 20_000, 20);
     assert!(here.service(&program, 1, "stock", ORDER).is_whole());
-    let client = platform::Client::new(cluster.platform.address, Span::from_ms(1_000));
+    let client = store::Client::new(cluster.platform.address, Span::from_ms(1_000));
     let (old, successor) = (writer(&here), writer(&there));
     let sealing = smol::block_on(async {
         let found = find(&client, old).await.unwrap().unwrap();
