--- a/crates/admin/src/document.rs
+++ b/crates/admin/src/document.rs
@@ -15,7 +15,8 @@
 use serde::{Deserialize, Serialize};
 use settings::Document;
 use store::Client;
-use store::api::{Outcome, Transaction};
+use store::Written;
+use store::api::Transaction;
 use units::{Digest, Time, Version};
 
 use crate::audit::{self, Action, Record};
@@ -251,7 +252,7 @@
     let current = find_current(client, environment, in_force).await?;
     if current.version.next() == accepted.version {
         let transaction = transaction(environment, current.row, accepted)?;
-        if client.commit(&transaction).await? == Outcome::Committed {
+        if let Written::Committed(_) = client.commit(&transaction).await? {
             return Ok(accepted.clone());
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -60,11 +60,16 @@
 ///
 /// # Errors
 /// If an address cannot be listened on; nothing has been started then.
-pub fn run(settings: Entry, logger: &Logger, stop: impl Future<Output = ()>) -> Result<()> {
+pub fn run(
+    settings: Entry,
+    client: Client,
+    logger: &Logger,
+    stop: impl Future<Output = ()>,
+) -> Result<()> {
     let callers = bind(settings.callers)?;
     let peers = bind(settings.peers)?;
     let admin = bind(settings.admin.address)?;
-    let shared = share(settings, logger)?;
+    let shared = share(settings, client, logger)?;
     let (observations, observed) = async_channel::bounded(1_024);
     let (asks, asked) = async_channel::bounded(64);
     let (drain, drained) = async_channel::bounded::<()>(1);
@@ -101,7 +106,7 @@
     std::net::TcpListener::bind(address).map_err(|error| Error::Listen(address, error))
 }
 
-fn share(settings: Entry, logger: &Logger) -> Result<Shared> {
+fn share(settings: Entry, client: Client, logger: &Logger) -> Result<Shared> {
     let process = &settings.process;
     let identity = Identity {
         host: process.host.clone(),
@@ -114,7 +119,7 @@
     let logger = logger.new(o!("host" => identity.host.to_string(),
         "incarnation" => identity.incarnation.to_string()));
     Ok(Shared {
-        client: Client::new(process.platform.address, process.platform.timeout),
+        client,
         view: Arc::new(ArcSwap::from_pointee(View::default())),
         log_handle: Arc::new(ArcSwapOption::empty()),
         metrics: Metrics::new("entry").map_err(Error::Metrics)?,
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -8,6 +8,8 @@
 pub enum Error {
     /// An address cannot be listened on.
     Listen(SocketAddr, std::io::Error),
+    /// A thread cannot be started.
+    Thread(std::io::Error),
     /// Metrics cannot be set up.
     Metrics(String),
 }
@@ -16,6 +18,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Error::Listen(address, error) => write!(f, "cannot listen on {address}: {error}"),
+            Error::Thread(error) => write!(f, "cannot start a thread: {error}"),
             Error::Metrics(error) => write!(f, "cannot set up metrics: {error}"),
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -154,13 +154,12 @@
     started: Time,
 ) {
     shared.metrics.request(refusal.code());
-    let link = shared.rows.link();
     info!(shared.log, "request refused"; "request" => %id,
         "program" => program.map_or("", CompactString::as_str),
         "code" => refusal.code(), "status" => refusal.status().as_u16(), "ran" => refusal.ran(),
         "retry_ms" => delay.map_or(0, Span::as_ms),
         "environment" => shared.environment().map_or(0, |environment| environment.version),
-        "store_away" => link.is_away(),
+        "store_away" => shared.rows.is_away(),
         "after_ms" => shared.clock.now().since(started).as_ms());
 }
 
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -53,7 +53,7 @@
                 Ok(past) => return Ok(past),
                 Err(missing) => missing,
             };
-            if self.rows.link().is_away() {
+            if self.rows.is_away() {
                 return Err(Refusal::Away);
             }
             let reads = missing.iter().map(|turn| self.read(turn));
@@ -68,7 +68,7 @@
     async fn read(&self, id: &CompactString) -> Result<(), Refusal> {
         let key = TurnKey::new(id);
         let mut result = self.rows.read(&key.place, &key.first, &key.end).await;
-        if result.is_err() && !self.rows.link().is_away() {
+        if result.is_err() && !self.rows.is_away() {
             result = self.rows.read(&key.place, &key.first, &key.end).await;
         }
         let page = result.map_err(|error| {
@@ -106,7 +106,7 @@
         })?;
         while let Err(error) = self.rows.write(&key.place, &transaction).await {
             info!(self.log, "turn not written yet"; "turn" => %id, "error" => %error);
-            if !error.is_uncertain() || self.rows.link().is_away() {
+            if !error.is_uncertain() || self.rows.is_away() {
                 pause().await;
             }
         }
--- a/crates/gateway/src/programs.rs
+++ b/crates/gateway/src/programs.rs
@@ -11,7 +11,7 @@
 use compact_str::CompactString;
 use slog::{Logger, info, warn};
 use store::api::{Row, Transaction};
-use store::{Error, Written};
+use store::{Error, Written, after};
 use turns::{Account, AccountKey, Admission, Ledger, Plan};
 use units::{Clock, Incarnation, Span, Time, Tokens};
 
@@ -153,7 +153,7 @@
             if state.ledger.is_running() || state.driven || idle < IDLE_MAX {
                 return true;
             }
-            if state.ledger.spare() > Tokens(0) && !self.rows.link().is_away() {
+            if state.ledger.spare() > Tokens(0) && !self.rows.is_away() {
                 state.give_back = true;
                 woken.push(program.clone());
                 return true;
@@ -196,7 +196,7 @@
                 drop(state);
                 return Ok(self.reservation(need));
             }
-            if self.rows.link().is_away() {
+            if self.rows.is_away() {
                 return Err(Refusal::Away);
             }
             let (answer, receiver) = async_channel::bounded(1);
@@ -302,8 +302,7 @@
 
     async fn read(&self) {
         let AccountKey { place, key } = &self.key;
-        // The range of one key: the next one in byte order ends it.
-        let end = format!("{key}\u{1}");
+        let end = after(key);
         match self.rows.read(place, key, &end).await {
             Ok(page) => {
                 let mut state = self.lock();
@@ -324,7 +323,7 @@
 
     /// Refuses the requests that wait, if the store is away, and pauses.
     async fn refuse_waiting(&self, error: &Error) {
-        if self.rows.link().is_away() {
+        if self.rows.is_away() {
             let mut state = self.lock();
             let waiting = std::mem::take(&mut state.waiting);
             state.top_up = false;
@@ -338,7 +337,7 @@
                 drop(waiting.answer.try_send(Err(Refusal::Away)));
             }
         }
-        if !error.is_uncertain() || self.rows.link().is_away() {
+        if !error.is_uncertain() || self.rows.is_away() {
             pause().await;
         }
     }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -18,8 +18,9 @@
 const DELAY_SHARE: u64 = 3;
 /// Delay that a caller is given when a queue is full: about the time of a turn.
 const FULL_DELAY: Span = Span::from_ms(250);
-/// Delay that a caller is given when the store is away; outages last seconds.
-const AWAY_DELAY: Span = Span::from_ms(900);
+/// Delay that a caller is given when the store is away: outages last several seconds, so a caller
+/// that comes back early spends its retries in vain.
+const AWAY_DELAY: Span = Span::from_ms(4_000);
 /// Delay that a caller is given when another host holds tokens that it will give back when idle.
 const HELD_DELAY: Span = Span::from_ms(700);
 
@@ -108,8 +109,9 @@
             Refusal::Held => HELD_DELAY,
             _ => return None,
         };
-        let jittered = rng.random_range(base.0 / 2..=base.0 * 3 / 2);
-        Some(Span(jittered.min(patience.0 / DELAY_SHARE)))
+        // No longer than the caller would wait; jitter below that.
+        let longest = (base.0 * 3 / 2).min(patience.0 / DELAY_SHARE);
+        Some(Span(rng.random_range(longest * 2 / 3..=longest)))
     }
 
     /// Whether it is certain that no endpoint ran or will run the request.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! The process: its listeners, its tasks, its end.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,12 +16,14 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use telemetry::Metrics;
 use units::{Incarnation, Span};
+use wire::{Identity, Key, Role};
 
-use crate::control::{endpoint_news, environment_news, follow, tell};
+use crate::control::{FEED_WAIT, endpoint_news, environment_news, follow, peer_news, tell};
 use crate::dialect::Adapter;
 use crate::endpoints::News;
 use crate::error::{Error, Result};
 use crate::exchange::serve;
+use crate::peers::{self, Peer, Side};
 use crate::reply::{Body, whole};
 use crate::sniff::Sniffer;
 use crate::state::Shared;
@@ -36,10 +39,24 @@
 const DRAIN_MIN: Span = Span::from_ms(2_800);
 /// Time that a stopping gateway leaves before it would be killed.
 const DRAIN_SLACK: Span = Span::from_ms(400);
+/// Time between looks at the settings file: it may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+/// How long the feed of gateways waits: they change seldom, and a late word does no harm.
+const PEERS_WAIT: Span = Span::from_ms(10_000);
 /// Longest head that is read; operators set less.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 
-/// Runs a gateway until `stop` resolves and its requests have ended.
+/// How a gateway is controlled from outside.
+pub struct Control {
+    /// Its settings file.
+    pub file: String,
+    /// Resolves when it is to stop.
+    pub stop: Pin<Box<dyn Future<Output = ()> + Send>>,
+    /// A message whenever the settings are to be read again.
+    pub reloads: async_channel::Receiver<()>,
+}
+
+/// Runs a gateway until it is told to stop and its requests have ended.
 ///
 /// # Errors
 /// If an address cannot be listened on.
@@ -47,39 +64,85 @@
     settings: settings::Gateway,
     adapter: Adapter,
     log: Logger,
-    stop: impl Future<Output = ()> + Send + 'static,
+    control: Control,
 ) -> Result<()> {
     let metrics = Metrics::new("gateway").map_err(|error| Error::Metrics(error.to_string()))?;
     let me = Incarnation::random(&mut rand::rng());
     let shared = Arc::new(Shared::new(adapter, settings, log, metrics, me));
-    smol::block_on(live(shared, me, stop))
+    smol::block_on(live(shared, me, control))
 }
 
-async fn live(
-    shared: Arc<Shared>,
-    me: Incarnation,
-    stop: impl Future<Output = ()> + Send + 'static,
-) -> Result<()> {
-    let callers = listen(shared.settings.callers).await?;
-    let status = listen(shared.settings.status).await?;
-    info!(shared.log, "gateway started"; "host" => %shared.settings.host, "incarnation" => %me,
-        "zone" => %shared.settings.zone, "callers" => %shared.settings.callers);
+async fn live(shared: Arc<Shared>, me: Incarnation, control: Control) -> Result<()> {
+    let callers = listen(shared.settings().callers).await?;
+    let status = listen(shared.settings().status).await?;
+    let settings = shared.settings();
+    info!(shared.log, "gateway started"; "host" => %settings.host, "incarnation" => %me,
+        "zone" => %settings.zone, "callers" => %settings.callers);
+    let own = start_peers(&shared, me).await?;
     let (end, ended) = async_channel::bounded::<()>(1);
     let tasks = [
         smol::spawn(serve_status(shared.clone(), status)),
         smol::spawn(follow_environment(shared.clone())),
         smol::spawn(follow_endpoints(shared.clone())),
+        smol::spawn(follow_peers(shared.clone(), own.clone())),
         smol::spawn(sweep(shared.clone())),
         smol::spawn(serve_callers(shared.clone(), callers, ended)),
+        smol::spawn(follow_settings(
+            shared.clone(),
+            control.file,
+            control.reloads,
+        )),
     ];
-    stop.await;
+    control.stop.await;
     drain(&shared, end).await;
+    peers::unregister(&shared.rows, &own, &shared.log).await;
     for task in tasks {
         task.cancel().await;
     }
     Ok(())
 }
 
+/// Reads the settings again when told to, and when the file has changed without a word.
+async fn follow_settings(shared: Arc<Shared>, file: String, reloads: async_channel::Receiver<()>) {
+    let mut text = std::fs::read_to_string(&file).unwrap_or_default();
+    loop {
+        let told = async { reloads.recv().await.is_ok() };
+        let look = async {
+            smol::Timer::after(SETTINGS_LOOK).await;
+            false
+        };
+        let told = told.or(look).await;
+        match std::fs::read_to_string(&file) {
+            Ok(now) if told || now != text => {
+                reload(&shared, &file, &now);
+                text = now;
+            }
+            Ok(_) => {}
+            Err(error) if told => warn!(shared.log, "settings cannot be read, the old ones stay";
+                "file" => &file, "error" => %error),
+            // The file may be missing for a moment while it is replaced.
+            Err(_) => {}
+        }
+    }
+}
+
+fn reload(shared: &Shared, file: &str, text: &str) {
+    match settings::Gateway::parse(file, text) {
+        Ok(new) => {
+            let old = shared.settings();
+            let restart = new.callers != old.callers
+                || new.status != old.status
+                || new.platform.address != old.platform.address
+                || new.zone != old.zone;
+            info!(shared.log, "settings read again"; "file" => file,
+                "needs_restart" => restart, "zones" => new.zones.len());
+            shared.adopt_settings(new);
+        }
+        Err(error) => warn!(shared.log, "settings not accepted, the old ones stay";
+            "error" => %error),
+    }
+}
+
 /// Stops: first only the readiness, then the connections, as soon as they are idle.
 async fn drain(shared: &Shared, end: async_channel::Sender<()>) {
     let start = shared.clock.now();
@@ -88,7 +151,11 @@
     shared.draining.store(true, Ordering::Release);
     smol::Timer::after(DRAIN_MIN.into()).await;
     drop(end);
-    let limit = shared.settings.stop_within.0.saturating_sub(DRAIN_SLACK.0);
+    let limit = shared
+        .settings()
+        .stop_within
+        .0
+        .saturating_sub(DRAIN_SLACK.0);
     loop {
         let left = shared.connections.load(Ordering::Acquire);
         let took = shared.clock.now().since(start);
@@ -101,6 +168,39 @@
     }
 }
 
+/// Starts the thread that talks with peers.
+async fn start_peers(shared: &Shared, me: Incarnation) -> Result<Peer> {
+    let settings = shared.settings();
+    let listener = listen(settings.peers).await?;
+    let own = Peer {
+        host: settings.host.clone(),
+        incarnation: me,
+        address: settings.peers,
+        zone: settings.zone.clone(),
+    };
+    let side = Side {
+        own: own.clone(),
+        identity: Identity {
+            host: settings.host.clone(),
+            incarnation: me,
+            address: settings.peers,
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            role: Role::Entry,
+        },
+        key: Key::new(*settings.key.bytes()),
+        rows: shared.rows.clone(),
+        clock: shared.clock,
+        log: shared.log.clone(),
+    };
+    let peers = shared.peers.clone();
+    std::thread::Builder::new()
+        .name("peers".into())
+        .spawn(move || peers::run(side, peers, listener))
+        .map_err(Error::Thread)?;
+    Ok(own)
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
@@ -109,12 +209,17 @@
 
 async fn follow_environment(shared: Arc<Shared>) {
     let table = shared.adapter.directory.environment_table().into();
-    follow(shared, table, environment_news).await;
+    follow(shared, table, FEED_WAIT, environment_news).await;
 }
 
 async fn follow_endpoints(shared: Arc<Shared>) {
     let table = shared.adapter.directory.endpoint_table().into();
-    follow(shared, table, endpoint_news).await;
+    follow(shared, table, FEED_WAIT, endpoint_news).await;
+}
+
+async fn follow_peers(shared: Arc<Shared>, own: Peer) {
+    peers::register(&shared.rows, &own, &shared.log).await;
+    follow(shared, peers::TABLE.into(), PEERS_WAIT, peer_news).await;
 }
 
 async fn sweep(shared: Arc<Shared>) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use policy::{Places, Spot, Way};
 use slog::{Logger, info};
 use telemetry::Metrics;
@@ -14,6 +14,7 @@
 use crate::endpoints::{Endpoints, Member};
 use crate::environment::Environment;
 use crate::history::Histories;
+use crate::peers::Peers;
 use crate::programs::Programs;
 
 /// What a request to another availability zone counts as, beside the time of the way: bytes between
@@ -29,15 +30,16 @@
 /// The state of a gateway.
 pub(crate) struct Shared {
     pub(crate) adapter: Adapter,
-    pub(crate) settings: settings::Gateway,
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
     pub(crate) clock: Clock,
     pub(crate) rows: Arc<Rows>,
+    pub(crate) peers: Peers,
     pub(crate) programs: Programs,
     pub(crate) histories: Histories,
     pub(crate) draining: AtomicBool,
     pub(crate) connections: AtomicUsize,
+    settings: ArcSwap<settings::Gateway>,
     environment: ArcSwapOption<Environment>,
     endpoints: Mutex<Endpoints>,
     places: Mutex<Places>,
@@ -52,16 +54,19 @@
         me: Incarnation,
     ) -> Self {
         let clock = Clock::new();
-        let rows = Arc::new(Rows::new(adapter.table.clone(), clock, log.clone()));
+        let peers = Peers::new();
+        let table = adapter.table.clone();
+        let rows = Arc::new(Rows::new(table, peers.clone(), clock, log.clone()));
         Shared {
             histories: Histories::new(rows.clone(), clock, log.clone()),
             programs: Programs::new(rows.clone(), me, clock, log.clone()),
             adapter,
-            settings,
+            settings: ArcSwap::from_pointee(settings),
             log,
             metrics,
             clock,
             rows,
+            peers,
             draining: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
             environment: ArcSwapOption::empty(),
@@ -70,6 +75,17 @@
         }
     }
 
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Arc<settings::Gateway> {
+        self.settings.load_full()
+    }
+
+    /// Uses other settings from now on; addresses stay as they are.
+    pub(crate) fn adopt_settings(&self, settings: settings::Gateway) {
+        self.settings.store(Arc::new(settings));
+        self.sync_places();
+    }
+
     /// The environment in force.
     pub(crate) fn environment(&self) -> Option<Arc<Environment>> {
         self.environment.load_full()
@@ -134,7 +150,7 @@
     }
 
     fn way(&self, zone: &Zone) -> Way {
-        let own = &self.settings;
+        let own = self.settings();
         if *zone == own.zone {
             return Way::default();
         }
--- a/crates/log/examples/commit_rate.rs
+++ b/crates/log/examples/commit_rate.rs
@@ -38,7 +38,7 @@
     let executor = Rc::new(LocalExecutor::new());
     let writer = Incarnation(1);
     let row = Writer::new(writer, "entry-0".parse()?, service);
-    let client = Client::new(service, Span::from_ms(1_000));
+    let client = Client::new(platform::Client::new(service), Span::from_ms(1_000));
     let work = async {
         let (log, handle) = program_log::open(client, writer, row).await?;
         executor.spawn(log.run()).detach();
--- a/crates/log/examples/takeover_time.rs
+++ b/crates/log/examples/takeover_time.rs
@@ -26,7 +26,7 @@
 async fn measure(batches: u64, slow_ms: u64) -> Result<(), Box<dyn std::error::Error>> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let service = standins::platform::start(any, Vec::new())?;
-    let client = Client::new(service.address, Span::from_ms(5_000));
+    let client = Client::new(platform::Client::new(service.address), Span::from_ms(5_000));
     let (old, new) = (Incarnation(1), Incarnation(2));
     for writer in [old, new] {
         let row = Writer::new(writer, "entry-0".parse()?, service.address);
--- a/crates/log/src/batch.rs
+++ b/crates/log/src/batch.rs
@@ -12,8 +12,6 @@
 
 const ROW_MAX_BYTES: usize = 16 << 20;
 const CHECKSUM_BYTES: usize = 32;
-/// Version of the mark of an open log, which is written once and then only deleted.
-const OPEN_VERSION: u64 = 1;
 
 /// The writer row of a log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -119,6 +117,15 @@
         .with_write(&open_key(writer), bytes))
 }
 
+/// A log that was open when it was looked at, and may inherit from one that is sealed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heir {
+    /// Its writer.
+    pub writer: Incarnation,
+    /// The version of its mark as an open log.
+    pub opened: u64,
+}
+
 /// The transaction that seals the log whose row is `row` at `version`.
 ///
 /// The successor's log must be open, so that chains of successors have no cycles and end in a log
@@ -126,12 +133,8 @@
 ///
 /// # Errors
 /// [`Error::Encode`] if the row cannot be encoded.
-pub fn seal(
-    writer: Incarnation,
-    row: &Writer,
-    version: u64,
-    successor: Incarnation,
-) -> Result<Transaction> {
+pub fn seal(writer: Incarnation, row: &Writer, version: u64, heir: Heir) -> Result<Transaction> {
+    let successor = heir.writer;
     let sealed = Writer {
         state: State::Sealed(successor),
         ..row.clone()
@@ -140,7 +143,7 @@
     let key = writer_key(writer);
     Ok(Transaction::default()
         .with_check(&key, version)
-        .with_check(&open_key(successor), OPEN_VERSION)
+        .with_check(&open_key(successor), heir.opened)
         .with_write(&key, bytes.clone())
         .with_write(&inherited_key(successor, writer), bytes)
         .with_delete(&open_key(writer)))
--- a/crates/log/src/commit.rs
+++ b/crates/log/src/commit.rs
@@ -8,7 +8,7 @@
 use store::api::Transaction;
 use units::{Incarnation, Slot};
 
-use crate::batch::{Batch, State, Writer, batch_key, encode, seal, writer_key};
+use crate::batch::{Batch, Heir, State, Writer, batch_key, encode, seal, writer_key};
 use crate::error::{Error, Result};
 use crate::event::Record;
 
@@ -28,8 +28,8 @@
 /// What came of it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
-    /// The transaction was committed.
-    Committed,
+    /// The transaction was committed as this version.
+    Committed(u64),
     /// A row had another version; nothing was written.
     Conflict,
     /// The service did not run the transaction.
@@ -48,7 +48,7 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Order {
     Batch(Batch),
-    Seal(Incarnation),
+    Seal(Heir),
 }
 
 /// The writing end of a log, without I/O.
@@ -63,12 +63,12 @@
 }
 
 impl Commit {
-    /// The writing end of a log whose row has just been written.
-    pub fn new(writer: Incarnation, row: Writer) -> Self {
+    /// The writing end of a log whose row has just been written as `version`.
+    pub fn new(writer: Incarnation, row: Writer, version: u64) -> Self {
         Commit {
             writer,
             row,
-            version: 1,
+            version,
             order: None,
             in_doubt: false,
             conflict: false,
@@ -95,12 +95,12 @@
         self.write()
     }
 
-    /// Begins the end of the log, in favour of `successor`.
+    /// Begins the end of the log, in favour of `heir`.
     ///
     /// # Errors
     /// [`Error::Encode`] if the row cannot be encoded.
-    pub fn seal(&mut self, successor: Incarnation) -> Result<Next> {
-        self.order = Some(Order::Seal(successor));
+    pub fn seal(&mut self, heir: Heir) -> Result<Next> {
+        self.order = Some(Order::Seal(heir));
         self.write()
     }
 
@@ -112,7 +112,7 @@
     /// sealed because its successor's is not open; it goes on then.
     pub fn step(&mut self, reply: Reply) -> Result<Next> {
         match reply {
-            Reply::Committed => Ok(self.committed()),
+            Reply::Committed(version) => Ok(self.committed(version)),
             Reply::Conflict => {
                 self.conflict = true;
                 Ok(Next::Read)
@@ -131,7 +131,7 @@
     fn write(&self) -> Result<Next> {
         let transaction = match &self.order {
             Some(Order::Batch(batch)) => self.append(batch)?,
-            Some(Order::Seal(successor)) => seal(self.writer, &self.row, self.version, *successor)?,
+            Some(Order::Seal(heir)) => seal(self.writer, &self.row, self.version, *heir)?,
             None => return Err(Error::Closed),
         };
         Ok(Next::Write(transaction))
@@ -150,9 +150,9 @@
             .with_write(&batch_key(self.writer, batch.slot), encode(batch)?))
     }
 
-    fn committed(&mut self) -> Next {
+    fn committed(&mut self, version: u64) -> Next {
         let slot = self.row.next;
-        self.version += 1;
+        self.version = version;
         self.in_doubt = false;
         self.conflict = false;
         match self.order.take() {
@@ -160,7 +160,7 @@
                 self.row.next = slot.next();
                 self.row.last = batch.id;
             }
-            Some(Order::Seal(successor)) => self.row.state = State::Sealed(successor),
+            Some(Order::Seal(heir)) => self.row.state = State::Sealed(heir.writer),
             None => {}
         }
         Next::Done(slot)
@@ -171,13 +171,14 @@
         let slot = self.row.next;
         let ours = match &self.order {
             Some(Order::Batch(batch)) => row.next == slot.next() && row.last == batch.id,
-            Some(Order::Seal(successor)) => {
-                row.next == slot && row.state == State::Sealed(*successor)
-            }
+            Some(Order::Seal(heir)) => row.next == slot && row.state == State::Sealed(heir.writer),
             None => false,
         };
         if ours {
-            return Ok(self.committed());
+            // Once the log is sealed no write may succeed, not even one that arrives late: the
+            // version before the seal is kept.
+            let open = row.state == State::Open;
+            return Ok(self.committed(if open { version } else { self.version }));
         }
         let conflict = std::mem::take(&mut self.conflict);
         match row.state {
@@ -186,7 +187,7 @@
             State::Open if version != self.version => Err(Error::Foreign(slot)),
             State::Open if conflict => match self.order.take() {
                 // Of the versions that a seal asks for, it must be the successor's that differs.
-                Some(Order::Seal(successor)) => Err(Error::Successor(successor)),
+                Some(Order::Seal(heir)) => Err(Error::Successor(heir.writer)),
                 _ => Err(Error::Foreign(slot)),
             },
             State::Open => {
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -21,7 +21,8 @@
 mod writer;
 
 pub use batch::{
-    Batch, State, Writer, batch_key, inherited_key, open_key, open_transaction, seal, writer_key,
+    Batch, Heir, State, Writer, batch_key, inherited_key, open_key, open_transaction, seal,
+    writer_key,
 };
 pub use commit::{Commit, Next, Reply};
 pub use error::{Error, Result};
@@ -30,7 +31,7 @@
 };
 pub use history::{Histories, History, inherit};
 pub use takeover::{
-    Found, Sealing, batches, compact_all, find, histories, inherited, opened, take,
+    Found, Sealing, batches, compact_all, find, heir, histories, inherited, opened, take,
 };
 pub use token::Token;
 pub use trail::{Step, trail};
--- a/crates/log/src/takeover.rs
+++ b/crates/log/src/takeover.rs
@@ -4,10 +4,11 @@
 
 use futures_util::stream::{self, StreamExt, TryStreamExt};
 use store::Client;
-use store::api::{Outcome, Row};
+use store::Written;
+use store::api::Row;
 use units::{Incarnation, Slot, Span};
 
-use crate::batch::{Batch, State, Writer, batch_key, decode, seal, writer_key};
+use crate::batch::{Batch, Heir, State, Writer, batch_key, decode, open_key, seal, writer_key};
 use crate::compact::{compact, packs, unpack};
 use crate::error::{Error, Result};
 use crate::history::{Histories, inherit};
@@ -106,12 +107,13 @@
 /// [`Error::Corrupt`] if the row cannot be read; [`Error::Successor`] if the successor's log is not
 /// open.
 pub async fn take(client: &Client, found: &Found, successor: Incarnation) -> Result<Sealing> {
-    let transaction = seal(found.writer, &found.row, found.version, successor)?;
+    let heir = insist(async || heir(client, successor).await).await?;
+    let transaction = seal(found.writer, &found.row, found.version, heir)?;
     loop {
         let conflict = match client.commit(&transaction).await {
-            Ok(Outcome::Committed) => return Ok(Sealing::Sealed(successor)),
+            Ok(Written::Committed(_)) => return Ok(Sealing::Sealed(successor)),
             // Its answer may be lost, or another may have come first: the row tells.
-            Ok(Outcome::Conflict(_)) => true,
+            Ok(Written::Conflict(_)) => true,
             Err(_) => false,
         };
         match find(client, found.writer).await {
@@ -129,6 +131,19 @@
     }
 }
 
+/// The log of `writer` as an heir.
+///
+/// # Errors
+/// [`Error::Successor`] if it is not open; [`Error::Platform`] if the service gives no answer.
+pub async fn heir(client: &Client, writer: Incarnation) -> Result<Heir> {
+    let mark = client.row(&open_key(writer)).await?;
+    let mark = mark.ok_or(Error::Successor(writer))?;
+    Ok(Heir {
+        writer,
+        opened: mark.version,
+    })
+}
+
 /// The histories of all programs that a sealed log held at its end, those that it had inherited
 /// included. Waits while the service is down.
 ///
@@ -166,7 +181,7 @@
 }
 
 /// Repeats a read until the service answers.
-async fn insist<T>(read: impl AsyncFn() -> Result<T>) -> Result<T> {
+pub(crate) async fn insist<T>(read: impl AsyncFn() -> Result<T>) -> Result<T> {
     loop {
         match read().await {
             Err(Error::Platform(_)) => {
--- a/crates/log/src/writer.rs
+++ b/crates/log/src/writer.rs
@@ -5,14 +5,15 @@
 use async_channel::{Receiver, Sender};
 use smol::future::FutureExt;
 use store::Client;
-use store::api::{Outcome, Transaction};
+use store::Written;
+use store::api::Transaction;
 use units::{Incarnation, Slot, Span};
 
 use crate::batch::{State, Writer, open_transaction};
 use crate::commit::{Commit, Next, Reply};
 use crate::error::{Error, Result};
 use crate::event::Record;
-use crate::takeover::find;
+use crate::takeover::{find, heir, insist};
 
 const APPENDS_MAX: usize = 4_096;
 /// Leaves room for what the work under way still has to record.
@@ -123,18 +124,19 @@
 /// [`Error::Platform`] if the service is down: an entry without a log may only forward.
 /// [`Error::Foreign`] if the writer row is another's.
 pub async fn open(client: Client, writer: Incarnation, row: Writer) -> Result<(Log, Handle)> {
-    let outcome = client.commit(&open_transaction(writer, &row)?).await?;
-    if outcome != Outcome::Committed {
-        // An earlier try took effect and its answer was lost, or the number is another's.
-        let found = find(&client, writer).await?;
-        found
-            .filter(|found| found.row.process == row.process)
-            .ok_or(Error::Foreign(Slot(0)))?;
-    }
+    let version = match client.commit(&open_transaction(writer, &row)?).await? {
+        Written::Committed(version) => version,
+        Written::Conflict(_) => {
+            // An earlier try took effect and its answer was lost, or the number is another's.
+            let found = find(&client, writer).await?;
+            let found = found.filter(|found| found.row.process == row.process);
+            found.ok_or(Error::Foreign(Slot(0)))?.version
+        }
+    };
     let (sender, orders) = async_channel::bounded(APPENDS_MAX);
     let log = Log {
         client,
-        commit: Commit::new(writer, row),
+        commit: Commit::new(writer, row, version),
         earliest: Instant::now(),
         orders,
     };
@@ -254,8 +256,7 @@
 
     /// Seals the log; false if its successor's is not open.
     async fn close(&mut self, close: Close) -> Result<bool> {
-        let begun = self.commit.seal(close.successor);
-        let result = self.drive(begun).await;
+        let result = self.seal(close.successor).await;
         // Whoever asked may have gone away; the log is sealed all the same.
         let _ = close.done.send(share(&result)).await;
         match result {
@@ -265,6 +266,12 @@
         }
     }
 
+    async fn seal(&mut self, successor: Incarnation) -> Result<Slot> {
+        let heir = insist(async || heir(&self.client, successor).await).await?;
+        let begun = self.commit.seal(heir);
+        self.drive(begun).await
+    }
+
     /// Does what the state machine says until the order is done.
     async fn drive(&mut self, begun: Result<Next>) -> Result<Slot> {
         let mut next = begun?;
@@ -284,8 +291,8 @@
 
     async fn write(&self, transaction: &Transaction) -> Reply {
         match self.client.commit(transaction).await {
-            Ok(Outcome::Committed) => Reply::Committed,
-            Ok(Outcome::Conflict(_)) => Reply::Conflict,
+            Ok(Written::Committed(version)) => Reply::Committed(version),
+            Ok(Written::Conflict(_)) => Reply::Conflict,
             Err(error) if error.is_uncertain() => Reply::Lost,
             Err(_) => Reply::Refused,
         }
--- a/crates/log/tests/commit.rs
+++ b/crates/log/tests/commit.rs
@@ -7,10 +7,12 @@
 
 use program_log as log;
 use program_log::{
-    Batch, Commit, Error, Event, Next, Record, Reply, State, Writer, batch_key, writer_key,
+    Batch, Commit, Error, Event, Heir, Next, Record, Reply, State, Writer, batch_key, open_key,
+    writer_key,
 };
 use proptest::prelude::*;
-use store::api::{Outcome, Transaction};
+use store::Written;
+use store::api::Transaction;
 use units::{Incarnation, Program, Slot, Tokens};
 
 const OWN: Incarnation = Incarnation(1);
@@ -20,6 +22,7 @@
 /// A table as the platform has it.
 #[derive(Default)]
 struct Table {
+    version: u64,
     rows: BTreeMap<String, (u64, Vec<u8>)>,
     delayed: VecDeque<Transaction>,
 }
@@ -29,14 +32,15 @@
         self.rows.get(key).map_or(0, |(version, _)| *version)
     }
 
-    fn commit(&mut self, transaction: &Transaction) -> Outcome {
+    fn commit(&mut self, transaction: &Transaction) -> Written {
         let stale = |check: &&store::api::Check| self.version(&check.key) != check.version;
         let conflicts: Vec<_> = transaction.checks.iter().filter(stale).collect();
         if !conflicts.is_empty() {
-            return Outcome::Conflict(conflicts.iter().map(|check| check.key.clone()).collect());
+            return Written::Conflict(Vec::new());
         }
+        self.version += 1;
+        let version = self.version;
         for write in &transaction.writes {
-            let version = self.version(&write.key) + 1;
             match &write.value {
                 Some(value) => {
                     let row = (version, value.0.clone());
@@ -45,7 +49,7 @@
                 None => drop(self.rows.remove(write.key.as_str())),
             }
         }
-        Outcome::Committed
+        Written::Committed(version)
     }
 
     fn writer(&self) -> (Writer, u64) {
@@ -60,11 +64,16 @@
             .collect()
     }
 
+    fn heir(&self, writer: Incarnation) -> Heir {
+        let opened = self.version(&open_key(writer));
+        Heir { writer, opened }
+    }
+
     fn seal(&mut self) {
         let (row, version) = self.writer();
         if row.state == State::Open {
-            let transaction = log::seal(OWN, &row, version, OTHER).unwrap();
-            assert_eq!(self.commit(&transaction), Outcome::Committed);
+            let transaction = log::seal(OWN, &row, version, self.heir(OTHER)).unwrap();
+            assert!(matches!(self.commit(&transaction), Written::Committed(_)));
         }
     }
 }
@@ -113,8 +122,8 @@
         Fault::None => {}
     }
     match table.commit(transaction) {
-        Outcome::Committed => Reply::Committed,
-        Outcome::Conflict(_) => Reply::Conflict,
+        Written::Committed(version) => Reply::Committed(version),
+        Written::Conflict(_) => Reply::Conflict,
     }
 }
 
@@ -173,24 +182,26 @@
     let row = Writer::new(OWN, "entry-0".parse().unwrap(), address);
     let mut table = Table::default();
     let transaction = log::open_transaction(OWN, &row).unwrap();
-    assert_eq!(table.commit(&transaction), Outcome::Committed);
+    assert!(matches!(table.commit(&transaction), Written::Committed(_)));
     for successor in [OTHER, OWN_SUCCESSOR] {
         let transaction = log::open_transaction(successor, &row).unwrap();
-        assert_eq!(table.commit(&transaction), Outcome::Committed);
+        assert!(matches!(table.commit(&transaction), Written::Committed(_)));
     }
-    (table, Commit::new(OWN, row))
+    // Its row was the first to be written.
+    (table, Commit::new(OWN, row, 1))
 }
 
 #[test]
 fn two_logs_cannot_be_sealed_in_favour_of_each_other() {
     let (mut table, mut commit) = opened();
     let (row, version) = table.writer();
-    let mut other = Commit::new(OTHER, row.clone());
-    let Next::Write(transaction) = other.seal(OWN).unwrap() else {
+    let mut other = Commit::new(OTHER, row.clone(), 2);
+    let (own_heir, other_heir) = (table.heir(OWN), table.heir(OTHER));
+    let Next::Write(transaction) = other.seal(own_heir).unwrap() else {
         unreachable!("a seal begins with its transaction");
     };
-    assert_eq!(table.commit(&transaction), Outcome::Committed);
-    let begun = commit.seal(OTHER);
+    assert!(matches!(table.commit(&transaction), Written::Committed(_)));
+    let begun = commit.seal(other_heir);
     let sealed = drive(&mut commit, &mut table, begun, &mut std::iter::empty());
     assert!(matches!(sealed, Err(Error::Successor(OTHER))));
     assert_eq!(table.writer(), (row, version));
@@ -225,7 +236,7 @@
             }
         }
         if closes && !fenced {
-            let begun = commit.seal(OWN_SUCCESSOR);
+            let begun = commit.seal(table.heir(OWN_SUCCESSOR));
             let closed = drive(&mut commit, &mut table, begun, &mut faults);
             fenced = matches!(closed, Err(Error::Sealed(..)));
             prop_assert!(closed.is_ok() || fenced);
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -6,8 +6,8 @@
 use units::{Host, Rate, Region, Span, Zone};
 
 use crate::error::Result;
-use crate::process::{ADDRESS, Format, NAME, Platform, read};
-use crate::reader::Reader;
+use crate::process::{ADDRESS, Format, NAME, Platform, Secret, read};
+use crate::reader::{HEX, Reader};
 
 /// Time within which a stopping process has to end, by default and at most, in seconds.
 const STOP_DEFAULT_SECONDS: Rate = Rate(8.0);
@@ -28,6 +28,10 @@
     pub callers: SocketAddr,
     /// The address of `/ready`, `/live` and `/metrics`.
     pub status: SocketAddr,
+    /// The address for other gateways.
+    pub peers: SocketAddr,
+    /// The key shared by all gateways of the environment.
+    pub key: Secret,
     /// Time from the signal to stop until the process is killed.
     pub stop_within: Span,
     /// The region of each availability zone.
@@ -52,6 +56,9 @@
         let gateway = reader.required("gateway")?;
         let callers = gateway.get("caller-address", ADDRESS)?;
         let status = gateway.get("status-address", ADDRESS)?;
+        let peers = gateway.get("peer-address", ADDRESS)?;
+        let key = gateway.secret("peer-key")?;
+        let key = key.ok_or_else(|| gateway.missing("peer-key", HEX))?;
         let seconds = gateway.within(
             "stop-within-seconds",
             "1 to 3600",
@@ -69,6 +76,8 @@
             format,
             callers,
             status,
+            peers,
+            key: Secret::new(key),
             stop_within: Span((seconds.0 * 1e6) as u64),
             zones,
             platform,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -32,6 +32,10 @@
 pub struct Secret(Digest);
 
 impl Secret {
+    pub(crate) fn new(bytes: Digest) -> Self {
+        Secret(bytes)
+    }
+
     /// The bytes.
     pub fn bytes(&self) -> &[u8; 32] {
         self.0.bytes()
--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -250,8 +250,8 @@
         let logs = platform
             .rows
             .iter()
-            .filter(|(key, _)| key.starts_with("log"));
-        logs.map(|(key, (_, value))| (key.len() + value.len()) as f64)
+            .filter(|(row, _)| row.key.starts_with("log"));
+        logs.map(|(row, (_, value))| (row.key.len() + value.len()) as f64)
             .sum()
     }
 }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,39 +1,72 @@
-//! The platform's service: a transactional table, an object store and a host list.
+//! The platform's store in its published protocol: rows in tables and parts, transactions, feeds
+//! and objects. The host list is a table of its own.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use ::store::api::{HostInfo, Outcome, Row, Transaction, Value};
+use ::store::api::{HostInfo, Value};
 use http_types::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use crate::host::{self, Handle, json, lock, read, read_json};
 
+const ENTRIES_MAX: usize = 100;
+const BODY_MAX_BYTES: usize = 1 << 20;
+const VALUE_MAX_BYTES: usize = 65_536;
+const NAME_MAX_BYTES: usize = 200;
+const PAGE_MAX_ROWS: usize = 500;
+const FEED_POLL: Duration = Duration::from_millis(5);
+/// Longer than any client waits: the answer never comes.
+const NEVER: Duration = Duration::from_secs(3_600);
+
 /// Failures that can be turned on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Knobs {
     /// Requests are refused.
     pub down: bool,
+    /// Requests are not answered, and nothing is done.
+    pub silent: bool,
     /// Each request takes so many milliseconds.
     pub slow_ms: u64,
     /// Writes take effect but so many of their answers to come are lost.
     pub lose_answers: u32,
+    /// Writes whose answers are lost take effect so many milliseconds later.
+    pub late_ms: u64,
     /// Writes a second; 0 for no limit.
     pub writes_per_s: u32,
     /// Reads a second; 0 for no limit.
     pub reads_per_s: u32,
 }
 
+/// Where a row lies.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Address {
+    /// Its table.
+    pub table: String,
+    /// Its part.
+    pub part: String,
+    /// Its key.
+    pub key: String,
+}
+
+/// A change in the history that feeds are answered from.
+#[derive(Clone, Debug)]
+struct Change {
+    version: u64,
+    address: Address,
+    value: Option<Vec<u8>>,
+}
+
 /// The service's state.
 #[derive(Debug)]
 pub struct State {
     /// Failures turned on.
     pub knobs: Knobs,
-    /// The table: version and value by key.
-    pub rows: BTreeMap<String, (u64, Vec<u8>)>,
+    /// All rows: version and value.
+    pub rows: BTreeMap<Address, (u64, Vec<u8>)>,
     /// The objects by key.
     pub objects: HashMap<String, Vec<u8>>,
     /// The host list.
@@ -42,10 +75,61 @@
     pub commits: u64,
     /// Reads answered.
     pub reads: u64,
+    version: u64,
+    history: VecDeque<Change>,
+    /// Feeds after an older version than this are told that the history is gone.
+    forgotten: u64,
+    started: Instant,
     writes_left: Allowance,
     reads_left: Allowance,
 }
 
+impl State {
+    /// Writes a row as operators and endpoints do.
+    pub fn put(&mut self, table: &str, key: &str, value: &[u8]) {
+        let address = Address {
+            table: table.into(),
+            part: String::new(),
+            key: key.into(),
+        };
+        self.version += 1;
+        self.set(address, Some(value.to_vec()));
+    }
+
+    /// Drops a row as operators and endpoints do.
+    pub fn drop_row(&mut self, table: &str, key: &str) {
+        let address = Address {
+            table: table.into(),
+            part: String::new(),
+            key: key.into(),
+        };
+        self.version += 1;
+        self.set(address, None);
+    }
+
+    /// Discards the history of changes.
+    pub fn forget(&mut self) {
+        self.history.clear();
+        self.version += 1;
+        self.forgotten = self.version;
+    }
+
+    fn set(&mut self, address: Address, value: Option<Vec<u8>>) {
+        match &value {
+            Some(value) => {
+                let row = (self.version, value.clone());
+                self.rows.insert(address.clone(), row);
+            }
+            None => drop(self.rows.remove(&address)),
+        }
+        self.history.push_back(Change {
+            version: self.version,
+            address,
+            value,
+        });
+    }
+}
+
 /// A rate limit over the current second.
 #[derive(Debug)]
 struct Allowance {
@@ -70,6 +154,58 @@
     }
 }
 
+#[derive(Serialize, Deserialize)]
+struct Entry {
+    #[serde(rename = "Table")]
+    table: String,
+    #[serde(default)]
+    part: String,
+    #[serde(rename = "Key")]
+    key: String,
+    #[serde(rename = "Value", default, skip_serializing_if = "Option::is_none")]
+    value: Option<Value>,
+    #[serde(rename = "Ver", default)]
+    version: u64,
+    #[serde(
+        rename = "Removed",
+        default,
+        skip_serializing_if = "std::ops::Not::not"
+    )]
+    removed: bool,
+}
+
+impl Entry {
+    fn address(&self) -> Address {
+        Address {
+            table: self.table.clone(),
+            part: self.part.clone(),
+            key: self.key.clone(),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    #[serde(rename = "ExpectRev", default)]
+    checks: Vec<Entry>,
+    #[serde(rename = "SetKeys", default)]
+    writes: Vec<Entry>,
+    #[serde(rename = "Remove", default)]
+    drops: Vec<Entry>,
+}
+
+#[derive(Serialize)]
+struct Answer {
+    #[serde(rename = "Rows", skip_serializing_if = "Option::is_none")]
+    rows: Option<Vec<Entry>>,
+    #[serde(rename = "HasMore", skip_serializing_if = "std::ops::Not::not")]
+    more: bool,
+    #[serde(rename = "Ver")]
+    version: u64,
+    #[serde(rename = "NowMs")]
+    now_ms: u64,
+}
+
 /// Starts the service with this host list.
 pub fn start(address: SocketAddr, hosts: Vec<HostInfo>) -> std::io::Result<Handle<State>> {
     let state = State {
@@ -79,6 +215,10 @@
         hosts,
         commits: 0,
         reads: 0,
+        version: 1,
+        history: VecDeque::new(),
+        forgotten: 0,
+        started: Instant::now(),
         writes_left: Allowance::new(),
         reads_left: Allowance::new(),
     };
@@ -94,29 +234,36 @@
         _ => {}
     }
     let knobs = lock(&state).knobs;
+    if knobs.silent {
+        smol::Timer::after(NEVER).await;
+    }
     if knobs.slow_ms > 0 {
         smol::Timer::after(Duration::from_millis(knobs.slow_ms)).await;
     }
     if knobs.down {
         return Response::new(StatusCode::ServiceUnavailable);
     }
-    let writes = matches!(method, Method::Post | Method::Put);
+    let writes = !matches!(method, Method::Get);
     if !allow(&state, writes) {
         return Response::new(StatusCode::TooManyRequests);
     }
-    let response = match (method, path.as_str()) {
-        (Method::Post, "/v1/transaction") => transaction(&state, &mut request).await,
-        (Method::Get, "/v1/rows") => rows(&state, &request),
-        (Method::Get, "/v1/hosts") => json(&lock(&state).hosts),
-        (Method::Put, _) => put_object(&state, &path, &mut request).await,
-        (Method::Get, _) => get(&state, &path),
-        _ => Response::new(StatusCode::NotFound),
-    };
     if writes && lose(&state) {
-        // Longer than any client waits: the answer never comes.
-        smol::Timer::after(Duration::from_secs(3_600)).await;
+        smol::Timer::after(Duration::from_millis(knobs.late_ms)).await;
+        drop(run(&state, method, &path, &mut request).await);
+        smol::Timer::after(NEVER).await;
+    }
+    run(&state, method, &path, &mut request).await
+}
+
+async fn run(state: &Mutex<State>, method: Method, path: &str, request: &mut Request) -> Response {
+    match (method, path) {
+        (Method::Post, "/-/rows-tx") => transaction(state, request).await,
+        (Method::Get, "/-/rows-get") => range(state, request),
+        (Method::Get, "/-/rows-feed") => feed(state, request).await,
+        (Method::Put, path) => put_object(state, path, request).await,
+        (Method::Get, path) => get_object(state, path),
+        _ => Response::new(StatusCode::NotFound),
     }
-    response
 }
 
 async fn set_knobs(state: &Mutex<State>, request: &mut Request) -> Response {
@@ -153,67 +300,182 @@
 }
 
 async fn transaction(state: &Mutex<State>, request: &mut Request) -> Response {
-    let Some(transaction) = read_json::<Transaction>(request).await else {
+    let bytes = read(request).await;
+    let Ok(transaction) = serde_json::from_slice::<Transaction>(&bytes) else {
         return Response::new(StatusCode::BadRequest);
     };
-    json(&commit(&mut lock(state), transaction))
-}
-
-fn commit(state: &mut State, transaction: Transaction) -> Outcome {
-    let version = |key: &str| state.rows.get(key).map_or(0, |(version, _)| *version);
-    let stale = transaction
-        .checks
-        .iter()
-        .filter(|check| version(&check.key) != check.version);
-    let conflicts: Vec<_> = stale.map(|check| check.key.clone()).collect();
-    if !conflicts.is_empty() {
-        return Outcome::Conflict(conflicts);
-    }
-    for write in transaction.writes {
-        let key = write.key.to_string();
-        match write.value {
-            Some(value) => {
-                let row = state.rows.entry(key).or_default();
-                *row = (row.0 + 1, value.0);
-            }
-            None => drop(state.rows.remove(&key)),
-        }
+    if bytes.len() > BODY_MAX_BYTES || !is_allowed(&transaction) {
+        return Response::new(StatusCode::BadRequest);
+    }
+    let mut state = lock(state);
+    let stale = transaction.checks.iter().any(|check| {
+        let found = state.rows.get(&check.address());
+        found.map_or(0, |(version, _)| *version) != check.version
+    });
+    if stale {
+        let addresses = transaction.checks.iter().map(Entry::address);
+        let rows = addresses.filter_map(|address| {
+            let row = state.rows.get(&address)?;
+            Some(make_row(&address, row))
+        });
+        let rows = Some(rows.collect());
+        let mut response = json(&state.answer(rows));
+        response.set_status(StatusCode::PreconditionFailed);
+        return response;
+    }
+    state.version += 1;
+    for write in &transaction.writes {
+        let value = write.value.clone().unwrap_or_default();
+        state.set(write.address(), Some(value.0));
+    }
+    for drop in &transaction.drops {
+        state.set(drop.address(), None);
     }
     state.commits += 1;
-    Outcome::Committed
+    json(&state.answer(None))
+}
+
+/// Whether a transaction keeps to the store's limits.
+fn is_allowed(transaction: &Transaction) -> bool {
+    let Transaction {
+        checks,
+        writes,
+        drops,
+    } = transaction;
+    let all = || checks.iter().chain(writes).chain(drops);
+    let Some(first) = all().next() else {
+        return false;
+    };
+    let fits = |entry: &Entry| {
+        let names = [&entry.table, &entry.part, &entry.key];
+        let value = entry.value.as_ref().map_or(0, |value| value.0.len());
+        entry.part == first.part
+            && names.iter().all(|name| name.len() <= NAME_MAX_BYTES)
+            && value.div_ceil(3) * 4 <= VALUE_MAX_BYTES
+    };
+    all().count() <= ENTRIES_MAX && all().all(fits)
+}
+
+impl State {
+    fn answer(&self, rows: Option<Vec<Entry>>) -> Answer {
+        Answer {
+            rows,
+            more: false,
+            version: self.version,
+            now_ms: self.started.elapsed().as_millis() as u64,
+        }
+    }
 }
 
-fn rows(state: &Mutex<State>, request: &Request) -> Response {
+fn range(state: &Mutex<State>, request: &Request) -> Response {
     #[derive(Deserialize)]
     struct Query {
-        prefix: String,
-        after: String,
-        limit: usize,
+        #[serde(rename = "Table")]
+        table: String,
+        #[serde(default)]
+        part: String,
+        #[serde(rename = "From", default)]
+        from: String,
+        #[serde(rename = "To", default)]
+        to: String,
+        #[serde(rename = "Limit")]
+        limit: Option<usize>,
     }
     let Ok(query) = request.query::<Query>() else {
         return Response::new(StatusCode::BadRequest);
     };
     let mut state = lock(state);
     state.reads += 1;
-    let matching = state.rows.range(query.prefix.clone()..);
-    let matching = matching
-        .take_while(|(key, _)| key.starts_with(&query.prefix))
-        .filter(|(key, _)| **key > query.after)
-        .take(query.limit);
-    let rows: Vec<Row> = matching.map(|(key, row)| make_row(key, row)).collect();
-    json(&rows)
-}
-
-fn make_row(key: &str, row: &(u64, Vec<u8>)) -> Row {
-    Row {
-        key: key.into(),
+    if query.table == "hosts" {
+        return json(&state.answer(Some(host_rows(&state.hosts))));
+    }
+    let limit = query.limit.unwrap_or(PAGE_MAX_ROWS).min(PAGE_MAX_ROWS);
+    let inside = |address: &Address| {
+        address.table == query.table
+            && address.part == query.part
+            && address.key >= query.from
+            && (query.to.is_empty() || address.key < query.to)
+    };
+    let found = state.rows.iter().filter(|(address, _)| inside(address));
+    let mut rows: Vec<Entry> = found
+        .take(limit + 1)
+        .map(|(address, row)| make_row(address, row))
+        .collect();
+    let more = rows.len() > limit;
+    rows.truncate(limit);
+    let mut answer = state.answer(Some(rows));
+    answer.more = more;
+    json(&answer)
+}
+
+fn host_rows(hosts: &[HostInfo]) -> Vec<Entry> {
+    let row = |host: &HostInfo| Entry {
+        table: "hosts".into(),
+        part: String::new(),
+        key: host.host.to_string(),
+        value: serde_json::to_vec(host).ok().map(Value),
+        version: 1,
+        removed: false,
+    };
+    hosts.iter().map(row).collect()
+}
+
+async fn feed(state: &Mutex<State>, request: &Request) -> Response {
+    #[derive(Deserialize)]
+    struct Query {
+        #[serde(rename = "Table")]
+        table: String,
+        after: u64,
+        #[serde(rename = "WaitMs", default)]
+        wait_ms: u64,
+    }
+    let Ok(query) = request.query::<Query>() else {
+        return Response::new(StatusCode::BadRequest);
+    };
+    let end = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        {
+            let mut state = lock(state);
+            if query.after < state.forgotten {
+                return Response::new(StatusCode::Gone);
+            }
+            let news = state.history.iter().filter(|change| {
+                change.version > query.after && change.address.table == query.table
+            });
+            let rows: Vec<Entry> = news.map(make_change).collect();
+            if !rows.is_empty() || Instant::now() >= end {
+                state.reads += 1;
+                return json(&state.answer(Some(rows)));
+            }
+        }
+        smol::Timer::after(FEED_POLL).await;
+    }
+}
+
+fn make_row(address: &Address, row: &(u64, Vec<u8>)) -> Entry {
+    Entry {
+        table: address.table.clone(),
+        part: address.part.clone(),
+        key: address.key.clone(),
+        value: Some(Value(row.1.clone())),
         version: row.0,
-        value: Value(row.1.clone()),
+        removed: false,
+    }
+}
+
+fn make_change(change: &Change) -> Entry {
+    Entry {
+        table: change.address.table.clone(),
+        part: change.address.part.clone(),
+        key: change.address.key.clone(),
+        value: change.value.clone().map(Value),
+        version: change.version,
+        removed: change.value.is_none(),
     }
 }
 
 async fn put_object(state: &Mutex<State>, path: &str, request: &mut Request) -> Response {
-    let Some(key) = path.strip_prefix("/v1/objects/") else {
+    let Some(key) = path.strip_prefix("/-/blob-put/") else {
         return Response::new(StatusCode::NotFound);
     };
     let bytes = read(request).await;
@@ -221,20 +483,14 @@
     Response::new(StatusCode::Ok)
 }
 
-fn get(state: &Mutex<State>, path: &str) -> Response {
+fn get_object(state: &Mutex<State>, path: &str) -> Response {
     let mut state = lock(state);
     state.reads += 1;
-    if let Some(key) = path.strip_prefix("/v1/rows/")
-        && let Some(row) = state.rows.get(key)
-    {
-        return json(&make_row(key, row));
-    }
-    if let Some(key) = path.strip_prefix("/v1/objects/")
-        && let Some(bytes) = state.objects.get(key)
-    {
-        let mut response = Response::new(StatusCode::Ok);
-        response.set_body(bytes.clone());
-        return response;
-    }
-    Response::new(StatusCode::NotFound)
+    let key = path.strip_prefix("/-/blob-get/");
+    let Some(bytes) = key.and_then(|key| state.objects.get(key)) else {
+        return Response::new(StatusCode::NotFound);
+    };
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(bytes.clone());
+    response
 }
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -1,4 +1,4 @@
-//! The messages of the platform's HTTP interface; values are base64 within JSON.
+//! Rows and transactions; values are base64 within JSON.
 
 use std::net::SocketAddr;
 
@@ -8,18 +8,25 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use units::{Host, Region, Zone};
 
-/// Bytes that are base64 in JSON.
+/// Bytes, which are base64 where text is written.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Value(pub Vec<u8>);
 
 impl Serialize for Value {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str(&STANDARD.encode(&self.0))
+        if serializer.is_human_readable() {
+            serializer.serialize_str(&STANDARD.encode(&self.0))
+        } else {
+            serializer.serialize_bytes(&self.0)
+        }
     }
 }
 
 impl<'de> Deserialize<'de> for Value {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return Vec::deserialize(deserializer).map(Value);
+        }
         let text = String::deserialize(deserializer)?;
         STANDARD
             .decode(text)
@@ -95,16 +102,6 @@
     }
 }
 
-/// What became of a transaction.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Outcome {
-    /// All conditions held and all writes happened.
-    Committed,
-    /// These rows had another version; nothing was written.
-    Conflict(Vec<CompactString>),
-}
-
 /// What a listed host runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,83 +1,133 @@
-//! The client.
+//! The product's own rows and objects: one part of one table.
 
-use std::net::SocketAddr;
+use std::fmt;
+use std::sync::Arc;
 
-use http_types::{Body, Method};
+use compact_str::CompactString;
+use smol::future::FutureExt;
 use units::Span;
 
-use crate::api::{HostInfo, Outcome, Row, Transaction};
+use crate::api::{HostInfo, Row, Transaction};
 use crate::error::{Error, Result};
+use crate::table::{Objects, Place, Table, Written};
 
-/// A client of the platform's service.
-#[derive(Clone, Debug)]
+/// The table of the product's own rows; one part of it, as a transaction may touch any of them.
+const TABLE: &str = "balsamhold";
+/// The table of hosts that the platform keeps.
+const HOSTS_TABLE: &str = "hosts";
+/// Most hosts that are read.
+const HOSTS_MAX: usize = 10_000;
+
+/// The store as the processes with a log use it; each exchange is bounded.
+#[derive(Clone)]
 pub struct Client {
-    http: http_io::Client,
+    table: Arc<dyn Table>,
+    objects: Arc<dyn Objects>,
+    place: Place,
+    timeout: Span,
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client")
+            .field("place", &self.place)
+            .field("timeout", &self.timeout)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Client {
-    /// A client of the service at `address`; each exchange is bounded by `timeout`.
-    pub fn new(address: SocketAddr, timeout: Span) -> Self {
+    /// A client of this store; each exchange is bounded by `timeout`.
+    pub fn new<S: Table + Objects + 'static>(store: S, timeout: Span) -> Self {
+        let store = Arc::new(store);
         Client {
-            http: http_io::Client::new(address, timeout.into()),
+            table: store.clone(),
+            objects: store,
+            place: Place::new(TABLE, ""),
+            timeout,
         }
     }
 
     /// Runs a transaction.
-    pub async fn commit(&self, transaction: &Transaction) -> Result<Outcome> {
-        Ok(self
-            .http
-            .json(Method::Post, "/v1/transaction", Some(transaction))
-            .await?)
+    pub async fn commit(&self, transaction: &Transaction) -> Result<Written> {
+        self.bounded(self.table.write(&self.place, transaction))
+            .await
     }
 
     /// Reads a row.
     pub async fn row(&self, key: &str) -> Result<Option<Row>> {
-        missing(
-            self.http
-                .json(Method::Get, &format!("/v1/rows/{key}"), None::<&()>)
-                .await,
-        )
+        let end = after(key);
+        let page = self.table.read(&self.place, key, &end, 1);
+        Ok(self.bounded(page).await?.rows.pop())
     }
 
     /// Reads the rows whose keys begin with `prefix` and come after `after`, in order, at most
     /// `limit`.
-    pub async fn rows(&self, prefix: &str, after: &str, limit: u32) -> Result<Vec<Row>> {
-        let path = format!("/v1/rows?prefix={prefix}&after={after}&limit={limit}");
-        Ok(self.http.json(Method::Get, &path, None::<&()>).await?)
+    pub async fn rows(&self, prefix: &str, last: &str, limit: u32) -> Result<Vec<Row>> {
+        let end = format!("{prefix}\u{7f}");
+        let start = if last.is_empty() {
+            prefix.into()
+        } else {
+            after(last)
+        };
+        self.range(&self.place, start, &end, limit as usize).await
     }
 
     /// Writes an object.
     pub async fn put_object(&self, key: &str, bytes: Vec<u8>) -> Result<()> {
-        let mut request = self
-            .http
-            .request(Method::Put, &format!("/v1/objects/{key}"))?;
-        request.set_body(Body::from_bytes(bytes));
-        self.http.whole(request).await?;
-        Ok(())
+        self.bounded(self.objects.put(key, bytes)).await
     }
 
     /// Reads an object.
     pub async fn object(&self, key: &str) -> Result<Option<Vec<u8>>> {
-        let request = self
-            .http
-            .request(Method::Get, &format!("/v1/objects/{key}"))?;
-        missing(self.http.whole(request).await)
+        self.bounded(self.objects.get(key)).await
     }
 
     /// The list of hosts.
     pub async fn hosts(&self) -> Result<Vec<HostInfo>> {
-        Ok(self
-            .http
-            .json(Method::Get, "/v1/hosts", None::<&()>)
-            .await?)
+        let place = Place::new(HOSTS_TABLE, "");
+        let rows = self
+            .range(&place, CompactString::default(), "", HOSTS_MAX)
+            .await?;
+        let decode = |row: Row| serde_json::from_slice(&row.value.0);
+        let hosts: std::result::Result<_, _> = rows.into_iter().map(decode).collect();
+        hosts.map_err(|error| Error::Unavailable(http_io::Error::Decode(error)))
     }
-}
 
-/// Turns the status of a missing thing into `None`.
-fn missing<T>(result: http_io::Result<T>) -> Result<Option<T>> {
-    match result {
-        Ok(value) => Ok(Some(value)),
-        Err(http_io::Error::Status(404, _)) => Ok(None),
-        Err(error) => Err(Error::from(error)),
+    /// Reads up to `limit` rows, page by page.
+    async fn range(
+        &self,
+        place: &Place,
+        mut start: CompactString,
+        end: &str,
+        limit: usize,
+    ) -> Result<Vec<Row>> {
+        let mut rows: Vec<Row> = Vec::new();
+        loop {
+            let left = limit - rows.len();
+            let page = self.table.read(place, &start, end, left);
+            let page = self.bounded(page).await?;
+            let more = page.more;
+            rows.extend(page.rows);
+            match rows.last() {
+                Some(last) if more && rows.len() < limit => start = after(&last.key),
+                _ => return Ok(rows),
+            }
+        }
+    }
+
+    async fn bounded<T>(&self, call: impl Future<Output = Result<T>>) -> Result<T> {
+        let expire = async {
+            smol::Timer::after(self.timeout.into()).await;
+            Err(Error::Uncertain(http_io::Error::Timeout))
+        };
+        call.or(expire).await
     }
 }
+
+/// The first key after `key` that a row may have: keys hold visible characters only.
+pub fn after(key: &str) -> CompactString {
+    let mut next = CompactString::new(key);
+    next.push('\u{1}');
+    next
+}
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -6,13 +6,14 @@
 
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
+use serde::{Deserialize, Serialize};
 use units::Span;
 
 use crate::api::{Row, Transaction};
 use crate::error::Result;
 
 /// Where rows lie.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Place {
     /// The table.
     pub table: CompactString,
@@ -31,7 +32,7 @@
 }
 
 /// What became of a transaction on a [`Table`].
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Written {
     /// All conditions held and all writes happened; the new version of the rows written.
     Committed(u64),
@@ -40,7 +41,7 @@
 }
 
 /// Rows read at one moment.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
     /// The rows in the order of their keys.
     pub rows: Vec<Row>,
@@ -51,7 +52,7 @@
 }
 
 /// A row that was written or dropped.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// The row's part.
     pub part: CompactString,
@@ -62,7 +63,7 @@
 }
 
 /// What happened to a table after a version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Feed {
     /// The changes in order, and the version to go on from.
     Changes(Vec<Change>, u64),
@@ -79,14 +80,25 @@
         transaction: &'a Transaction,
     ) -> BoxFuture<'a, Result<Written>>;
 
-    /// Reads the rows from `from` to `to`, which is excluded; an empty `to` reads to the end.
+    /// Reads the rows from `from` to `to`, which is excluded, at most `limit` of them and maybe
+    /// fewer; an empty `to` reads to the end.
     fn read<'a>(
         &'a self,
         place: &'a Place,
         from: &'a str,
         to: &'a str,
+        limit: usize,
     ) -> BoxFuture<'a, Result<Page>>;
 
     /// Waits for changes after `version` for at most `wait`.
     fn feed<'a>(&'a self, table: &'a str, version: u64, wait: Span) -> BoxFuture<'a, Result<Feed>>;
 }
+
+/// A service of objects as the product uses it.
+pub trait Objects: Send + Sync {
+    /// Writes an object, over one that may be there.
+    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>) -> BoxFuture<'a, Result<()>>;
+
+    /// Reads an object.
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Vec<u8>>>>;
+}
--- a/crates/turns/src/chain.rs
+++ b/crates/turns/src/chain.rs
@@ -11,8 +11,8 @@
 use crate::error::{Error, Result};
 use crate::key::TurnKey;
 
-/// Largest value of a row before the encoding of the store: in base64 it stays under 64 KiB.
-const ROW_MAX_BYTES: usize = 48 << 10;
+/// Text in one row: with its head and in base64 it stays under 64 KiB.
+const ROW_MAX_BYTES: usize = 47 << 10;
 
 /// A turn that was answered whole.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- /dev/null
+++ b/crates/turns/tests/chain.rs
@@ -0,0 +1,117 @@
+//! Turns, their rows, and the text that they make.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use proptest::prelude::*;
+use store::api::Row;
+use turns::{History, Turn, TurnKey};
+use units::{Span, Time};
+
+const HOUR: Span = Span::from_ms(3_600_000);
+
+fn turn(line: &[&str], input: &str, output: &str) -> Turn {
+    Turn {
+        line: line.iter().map(|id| CompactString::new(id)).collect(),
+        input: Bytes::copy_from_slice(input.as_bytes()),
+        output: Bytes::copy_from_slice(output.as_bytes()),
+    }
+}
+
+/// The rows that a turn is written to.
+fn rows(turn: &Turn, key: &TurnKey) -> Vec<Row> {
+    let transaction = turn.write(key).expect("encodes");
+    let writes = transaction.writes.into_iter();
+    let rows = writes.map(|write| Row {
+        key: write.key,
+        version: 1,
+        value: write.value.expect("a value"),
+    });
+    rows.collect()
+}
+
+#[test]
+fn text_is_all_that_was_said_in_order() {
+    let mut history = History::new(1 << 20, HOUR);
+    let now = Time(0);
+    history.insert(&"a".into(), turn(&[], "q1 ", "r1\n"), now);
+    history.insert(&"b".into(), turn(&["a"], "q2 ", "r2\n"), now);
+    history.insert(&"c".into(), turn(&["a", "b"], "q3 ", "r3\n"), now);
+    let past = history.past(&"c".into()).expect("known");
+    assert_eq!(&past.text[..], b"q1 r1\nq2 r2\nq3 r3\n");
+    assert_eq!(past.line, ["a", "b", "c"]);
+}
+
+#[test]
+fn turns_that_are_not_here_are_named() {
+    let mut history = History::new(1 << 20, HOUR);
+    assert_eq!(history.past(&"c".into()), Err(vec!["c".into()]));
+    history.insert(&"c".into(), turn(&["a", "b"], "q", "r"), Time(0));
+    assert_eq!(history.past(&"c".into()), Err(vec!["a".into(), "b".into()]));
+}
+
+#[test]
+fn the_oldest_turns_leave_memory_first() {
+    let mut history = History::new(100, HOUR);
+    let long = "x".repeat(60);
+    history.insert(&"a".into(), turn(&[], &long, ""), Time(0));
+    history.insert(&"b".into(), turn(&[], &long, ""), Time(1));
+    assert!(history.get("a").is_none());
+    assert!(history.get("b").is_some());
+    assert_eq!(history.size(), 60);
+}
+
+#[test]
+fn turns_leave_memory_with_time() {
+    let mut history = History::new(1 << 20, Span::from_ms(10));
+    history.insert(&"a".into(), turn(&[], "q", "r"), Time(0));
+    history.insert(&"b".into(), turn(&[], "q", "r"), Time(20_000));
+    assert!(history.get("a").is_none());
+}
+
+#[test]
+fn a_missing_row_is_noticed() {
+    let key = TurnKey::new("t");
+    let long = "x".repeat(200 << 10);
+    let mut rows = rows(&turn(&["s"], &long, "r\n"), &key);
+    assert!(rows.len() > 2);
+    rows.remove(1);
+    assert!(Turn::read(&rows).is_err());
+}
+
+#[test]
+fn no_rows_are_no_turn() {
+    assert_eq!(Turn::read(&[]), Ok(None));
+}
+
+proptest! {
+    #[test]
+    fn a_turn_survives_its_rows(
+        line in prop::collection::vec("[a-f0-9]{1,16}", 0..6),
+        length in 0..300_000_usize,
+        output in prop::collection::vec(any::<u8>(), 0..2_000),
+    ) {
+        let turn = Turn {
+            line: line.into_iter().map(CompactString::from).collect(),
+            input: vec![b'x'; length].into(),
+            output: output.into(),
+        };
+        let key = TurnKey::new("t");
+        let rows = rows(&turn, &key);
+        for row in &rows {
+            prop_assert!(row.key.as_str() >= key.first.as_str());
+            prop_assert!(row.key.as_str() < key.end.as_str());
+            // The store's limit for a value is 64 KiB in base64.
+            prop_assert!(row.value.0.len().div_ceil(3) * 4 <= 65_536);
+        }
+        prop_assert_eq!(Turn::read(&rows), Ok(Some(turn)));
+    }
+
+    #[test]
+    fn keys_of_turns_do_not_overlap(one in "[ -~]{1,80}", other in "[ -~]{1,80}") {
+        prop_assume!(one != other);
+        let (one, other) = (TurnKey::new(&one), TurnKey::new(&other));
+        prop_assert!(one.first != other.first);
+        prop_assert!(!one.row(0).starts_with(other.first.as_str()));
+        prop_assert!(one.row(0).len() <= 200);
+    }
+}
--- /dev/null
+++ b/crates/turns/tests/ledger.rs
@@ -0,0 +1,202 @@
+//! Budgets over many hosts, with writes that are lost, late and repeated.
+
+use proptest::prelude::*;
+use turns::{Account, Admission, Ledger, Plan};
+use units::{Incarnation, Tokens};
+
+const BUDGET: Tokens = Tokens(1_000);
+
+/// The account row as a store keeps it.
+#[derive(Default)]
+struct Store {
+    account: Account,
+    version: u64,
+    /// Writes that were sent and may still take effect.
+    late: Vec<Plan>,
+}
+
+impl Store {
+    fn write(&mut self, plan: &Plan) -> bool {
+        if plan.version != self.version {
+            return false;
+        }
+        self.version += 1;
+        self.account = plan.account.clone();
+        true
+    }
+}
+
+/// A host with the turns that it runs.
+struct Host {
+    ledger: Ledger,
+    running: Vec<Tokens>,
+    flight: Option<Plan>,
+    handed_out: u64,
+}
+
+impl Host {
+    fn new(number: u64) -> Self {
+        Host {
+            ledger: Ledger::new(Incarnation(number)),
+            running: Vec::new(),
+            flight: None,
+            handed_out: 0,
+        }
+    }
+
+    fn admit(&mut self, need: Tokens) {
+        if self.ledger.admit(need, BUDGET) == Admission::Start {
+            self.running.push(need);
+        }
+    }
+
+    /// Sends the next write, or the one whose fate is not known once more.
+    fn send(&mut self, store: &mut Store, wanted: Tokens, ahead: bool, fate: Fate) {
+        let plan = match self.flight.take() {
+            Some(plan) => plan,
+            None => {
+                let fits = self.ledger.fits(wanted);
+                let wanted = if fits { wanted } else { Tokens(0) };
+                self.ledger.plan(wanted, ahead, None)
+            }
+        };
+        match fate {
+            Fate::Answered => {
+                if store.write(&plan) {
+                    self.ledger.committed(plan, store.version);
+                } else {
+                    self.ledger.refresh(store.account.clone(), store.version);
+                }
+            }
+            Fate::Lost => {
+                store.write(&plan);
+                self.flight = Some(plan);
+            }
+            Fate::Late => {
+                store.late.push(plan.clone());
+                self.flight = Some(plan);
+            }
+        }
+    }
+
+    fn finish(&mut self, share: u64) {
+        if let Some(reserved) = self.running.pop() {
+            let used = Tokens(reserved.0 * share / 4);
+            self.handed_out += used.0;
+            self.ledger.settle(reserved, used);
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Answered,
+    Lost,
+    Late,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Admit(usize, u64),
+    Send(usize, u64, bool, Fate),
+    Finish(usize, u64),
+    Arrive(usize),
+    Restart(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let fate = prop_oneof![
+        4 => Just(Fate::Answered),
+        1 => Just(Fate::Lost),
+        1 => Just(Fate::Late)
+    ];
+    let step = prop_oneof![
+        4 => (0..3_usize, 1..200_u64).prop_map(|(host, need)| Step::Admit(host, need)),
+        4 => (0..3_usize, 0..300_u64, any::<bool>(), fate)
+            .prop_map(|(host, wanted, ahead, fate)| Step::Send(host, wanted, ahead, fate)),
+        3 => (0..3_usize, 0..=4_u64).prop_map(|(host, share)| Step::Finish(host, share)),
+        1 => (0..8_usize).prop_map(Step::Arrive),
+        1 => (0..3_usize).prop_map(Step::Restart),
+    ];
+    prop::collection::vec(step, 1..120)
+}
+
+proptest! {
+    #[test]
+    fn all_hosts_together_never_hand_out_more_than_the_budget(steps in steps()) {
+        let mut store = Store::default();
+        let mut hosts: Vec<Host> = (0..3).map(Host::new).collect();
+        let mut gone = 0;
+        let mut next = 3;
+        for step in steps {
+            match step {
+                Step::Admit(host, need) => hosts[host].admit(Tokens(need)),
+                Step::Send(host, wanted, ahead, fate) => {
+                    hosts[host].send(&mut store, Tokens(wanted), ahead, fate);
+                }
+                Step::Finish(host, share) => hosts[host].finish(share),
+                Step::Arrive(index) if !store.late.is_empty() => {
+                    let index = index % store.late.len();
+                    let plan = store.late.remove(index);
+                    store.write(&plan);
+                }
+                Step::Arrive(_) => {}
+                Step::Restart(host) => {
+                    // What ran at the host that is gone may have been handed out to the last token.
+                    let running: u64 = hosts[host].running.iter().map(|need| need.0).sum();
+                    gone += hosts[host].handed_out + running;
+                    hosts[host] = Host::new(next);
+                    next += 1;
+                }
+            }
+            let running: u64 = hosts.iter().flat_map(|host| &host.running).map(|need| need.0).sum();
+            let done: u64 = hosts.iter().map(|host| host.handed_out).sum();
+            prop_assert!(gone + done + running <= BUDGET.0);
+        }
+    }
+}
+
+/// A ledger that has a grant for `need` tokens and no more.
+fn granted(need: u64) -> Ledger {
+    let mut ledger = Ledger::new(Incarnation(1));
+    assert_eq!(ledger.admit(Tokens(need), BUDGET), Admission::Write);
+    let plan = ledger.plan(Tokens(need), false, None);
+    ledger.committed(plan, 1);
+    ledger
+}
+
+#[test]
+fn a_turn_waits_for_its_grant() {
+    let mut ledger = granted(100);
+    assert_eq!(ledger.admit(Tokens(100), BUDGET), Admission::Start);
+    assert_eq!(ledger.admit(Tokens(1), BUDGET), Admission::Write);
+}
+
+#[test]
+fn what_another_host_took_is_spent_and_what_it_holds_ahead_is_held() {
+    let mut other = Ledger::new(Incarnation(2));
+    assert_eq!(other.admit(Tokens(600), BUDGET), Admission::Write);
+    let plan = other.plan(Tokens(600), true, None);
+    let mut mine = Ledger::new(Incarnation(1));
+    mine.refresh(plan.account, 1);
+    assert_eq!(mine.admit(Tokens(200), BUDGET), Admission::Write);
+    assert_eq!(mine.admit(Tokens(300), BUDGET), Admission::Held);
+    assert_eq!(mine.admit(Tokens(500), BUDGET), Admission::Spent);
+}
+
+#[test]
+fn a_grant_that_is_being_given_back_is_not_used() {
+    let mut ledger = granted(400);
+    // The answer to this write may be lost: the store may have it already.
+    let plan = ledger.plan(Tokens(0), false, None);
+    assert_eq!(plan.grant.granted, Tokens(0));
+    assert_ne!(ledger.admit(Tokens(400), BUDGET), Admission::Start);
+}
+
+#[test]
+fn an_account_survives_its_row() {
+    let plan = granted(10).plan(Tokens(5), true, Some("endpoint-1"));
+    let bytes = plan.account.encode().expect("encodes");
+    assert_eq!(Account::decode(&bytes), Ok(plan.account));
+    assert!(Account::decode(&bytes[..1]).is_err());
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -12,6 +12,7 @@
 
 use crate::list::bounded;
 use crate::order::{Order, Ordered};
+use crate::relay::{Relay, Relayed};
 
 /// One message of an exchange.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -101,6 +102,10 @@
     Tails(#[serde(deserialize_with = "bounded")] Vec<Tail>),
     /// The tails of these programs are in the log and need not be held; answered by `Ack`.
     Committed(#[serde(deserialize_with = "bounded")] Vec<Program>),
+    /// Has a peer call the store; answered by `Relayed`.
+    Relay(Relay),
+    /// What came of the call.
+    Relayed(Relayed),
 }
 
 impl Frame {
@@ -141,6 +146,8 @@
             Frame::Collect(_) => "Collect",
             Frame::Tails(_) => "Tails",
             Frame::Committed(_) => "Committed",
+            Frame::Relay(_) => "Relay",
+            Frame::Relayed(_) => "Relayed",
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,6 +19,7 @@
 mod link;
 mod list;
 mod order;
+mod relay;
 mod server;
 mod stream;
 
@@ -34,5 +35,6 @@
 pub use link::Link;
 pub use list::LIST_MAX;
 pub use order::{Action, Fence, Order, Ordered};
+pub use relay::{Relay, Relayed};
 pub use server::{Drain, serve};
 pub use stream::Stream;
--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -17,7 +17,9 @@
         ("entry", "peer-address", settings.peers),
         ("admin", "address", settings.admin.address),
     ];
-    ::entry::run(settings, &log, stop::signal()?).map_err(|error| match error {
+    let store = &settings.process.platform;
+    let client = store::Client::new(platform::Client::new(store.address), store.timeout);
+    ::entry::run(settings, client, &log, stop::signal()?).map_err(|error| match error {
         ::entry::Error::Listen(address, why) => {
             unusable(&options.settings, &addresses, address, &why)
         }
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -18,9 +18,15 @@
     let addresses = [
         ("gateway", "caller-address", settings.callers),
         ("gateway", "status-address", settings.status),
+        ("gateway", "peer-address", settings.peers),
     ];
     let adapter = platform::adapter(&settings);
-    ::gateway::run(settings, adapter, log, stop::signal()?).map_err(|error| match error {
+    let control = ::gateway::Control {
+        file: options.settings.clone(),
+        stop: Box::pin(stop::signal()?),
+        reloads: stop::reloads()?,
+    };
+    ::gateway::run(settings, adapter, log, control).map_err(|error| match error {
         ::gateway::Error::Listen(address, why) => {
             unusable(&options.settings, &addresses, address, &why)
         }
--- a/src/commands/stop.rs
+++ b/src/commands/stop.rs
@@ -1,4 +1,4 @@
-//! The signal to stop.
+//! The signals to stop and to read the settings again.
 
 use crate::commands::{Error, Result};
 
@@ -23,3 +23,21 @@
         let _ = receiver.recv().await;
     })
 }
+
+/// A message for each SIGHUP; the process goes on.
+pub(crate) fn reloads() -> Result<async_channel::Receiver<()>> {
+    let (sender, receiver) = async_channel::bounded(1);
+    let mut signals = signal_hook::iterator::Signals::new([signal_hook::consts::SIGHUP])
+        .map_err(Error::Signals)?;
+    let wait = move || {
+        for _ in signals.forever() {
+            // One that waits to be read stands for all that come meanwhile.
+            let _ = sender.try_send(());
+        }
+    };
+    std::thread::Builder::new()
+        .name("reloads".into())
+        .spawn(wait)
+        .map_err(Error::Signals)?;
+    Ok(receiver)
+}
--- a/tests/all/races.rs
+++ b/tests/all/races.rs
@@ -101,8 +101,9 @@
     let author = format!("operator-{operator}-{change}");
     let platform = cluster.platform.state();
     let mut rows = platform.rows.iter();
-    rows.any(|(key, (_, value))| {
-        key.starts_with("environment-history.") && String::from_utf8_lossy(value).contains(&author)
+    rows.any(|(address, (_, value))| {
+        address.key.starts_with("environment-history.")
+            && String::from_utf8_lossy(value).contains(&author)
     })
 }
 
--- a/tests/all/takeover.rs
+++ b/tests/all/takeover.rs
@@ -160,7 +160,10 @@
     let (here, there) = (cluster.caller(0, "meche"), cluster.caller(1, "meche"));
     let program = here.create("reorder", 20_000, 20);
     assert!(here.service(&program, 1, "stock", ORDER).is_whole());
-    let client = store::Client::new(cluster.platform.address, Span::from_ms(1_000));
+    let client = store::Client::new(
+        platform::Client::new(cluster.platform.address),
+        Span::from_ms(1_000),
+    );
     let (old, successor) = (writer(&here), writer(&there));
     let sealing = smol::block_on(async {
         let found = find(&client, old).await.unwrap().unwrap();
@@ -222,7 +225,7 @@
         state
             .rows
             .keys()
-            .filter(|key| key.starts_with(&rows))
+            .filter(|row| row.key.starts_with(&rows))
             .count()
     };
     assert!(batches(&cluster) > 0);
