gateway: the store is away part by part; turns have a second place

Ruled out: peers (they saw the same). Change: gateway::Reach keeps a state a part and one for all; a turn is written to the first of two places that answers and read from both; 404 needs both.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -159,7 +159,7 @@
         "code" => refusal.code(), "status" => refusal.status().as_u16(), "ran" => refusal.ran(),
         "retry_ms" => delay.map_or(0, Span::as_ms),
         "environment" => shared.environment().map_or(0, |environment| environment.version),
-        "store_away" => shared.rows.is_away(),
+        "store_away" => shared.rows.is_all_away(),
         "after_ms" => shared.clock.now().since(started).as_ms());
 }
 
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -9,8 +9,9 @@
 use turns::{History, Past, Turn, TurnKey};
 use units::{Clock, Span, Time};
 
-use crate::control::{Rows, pause};
+use crate::control::pause;
 use crate::reply::Refusal;
+use crate::rows::Rows;
 
 /// Turns kept in memory, in bytes of text: a part of the smallest host that this runs on (88 MB).
 const MEMORY_MAX_BYTES: usize = 16 << 20;
@@ -53,9 +54,6 @@
                 Ok(past) => return Ok(past),
                 Err(missing) => missing,
             };
-            if self.rows.is_away() {
-                return Err(Refusal::Away);
-            }
             let reads = missing.iter().map(|turn| self.read(turn));
             for read in join_all(reads).await {
                 read?;
@@ -64,29 +62,39 @@
         self.memory().past(id).map_err(|_| Refusal::Away)
     }
 
-    /// Reads a turn into memory; once more if the store fails.
+    /// Reads a turn into memory from the first of its places that has it.
     async fn read(&self, id: &CompactString) -> Result<(), Refusal> {
-        let key = TurnKey::new(id);
+        let mut missing = Refusal::NoTurn;
+        for key in TurnKey::all(id) {
+            match self.read_at(id, &key).await {
+                Ok(Some(turn)) => {
+                    self.memory().insert(id, turn, self.clock.now());
+                    return Ok(());
+                }
+                Ok(None) => {}
+                // What cannot be read may be there.
+                Err(refusal) => missing = refusal,
+            }
+        }
+        Err(missing)
+    }
+
+    /// Reads a turn from one place; once more if an answer is lost.
+    async fn read_at(&self, id: &CompactString, key: &TurnKey) -> Result<Option<Turn>, Refusal> {
         let mut result = self.rows.read(&key.place, &key.first, &key.end).await;
-        if result.is_err() && !self.rows.is_away() {
+        if result.is_err() && !self.rows.is_away(&key.place) {
             result = self.rows.read(&key.place, &key.first, &key.end).await;
         }
         let page = result.map_err(|error| {
-            info!(self.log, "turn not read"; "turn" => %id, "error" => %error);
+            info!(self.log, "turn not read"; "turn" => %id, "part" => %key.place.part,
+                "error" => %error);
             Refusal::Away
         })?;
-        match Turn::read(&page.rows) {
-            Ok(Some(turn)) => {
-                self.memory().insert(id, turn, self.clock.now());
-                Ok(())
-            }
-            Ok(None) => Err(Refusal::NoTurn),
-            Err(error) => {
-                warn!(self.log, "turn cannot be read"; "turn" => %id, "error" => %error,
-                    "store_version" => page.version);
-                Err(Refusal::Away)
-            }
-        }
+        Turn::read(&page.rows).map_err(|error| {
+            warn!(self.log, "turn cannot be read"; "turn" => %id, "error" => %error,
+                "store_version" => page.version);
+            Refusal::Away
+        })
     }
 
     /// Commits a turn: returns once it is durable, however long that takes.
@@ -99,14 +107,19 @@
         turn: Turn,
         retain: Span,
     ) -> Result<(), Refusal> {
-        let key = TurnKey::new(id);
-        let transaction = turn.write(&key).map_err(|error| {
-            warn!(self.log, "turn cannot be encoded"; "turn" => %id, "error" => %error);
-            Refusal::Broken
-        })?;
-        while let Err(error) = self.rows.write(&key.place, &transaction).await {
-            info!(self.log, "turn not written yet"; "turn" => %id, "error" => %error);
-            if !error.is_uncertain() || self.rows.is_away() {
+        let keys = TurnKey::all(id);
+        // One place is enough; the second serves while the first is away.
+        for key in keys.iter().cycle() {
+            let transaction = turn.write(key).map_err(|error| {
+                warn!(self.log, "turn cannot be encoded"; "turn" => %id, "error" => %error);
+                Refusal::Broken
+            })?;
+            let Err(error) = self.rows.write(&key.place, &transaction).await else {
+                break;
+            };
+            info!(self.log, "turn not written yet"; "turn" => %id, "part" => %key.place.part,
+                "error" => %error);
+            if keys.iter().all(|key| self.rows.is_away(&key.place)) {
                 pause().await;
             }
         }
@@ -127,22 +140,26 @@
             expired.map(|(_, id)| id).collect()
         };
         for id in expired {
-            let key = TurnKey::new(&id);
-            let rows = self.memory().get(&id).map(|turn| turn.write(&key));
-            let count = match rows {
-                Some(Ok(transaction)) => transaction.writes.len(),
-                _ => 1,
-            };
-            let mut transaction = Transaction::default();
-            for index in 0..count {
-                transaction = transaction.with_delete(&key.row(index));
-            }
-            if let Err(error) = self.rows.write(&key.place, &transaction).await {
-                info!(self.log, "rows of a turn stay"; "turn" => %id, "error" => %error);
+            for key in TurnKey::all(&id) {
+                if let Err(error) = self.drop_at(&key).await {
+                    info!(self.log, "rows of a turn stay"; "turn" => %id, "error" => %error);
+                }
             }
         }
     }
 
+    async fn drop_at(&self, key: &TurnKey) -> store::Result<()> {
+        let page = self.rows.read(&key.place, &key.first, &key.end).await?;
+        if page.rows.is_empty() {
+            return Ok(());
+        }
+        let rows = page.rows.iter();
+        let drop = rows.fold(Transaction::default(), |drop, row| {
+            drop.with_delete(&row.key)
+        });
+        self.rows.write(&key.place, &drop).await.map(|_| ())
+    }
+
     /// Bytes of text in memory.
     pub(crate) fn size(&self) -> usize {
         self.memory().size()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,7 +22,7 @@
 use units::{Clock, Host, Incarnation, Span, Time, Zone};
 use wire::{Frame, Identity, Key, Link, Relay, Relayed, Stream};
 
-use crate::control::Rows;
+use crate::rows::Rows;
 
 /// The table with a row for each gateway.
 pub(crate) const TABLE: &str = "gateways";
--- a/crates/gateway/src/programs.rs
+++ b/crates/gateway/src/programs.rs
@@ -15,8 +15,9 @@
 use turns::{Account, AccountKey, Admission, Ledger, Plan};
 use units::{Clock, Incarnation, Span, Time, Tokens};
 
-use crate::control::{Rows, pause};
+use crate::control::pause;
 use crate::reply::Refusal;
+use crate::rows::Rows;
 
 /// A program without requests for this long gives back the tokens it holds ahead: longer than the
 /// pause between two turns.
@@ -153,7 +154,7 @@
             if state.ledger.is_running() || state.driven || idle < IDLE_MAX {
                 return true;
             }
-            if state.ledger.spare() > Tokens(0) && !self.rows.is_away() {
+            if state.ledger.spare() > Tokens(0) && !self.rows.is_away(&program.key.place) {
                 state.give_back = true;
                 woken.push(program.clone());
                 return true;
@@ -196,7 +197,7 @@
                 drop(state);
                 return Ok(self.reservation(need));
             }
-            if self.rows.is_away() {
+            if self.rows.is_away(&self.key.place) {
                 return Err(Refusal::Away);
             }
             let (answer, receiver) = async_channel::bounded(1);
@@ -323,7 +324,7 @@
 
     /// Refuses the requests that wait, if the store is away, and pauses.
     async fn refuse_waiting(&self, error: &Error) {
-        if self.rows.is_away() {
+        if self.rows.is_away(&self.key.place) {
             let mut state = self.lock();
             let waiting = std::mem::take(&mut state.waiting);
             state.top_up = false;
@@ -337,7 +338,7 @@
                 drop(waiting.answer.try_send(Err(Refusal::Away)));
             }
         }
-        if !error.is_uncertain() || self.rows.is_away() {
+        if !error.is_uncertain() || self.rows.is_away(&self.key.place) {
             pause().await;
         }
     }
--- /dev/null
+++ b/crates/gateway/src/reach.rs
@@ -0,0 +1,136 @@
+//! Whether the store can be reached, part by part.
+//!
+//! A store may be away as a whole or with some of its parts. A call to what is away would only keep
+//! its caller waiting, so it is refused at once; now and then one is let through to find out. The
+//! load this answers: an outage under full traffic, where each waiting caller would give up anyway.
+
+use std::collections::HashMap;
+
+use store::Place;
+use units::{Span, Time};
+
+/// Shortest wait for the store's answer: several round trips between regions and a transaction.
+const WAIT_MIN: Span = Span::from_ms(200);
+/// Longest wait; a store that takes this long is away for callers.
+const WAIT_MAX: Span = Span::from_ms(1_600);
+/// Waits are so many times the mean time of an answer.
+const WAIT_FACTOR: u64 = 6;
+/// Weight of a new sample in the mean time of an answer, as a divisor.
+const MEAN_DIVISOR: u64 = 8;
+/// Failures in a row after which a part counts as away: one may be a lost answer.
+const FAILURES_PLACE: u32 = 2;
+/// Failures in a row, of any parts, after which all of them count as away.
+const FAILURES_ALL: u32 = 4;
+/// Time between calls that are let through to what is away.
+const PROBE_INTERVAL: Span = Span::from_ms(250);
+
+/// What has changed, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turned {
+    /// The part counts as away from now on.
+    Away,
+    /// The part was away, and has answered; how long it had been silent.
+    Back(Span),
+}
+
+/// One part, or all of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Link {
+    failures: u32,
+    last_answer: Time,
+    probed: Time,
+}
+
+impl Link {
+    fn new(now: Time) -> Self {
+        Link {
+            failures: 0,
+            last_answer: now,
+            probed: Time(0),
+        }
+    }
+
+    fn probe(&mut self, now: Time) -> bool {
+        let due = now.since(self.probed) >= PROBE_INTERVAL;
+        if due {
+            self.probed = now;
+        }
+        due
+    }
+}
+
+/// How the parts of the store have answered lately over one way.
+#[derive(Clone, Debug)]
+pub struct Reach {
+    mean: Span,
+    all: Link,
+    places: HashMap<Place, Link>,
+}
+
+impl Reach {
+    /// A store that has not been asked yet.
+    pub fn new(now: Time) -> Self {
+        Reach {
+            mean: Span(WAIT_MIN.0 / WAIT_FACTOR),
+            all: Link::new(now),
+            places: HashMap::new(),
+        }
+    }
+
+    /// Whether calls to a part would only fail now.
+    pub fn is_away(&self, place: &Place) -> bool {
+        let failures = self.places.get(place).map_or(0, |link| link.failures);
+        self.is_all_away() || failures >= FAILURES_PLACE
+    }
+
+    /// Whether all parts are away.
+    pub fn is_all_away(&self) -> bool {
+        self.all.failures >= FAILURES_ALL
+    }
+
+    /// Whether a call to a part may be made now: it is not away, or the call is to find out.
+    pub fn admit(&mut self, place: &Place, now: Time) -> bool {
+        if self.is_all_away() {
+            return self.all.probe(now);
+        }
+        if !self.is_away(place) {
+            return true;
+        }
+        self.link(place, now).probe(now)
+    }
+
+    /// How long to wait for an answer: longer after each failure, as the store may be slow.
+    pub fn wait(&self, place: &Place) -> Span {
+        let failures = self.places.get(place).map_or(0, |link| link.failures);
+        let wait = (self.mean.0 * WAIT_FACTOR).clamp(WAIT_MIN.0, WAIT_MAX.0);
+        Span((wait << failures.min(4)).min(WAIT_MAX.0))
+    }
+
+    /// Takes in an answer; `took` is how long it took, unless it was a wait for news.
+    pub fn answered(&mut self, place: &Place, took: Option<Span>, now: Time) -> Option<Turned> {
+        let was_away = self.is_away(place);
+        if let Some(took) = took {
+            self.mean.0 = (self.mean.0 * (MEAN_DIVISOR - 1) + took.0) / MEAN_DIVISOR;
+        }
+        self.all = Link::new(now);
+        let link = self.link(place, now);
+        let silent = now.since(link.last_answer);
+        *link = Link::new(now);
+        was_away.then_some(Turned::Back(silent))
+    }
+
+    /// Takes in a failure.
+    pub fn failed(&mut self, place: &Place, now: Time) -> Option<Turned> {
+        let was_away = self.is_away(place);
+        self.all.failures = self.all.failures.saturating_add(1);
+        let link = self.link(place, now);
+        link.failures = link.failures.saturating_add(1);
+        (!was_away && self.is_away(place)).then_some(Turned::Away)
+    }
+
+    fn link(&mut self, place: &Place, now: Time) -> &mut Link {
+        self.places
+            .entry(place.clone())
+            .or_insert_with(|| Link::new(now))
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -156,7 +156,7 @@
             let late = expire(shared, deadline, Refusal::TimedOut);
             if let Err(refusal) = commit.or(late).await {
                 info!(shared.log, "turn not committed"; "request" => %self.exchange.call.id,
-                    "why" => refusal.code(), "store_away" => shared.rows.is_away());
+                    "why" => refusal.code(), "store_away" => shared.rows.is_all_away());
                 return Stop::Cut("turn not committed");
             }
         }
--- /dev/null
+++ b/crates/gateway/src/rows.rs
@@ -0,0 +1,278 @@
+//! The calls of the store, over whichever way reaches it.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use slog::{Logger, info, warn};
+use smol::future::FutureExt;
+use store::api::Transaction;
+use store::{Error, Feed, Page, Place, Result, Table, Written, after};
+use units::{Clock, Span, Time};
+use wire::{Relay, Relayed};
+
+use crate::control::FEED_WAIT;
+use crate::peers::Peers;
+use crate::reach::{Reach, Turned};
+
+/// Most rows asked for at once.
+const PAGE_ROWS: usize = 500;
+/// How long a store that is away is given to show that it is back.
+const PROBE_MAX: Span = Span::from_ms(300);
+
+/// The store.
+///
+/// While this host does not reach a part of it, calls go through a peer that does.
+pub(crate) struct Rows {
+    table: Arc<dyn Table>,
+    peers: Peers,
+    own: Way,
+    relayed: Way,
+    clock: Clock,
+}
+
+/// One way to the store.
+struct Way {
+    name: &'static str,
+    reach: Mutex<Reach>,
+    log: Logger,
+}
+
+impl Way {
+    fn new(name: &'static str, now: Time, log: &Logger) -> Self {
+        Way {
+            name,
+            reach: Mutex::new(Reach::new(now)),
+            log: log.clone(),
+        }
+    }
+
+    fn reach(&self) -> MutexGuard<'_, Reach> {
+        self.reach.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in what came of a call.
+    fn note<T>(&self, place: &Place, result: &Result<T>, took: Option<Span>, now: Time) {
+        let turned = match result {
+            Ok(_) => self.reach().answered(place, took, now),
+            Err(_) => self.reach().failed(place, now),
+        };
+        let (way, table, part) = (self.name, place.table.as_str(), place.part.as_str());
+        match (turned, result) {
+            (Some(Turned::Back(silent)), _) => info!(self.log, "store regained"; "way" => way,
+                "table" => table, "part" => part, "silent_ms" => silent.as_ms()),
+            (Some(Turned::Away), Err(error)) => warn!(self.log, "store lost"; "way" => way,
+                "table" => table, "part" => part, "error" => %error),
+            _ => {}
+        }
+    }
+}
+
+/// How the store was reached.
+enum Reached<T> {
+    Here(T),
+    There(Relayed),
+}
+
+impl Rows {
+    pub(crate) fn new(table: Arc<dyn Table>, peers: Peers, clock: Clock, log: &Logger) -> Self {
+        let now = clock.now();
+        Rows {
+            table,
+            peers,
+            own: Way::new("own", now, log),
+            relayed: Way::new("peers", now, log),
+            clock,
+        }
+    }
+
+    /// Whether calls to a part would only fail now, over every way.
+    pub(crate) fn is_away(&self, place: &Place) -> bool {
+        self.own.reach().is_away(place) && self.relayed.reach().is_away(place)
+    }
+
+    /// Whether calls to any part would only fail now, over every way.
+    pub(crate) fn is_all_away(&self) -> bool {
+        self.own.reach().is_all_away() && self.relayed.reach().is_all_away()
+    }
+
+    pub(crate) async fn write(&self, place: &Place, tx: &Transaction) -> Result<Written> {
+        let direct = self.table.write(place, tx);
+        let relay = || Relay::Write {
+            place: place.clone(),
+            transaction: tx.clone(),
+        };
+        match self.call(place, direct, relay).await? {
+            Reached::Here(written) | Reached::There(Relayed::Written(written)) => Ok(written),
+            Reached::There(_) => Err(unexpected()),
+        }
+    }
+
+    /// Reads all rows from `from` to `to`, page by page.
+    pub(crate) async fn read(&self, place: &Place, from: &str, to: &str) -> Result<Page> {
+        let mut all = self.read_page(place, from, to).await?;
+        while all.more {
+            let Some(last) = all.rows.last() else {
+                break;
+            };
+            let page = self.read_page(place, &after(&last.key), to).await?;
+            all.more = page.more;
+            all.rows.extend(page.rows);
+        }
+        Ok(all)
+    }
+
+    async fn read_page(&self, place: &Place, from: &str, to: &str) -> Result<Page> {
+        let direct = self.table.read(place, from, to, PAGE_ROWS);
+        let relay = || Relay::Read {
+            place: place.clone(),
+            from: from.into(),
+            to: to.into(),
+            limit: PAGE_ROWS as u32,
+        };
+        match self.call(place, direct, relay).await? {
+            Reached::Here(page) | Reached::There(Relayed::Page(page)) => Ok(page),
+            Reached::There(_) => Err(unexpected()),
+        }
+    }
+
+    /// Waits for changes of a table; also tries whether the store is back.
+    pub(crate) async fn feed(&self, table: &str, version: u64, wait: Span) -> Result<Feed> {
+        let place = Place::new(table, "");
+        let (away, answer) = {
+            let reach = self.own.reach();
+            (reach.is_away(&place), reach.wait(&place))
+        };
+        // A short call tells as well whether the store is back.
+        let (own_wait, limit) = if away {
+            (Span(0), PROBE_MAX)
+        } else {
+            (wait, Span(wait.0 + answer.0))
+        };
+        let feed = self.table.feed(table, version, own_wait);
+        let result = self.timed(&place, feed, limit, away).await;
+        if result.is_ok() || !self.own.reach().is_away(&place) {
+            return result;
+        }
+        let relay = Relay::Feed {
+            table: table.into(),
+            version,
+            wait,
+        };
+        match self.relay(&place, relay, wait).await? {
+            Relayed::Feed(feed) => Ok(feed),
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Makes a call for a peer; never passes it on.
+    pub(crate) async fn serve(&self, relay: Relay) -> Relayed {
+        let result = match relay {
+            Relay::Write { place, transaction } => {
+                let call = self.table.write(&place, &transaction);
+                self.direct(&place, call).await.map(Relayed::Written)
+            }
+            Relay::Read {
+                place,
+                from,
+                to,
+                limit,
+            } => {
+                let limit = (limit as usize).min(PAGE_ROWS);
+                let call = self.table.read(&place, &from, &to, limit);
+                self.direct(&place, call).await.map(Relayed::Page)
+            }
+            Relay::Feed {
+                table,
+                version,
+                wait,
+            } => self.serve_feed(&table, version, wait.min(FEED_WAIT)).await,
+        };
+        result.unwrap_or_else(|error| {
+            if error.is_uncertain() {
+                Relayed::Uncertain
+            } else {
+                Relayed::Unavailable
+            }
+        })
+    }
+
+    async fn serve_feed(&self, table: &str, version: u64, wait: Span) -> Result<Relayed> {
+        let place = Place::new(table, "");
+        if !self.own.reach().admit(&place, self.clock.now()) {
+            return Err(away());
+        }
+        let limit = Span(wait.0 + self.own.reach().wait(&place).0);
+        let call = self.table.feed(table, version, wait);
+        let feed = self.timed(&place, call, limit, false).await?;
+        Ok(Relayed::Feed(feed))
+    }
+
+    /// Calls the store, or has a peer call it.
+    async fn call<T>(
+        &self,
+        place: &Place,
+        direct: impl Future<Output = Result<T>>,
+        relay: impl Fn() -> Relay,
+    ) -> Result<Reached<T>> {
+        let result = self.direct(place, direct).await;
+        if result.is_ok() || !self.own.reach().is_away(place) {
+            return result.map(Reached::Here);
+        }
+        let relayed = self.relay(place, relay(), Span(0)).await;
+        match (relayed, result) {
+            (Ok(relayed), _) => Ok(Reached::There(relayed)),
+            // What was sent on either way may still be done.
+            (Err(_), Err(error)) if error.is_uncertain() => Err(error),
+            (Err(error), _) => Err(error),
+        }
+    }
+
+    async fn direct<T>(&self, place: &Place, call: impl Future<Output = Result<T>>) -> Result<T> {
+        if !self.own.reach().admit(place, self.clock.now()) {
+            return Err(away());
+        }
+        let wait = self.own.reach().wait(place);
+        self.timed(place, call, wait, true).await
+    }
+
+    async fn relay(&self, place: &Place, relay: Relay, wait: Span) -> Result<Relayed> {
+        let start = self.clock.now();
+        if !self.relayed.reach().admit(place, start) {
+            return Err(away());
+        }
+        let result = self.peers.relay(relay, wait).await;
+        let now = self.clock.now();
+        self.relayed
+            .note(place, &result, Some(now.since(start)), now);
+        result
+    }
+
+    async fn timed<T>(
+        &self,
+        place: &Place,
+        call: impl Future<Output = Result<T>>,
+        limit: Span,
+        sample: bool,
+    ) -> Result<T> {
+        let start = self.clock.now();
+        let expire = async {
+            smol::Timer::after(limit.into()).await;
+            Err(Error::Uncertain(http_io::Error::Timeout))
+        };
+        let result = call.or(expire).await;
+        let now = self.clock.now();
+        let took = sample.then(|| now.since(start));
+        self.own.note(place, &result, took, now);
+        result
+    }
+}
+
+/// The store is known to be away: nothing was sent.
+fn away() -> Error {
+    let kind = std::io::ErrorKind::NotConnected;
+    Error::Unavailable(http_io::Error::Connect(kind.into()))
+}
+
+/// A peer answered something else than what it was asked: it may have done it.
+fn unexpected() -> Error {
+    Error::Uncertain(http_io::Error::Timeout)
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,13 +9,13 @@
 use telemetry::Metrics;
 use units::{Clock, Incarnation, Span, Zone};
 
-use crate::control::Rows;
 use crate::dialect::Adapter;
 use crate::endpoints::{Endpoints, Member};
 use crate::environment::Environment;
 use crate::history::Histories;
 use crate::peers::Peers;
 use crate::programs::Programs;
+use crate::rows::Rows;
 
 /// What a request to another availability zone counts as, beside the time of the way: bytes between
 /// zones are billed, and a prompt is some kilobytes.
@@ -56,7 +56,7 @@
         let clock = Clock::new();
         let peers = Peers::new();
         let table = adapter.table.clone();
-        let rows = Arc::new(Rows::new(table, peers.clone(), clock, log.clone()));
+        let rows = Arc::new(Rows::new(table, peers.clone(), clock, &log));
         Shared {
             histories: Histories::new(rows.clone(), clock, log.clone()),
             programs: Programs::new(rows.clone(), me, clock, log.clone()),
--- a/crates/turns/src/key.rs
+++ b/crates/turns/src/key.rs
@@ -26,7 +26,7 @@
     /// The account of `program`.
     pub fn new(program: &str) -> Self {
         AccountKey {
-            place: place("accounts", program),
+            place: Place::new("accounts", &format_compact!("{:02x}", part(program))),
             key: plain(program),
         }
     }
@@ -44,11 +44,17 @@
 }
 
 impl TurnKey {
-    /// The rows of `turn`.
-    pub fn new(turn: &str) -> Self {
+    /// The places that a turn may be in, in the order in which they are to be tried.
+    pub fn all(turn: &str) -> [Self; 2] {
+        let first = part(turn);
+        // Parts fail alone or together with others; any other part is as good.
+        [first, (first + PARTS / 2 + 1) % PARTS].map(|part| Self::new(turn, part))
+    }
+
+    fn new(turn: &str, part: u8) -> Self {
         let id = plain(turn);
         TurnKey {
-            place: place("turns", turn),
+            place: Place::new("turns", &format_compact!("{part:02x}")),
             first: format_compact!("{id}/"),
             // '0' is the character after '/'.
             end: format_compact!("{id}0"),
@@ -61,12 +67,8 @@
     }
 }
 
-fn place(table: &str, id: &str) -> Place {
-    let hash = blake3::hash(id.as_bytes());
-    Place::new(
-        table,
-        &format_compact!("{:02x}", hash.as_bytes()[0] % PARTS),
-    )
+fn part(id: &str) -> u8 {
+    blake3::hash(id.as_bytes()).as_bytes()[0] % PARTS
 }
 
 /// An identifier as it stands in a key: itself if it is short and plain, else its digest.
--- a/crates/turns/tests/chain.rs
+++ b/crates/turns/tests/chain.rs
@@ -70,7 +70,7 @@
 
 #[test]
 fn a_missing_row_is_noticed() {
-    let key = TurnKey::new("t");
+    let key = TurnKey::all("t")[0].clone();
     let long = "x".repeat(200 << 10);
     let mut rows = rows(&turn(&["s"], &long, "r\n"), &key);
     assert!(rows.len() > 2);
@@ -95,7 +95,7 @@
             input: vec![b'x'; length].into(),
             output: output.into(),
         };
-        let key = TurnKey::new("t");
+        let key = TurnKey::all("t")[0].clone();
         let rows = rows(&turn, &key);
         for row in &rows {
             prop_assert!(row.key.as_str() >= key.first.as_str());
@@ -109,7 +109,8 @@
     #[test]
     fn keys_of_turns_do_not_overlap(one in "[ -~]{1,80}", other in "[ -~]{1,80}") {
         prop_assume!(one != other);
-        let (one, other) = (TurnKey::new(&one), TurnKey::new(&other));
+        let [one, _] = TurnKey::all(&one);
+        let [other, _] = TurnKey::all(&other);
         prop_assert!(one.first != other.first);
         prop_assert!(!one.row(0).starts_with(other.first.as_str()));
         prop_assert!(one.row(0).len() <= 200);
