turns: less is held ahead, and what a dead host held does not end programs

Ruled out: budgets truly spent (402 told apart). Change: one turn's most ahead instead of half of the room; grants together may exceed the budget by one turn's most while what is known to be taken does not; a stopping host gives back. The property of all hosts together now has that bound (budget + one turn's most, as the users' rule states it), from the target.

--- a/crates/gateway/src/programs.rs
+++ b/crates/gateway/src/programs.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use compact_str::CompactString;
@@ -22,6 +23,8 @@
 /// A program without requests for this long gives back the tokens it holds ahead: longer than the
 /// pause between two turns.
 const IDLE_MAX: Span = Span::from_ms(900);
+/// Time between looks at whether the writes of a stopping process have ended.
+const STOP_POLL: Duration = Duration::from_millis(10);
 /// Accounts are kept this much longer than programs may pause, for requests under way.
 const RETAIN_SLACK: Span = Span::from_ms(10_000);
 
@@ -173,6 +176,25 @@
         woken.into_iter().for_each(Program::drive);
     }
 
+    /// Gives back what all programs hold ahead; waits for the writes until `limit` has passed.
+    pub(crate) async fn give_back(&self, limit: Span) {
+        let programs: Vec<Arc<Program>> = {
+            let all = self.all.lock().unwrap_or_else(PoisonError::into_inner);
+            all.values().cloned().collect()
+        };
+        let holding = programs.into_iter().filter(|program| {
+            let mut state = program.lock();
+            state.give_back |= state.ledger.spare() > Tokens(0);
+            state.give_back
+        });
+        let holding: Vec<Arc<Program>> = holding.collect();
+        holding.iter().cloned().for_each(Program::drive);
+        let end = self.clock.now().after(limit);
+        while self.clock.now() < end && holding.iter().any(|program| program.lock().driven) {
+            smol::Timer::after(STOP_POLL).await;
+        }
+    }
+
     /// Programs known.
     pub(crate) fn count(&self) -> usize {
         let all = self.all.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -21,6 +21,9 @@
 /// Delay that a caller is given when the store is away: outages last several seconds, so a caller
 /// that comes back early spends its retries in vain.
 const AWAY_DELAY: Span = Span::from_ms(4_000);
+/// Delay that a caller is given while a gateway starts: reading the tables takes some tens of
+/// milliseconds.
+const STARTING_DELAY: Span = Span::from_ms(150);
 /// Delay that a caller is given when another host holds tokens that it will give back when idle.
 const HELD_DELAY: Span = Span::from_ms(700);
 
@@ -105,7 +108,8 @@
     pub fn delay(&self, patience: Span, rng: &mut impl Rng) -> Option<Span> {
         let base = match self {
             Refusal::Full => FULL_DELAY,
-            Refusal::Away | Refusal::Starting => AWAY_DELAY,
+            Refusal::Away => AWAY_DELAY,
+            Refusal::Starting => STARTING_DELAY,
             Refusal::Held => HELD_DELAY,
             _ => return None,
         };
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -37,8 +37,10 @@
 /// Least time that a stopping gateway takes new requests: the balancer asks each second and needs
 /// two refusals, and the news has to travel.
 const DRAIN_MIN: Span = Span::from_ms(2_800);
-/// Time that a stopping gateway leaves before it would be killed.
-const DRAIN_SLACK: Span = Span::from_ms(400);
+/// Time that a stopping gateway leaves before it would be killed, for its last writes.
+const DRAIN_SLACK: Span = Span::from_ms(600);
+/// Longest time for the last writes.
+const GOODBYE_MAX: Span = Span::from_ms(400);
 /// Time between looks at the settings file: it may change without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 /// How long the feed of gateways waits: they change seldom, and a late word does no harm.
@@ -95,7 +97,15 @@
     ];
     control.stop.await;
     drain(&shared, end).await;
-    peers::unregister(&shared.rows, &own, &shared.log).await;
+    // Both need the store; a stop does not wait long for it.
+    let goodbye = async {
+        shared.programs.give_back(GOODBYE_MAX).await;
+        peers::unregister(&shared.rows, &own, &shared.log).await;
+    };
+    let late = async {
+        smol::Timer::after(GOODBYE_MAX.into()).await;
+    };
+    goodbye.or(late).await;
     for task in tasks {
         task.cancel().await;
     }
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -2,6 +2,10 @@
 //!
 //! A host asks for more than the next turn needs where the budget has room, so that later turns
 //! start without waiting for the store, and go on while it is away.
+//!
+//! A host that dies keeps what it held, though its callers may have got little of it. So that a
+//! program does not fail for that, the grants together may exceed the budget by the most of one
+//! turn, the same that the budget's owner allows for, as long as the tokens known to be taken do not.
 
 use units::{Incarnation, Tokens};
 
@@ -10,6 +14,9 @@
 /// Share of the room left that a host may hold ahead, as a divisor: half of it still leaves the
 /// other hosts of a program as much again.
 const AHEAD_DIVISOR: u64 = 2;
+/// Turns that a host may hold ahead, each at its most. A turn mostly uses a fraction of its most, so
+/// one lasts for several turns; what a host holds when it dies is lost to the program.
+const AHEAD_TURNS: u64 = 1;
 
 /// Whether a turn may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,7 +27,8 @@
     Write,
     /// The budget does not hold it, if the account is as last read.
     Spent,
-    /// Other hosts hold more than they have taken; what they give back may be enough.
+    /// Other hosts hold more than they have taken, and even the overdraft does not hold it; what they
+    /// give back may be enough.
     Held,
 }
 
@@ -45,6 +53,7 @@
     used: Tokens,
     running: Tokens,
     budget: Tokens,
+    need: Tokens,
 }
 
 impl Ledger {
@@ -58,6 +67,7 @@
             used: Tokens(0),
             running: Tokens(0),
             budget: Tokens(0),
+            need: Tokens(0),
         }
     }
 
@@ -76,21 +86,24 @@
         self.granted.minus(self.taken())
     }
 
-    /// Whether the budget holds `wanted` tokens beside all that is granted and taken.
+    /// Whether `wanted` tokens may be granted beside all that is granted and taken.
     pub fn fits(&self, wanted: Tokens) -> bool {
-        let others = self.account.granted_to_others(self.me);
-        others.plus(self.taken()).plus(wanted) <= self.budget
+        let taken = self.taken().plus(wanted);
+        let granted = self.account.granted_to_others(self.me).plus(taken);
+        let known = self.account.taken_by_others(self.me).plus(taken);
+        granted <= self.budget || known <= self.budget && granted <= self.budget.plus(self.need)
     }
 
     /// Reserves `need` tokens of a program with this budget, if the grant has them.
     pub fn admit(&mut self, need: Tokens, budget: Tokens) -> Admission {
         self.budget = budget;
+        self.need = need;
         let taken = self.taken().plus(need);
         if taken <= self.granted {
             self.running = self.running.plus(need);
             return Admission::Start;
         }
-        if self.account.granted_to_others(self.me).plus(taken) <= budget {
+        if self.fits(need) {
             return Admission::Write;
         }
         if self.account.taken_by_others(self.me).plus(taken) <= budget {
@@ -117,7 +130,7 @@
         let fits = self.fits(wanted);
         let room = self.budget.minus(others.plus(needed));
         let granted = match (fits, ahead) {
-            (true, true) => needed.plus(Tokens(room.0 / AHEAD_DIVISOR)),
+            (true, true) => needed.plus(self.ahead(room)),
             (true, false) => needed,
             // What is granted already stays; nothing more can be had.
             (false, _) => self.granted.max(taken),
@@ -161,6 +174,11 @@
         self.version
     }
 
+    /// What to take for later turns of the `room` that is left.
+    fn ahead(&self, room: Tokens) -> Tokens {
+        Tokens((room.0 / AHEAD_DIVISOR).min(self.need.0 * AHEAD_TURNS))
+    }
+
     fn taken(&self) -> Tokens {
         self.used.plus(self.running)
     }
