gateway: a turn's endpoint is kept with it; an account is written less often

Change: the endpoint is chosen first and written with the first grant; a prompt is claimed only when it is sent; a kept turn names its endpoint; tokens are given back only where the budget has less left than is held.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,7 +20,7 @@
 use crate::reply::{Body, Refusal, close, refuse, whole};
 use crate::sniff::Seen;
 use crate::state::Shared;
-use crate::turn::{self, Ticket};
+use crate::turn::{self, Opened, Ticket};
 
 /// Longest time to open a connection: several round trips between regions.
 const CONNECT_MAX: Span = Span::from_ms(350);
@@ -222,7 +222,7 @@
 
 impl Exchange {
     async fn run(self, body: Bytes) -> Result<Response<Body>, Refusal> {
-        let prepared = turn::prepare(
+        let opened = turn::open(
             &self.shared,
             &self.environment,
             &self.route,
@@ -230,17 +230,42 @@
             &self.service,
             body,
         );
-        let late = expire(&self.shared, self.deadline, Refusal::Late);
-        let (body, ticket) = prepared.or(late).await?;
-        let arrived = self.send(&body, ticket.as_ref()).await;
-        match arrived? {
+        let opened = opened.or(self.late());
+        let (body, opened) = opened.await?;
+        let home = || opened.as_ref().map(Opened::home);
+        let mut first = self.choose(&body, home(), &[]).ok_or(Refusal::Full)?;
+        let before = home();
+        let ticket = match &opened {
+            None => None,
+            Some(opened) => {
+                let reserve = opened.reserve(&first.choice.id);
+                Some(reserve.or(self.late()).await?)
+            }
+        };
+        // The account may have told where the program ran before.
+        if before.is_some_and(|home| home.is_empty()) && home() != Some(first.choice.id.clone()) {
+            drop(first);
+            first = self.choose(&body, home(), &[]).ok_or(Refusal::Full)?;
+        }
+        match self.send(&body, first, home()).await? {
             Found::Whole(response) => Ok(response),
             Found::Stream(arrived) => Ok(self.relay(*arrived, ticket)),
         }
     }
 
-    /// Sends the request until it has an answer, within what may be repeated.
-    async fn send(&self, body: &Bytes, ticket: Option<&Ticket>) -> Result<Found, Refusal> {
+    async fn late<T>(&self) -> Result<T, Refusal> {
+        expire(&self.shared, self.deadline, Refusal::Late).await
+    }
+
+    /// Sends the request, first to the endpoint of `first`, until it has an answer, within what may
+    /// be repeated.
+    async fn send(
+        &self,
+        body: &Bytes,
+        first: Visit,
+        home: Option<CompactString>,
+    ) -> Result<Found, Refusal> {
+        let mut first = Some(first);
         let mut tried: Vec<CompactString> = Vec::new();
         let (mut sent, mut connects) = (0, 0);
         let mut unknown = None;
@@ -249,15 +274,13 @@
             if now >= self.deadline {
                 return Err(unknown.unwrap_or(Refusal::Late));
             }
-            let Some(choice) = self.choose(body, ticket, &tried, now) else {
+            let next = || self.choose(body, home.clone(), &tried);
+            let Some(visit) = first.take().or_else(next) else {
                 break;
             };
-            tried.push(choice.id.clone());
-            if let Some(ticket) = ticket {
-                ticket.program.note_home(&choice.id);
-            }
+            tried.push(visit.choice.id.clone());
             let until = self.attempt_deadline(sent, now);
-            let attempt = self.attempt(body, choice, until).await;
+            let attempt = self.attempt(body, visit, until).await;
             let outcome = match attempt {
                 Attempt::Answered(arrived) => self.take(*arrived).await,
                 other => Err(other),
@@ -280,12 +303,11 @@
     fn choose(
         &self,
         body: &Bytes,
-        ticket: Option<&Ticket>,
+        home: Option<CompactString>,
         tried: &[CompactString],
-        now: Time,
-    ) -> Option<Choice> {
+    ) -> Option<Visit> {
+        let now = self.shared.clock.now();
         let chunks = chunks(&self.call);
-        let home = ticket.map(|ticket| ticket.program.home());
         let object = self.call.object.as_ref().filter(|_| self.route.sticky);
         let key = object.or(self.call.program.as_ref());
         let demand = Demand {
@@ -295,7 +317,14 @@
             home: home.as_deref().unwrap_or(""),
             key: hash(key.unwrap_or(&self.call.id)),
         };
-        self.shared.places().choose(&demand, tried, now)
+        let choice = self.shared.places().choose(&demand, tried, now)?;
+        Some(Visit {
+            shared: self.shared.clone(),
+            choice,
+            sent: now,
+            begun: false,
+            fault: false,
+        })
     }
 
     /// When an attempt is given up: a request that may be repeated leaves time for the repeat.
@@ -308,14 +337,11 @@
         }
     }
 
-    async fn attempt(&self, body: &Bytes, choice: Choice, until: Time) -> Attempt {
-        let mut visit = Visit {
-            shared: self.shared.clone(),
-            choice,
-            sent: self.shared.clock.now(),
-            begun: false,
-            fault: false,
-        };
+    async fn attempt(&self, body: &Bytes, mut visit: Visit, until: Time) -> Attempt {
+        visit.sent = self.shared.clock.now();
+        self.shared
+            .places()
+            .sent(&visit.choice, &chunks(&self.call), visit.sent);
         let pool = {
             let endpoints = self.shared.endpoints();
             endpoints
--- a/crates/gateway/src/programs.rs
+++ b/crates/gateway/src/programs.rs
@@ -20,8 +20,8 @@
 use crate::reply::Refusal;
 use crate::rows::Rows;
 
-/// A program without requests for this long gives back the tokens it holds ahead: longer than the
-/// pause between two turns.
+/// A program without requests for this long gives back the tokens it holds ahead, if the other hosts
+/// may need them: longer than the pause between two turns.
 const IDLE_MAX: Span = Span::from_ms(900);
 /// Time between looks at whether the writes of a stopping process have ended.
 const STOP_POLL: Duration = Duration::from_millis(10);
@@ -105,7 +105,7 @@
         state.ledger.settle(self.reserved, self.used);
         state.touched = self.program.clock.now();
         let short = state.ledger.spare() < state.last_need;
-        let wake = state.note_home || short;
+        let wake = short || state.note_home;
         state.top_up |= wake;
         drop(state);
         if wake {
@@ -157,7 +157,7 @@
             if state.ledger.is_running() || state.driven || idle < IDLE_MAX {
                 return true;
             }
-            if state.ledger.spare() > Tokens(0) && !self.rows.is_away(&program.key.place) {
+            if state.ledger.is_hoarding() && !self.rows.is_away(&program.key.place) {
                 state.give_back = true;
                 woken.push(program.clone());
                 return true;
@@ -211,10 +211,14 @@
         self: &Arc<Self>,
         need: Tokens,
         budget: Tokens,
+        home: &CompactString,
     ) -> std::result::Result<Reservation, Refusal> {
         let receiver = {
             let mut state = self.lock();
             state.last_need = need;
+            // Other hosts look for it in the account.
+            state.note_home = state.ledger.version() > 0 && state.ledger.home() != home;
+            state.home = Some(home.clone());
             if state.waiting.is_empty() && state.ledger.admit(need, budget) == Admission::Start {
                 drop(state);
                 return Ok(self.reservation(need));
@@ -235,22 +239,11 @@
         receive(receiver).await
     }
 
-    /// Notes where the latest turn runs.
-    pub(crate) fn note_home(&self, endpoint: &CompactString) {
-        let mut state = self.lock();
-        if state.home.as_ref() != Some(endpoint) {
-            state.note_home = state.ledger.home() != endpoint.as_str();
-            state.home = Some(endpoint.clone());
-        }
-    }
-
-    /// Where the latest turn known ran.
+    /// Where the latest turn known ran; empty if none is known.
     pub(crate) fn home(&self) -> CompactString {
         let state = self.lock();
-        match &state.home {
-            Some(home) if state.note_home => home.clone(),
-            _ => state.ledger.home().into(),
-        }
+        let home = state.home.clone();
+        home.unwrap_or_else(|| state.ledger.home().into())
     }
 
     fn reservation(self: &Arc<Self>, reserved: Tokens) -> Reservation {
@@ -408,8 +401,7 @@
         let wanted = self.wanted();
         // An idle program gives back; one that goes on takes room for its next turns.
         let ahead = wanted > Tokens(0) || self.ledger.is_running() || self.top_up;
-        let home = self.home.clone().filter(|_| self.note_home);
-        let plan = self.ledger.plan(wanted, ahead, home.as_deref());
+        let plan = self.ledger.plan(wanted, ahead, self.home.as_deref());
         self.top_up = false;
         self.give_back = false;
         self.note_home = false;
@@ -476,7 +468,13 @@
             return;
         };
         match Account::decode(&row.value.0) {
-            Ok(account) => self.ledger.refresh(account, row.version),
+            Ok(account) => {
+                // A program that is new here is not new if another host has served it.
+                if self.ledger.version() == 0 && !account.home.is_empty() {
+                    self.home = Some(account.home.clone());
+                }
+                self.ledger.refresh(account, row.version);
+            }
             // Without a grant this host hands out nothing until the row is readable again.
             Err(error) => warn!(log, "account cannot be read"; "program" => id,
                 "row_version" => row.version, "error" => %error),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -152,7 +152,12 @@
         }
         let events = std::mem::take(&mut self.events);
         if let Some(ticket) = &self.ticket {
-            let commit = ticket.end(shared, &self.exchange.call.id, events.into_data());
+            let commit = ticket.end(
+                shared,
+                &self.exchange.call.id,
+                &self.visit.choice.id,
+                events.into_data(),
+            );
             let late = expire(shared, deadline, Refusal::TimedOut);
             if let Err(refusal) = commit.or(late).await {
                 info!(shared.log, "turn not committed"; "request" => %self.exchange.call.id,
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -15,7 +15,6 @@
 
 /// A turn that may run.
 pub(crate) struct Ticket {
-    pub(crate) program: Arc<Program>,
     pub(crate) reservation: Reservation,
     /// Tokens that each event counts as.
     pub(crate) event_tokens: u64,
@@ -32,11 +31,12 @@
 }
 
 impl Ticket {
-    /// Commits the turn with this output; at once if nothing is kept.
+    /// Commits the turn, which ran at `endpoint`, with this output; at once if nothing is kept.
     pub(crate) async fn end(
         &self,
         shared: &Shared,
         id: &CompactString,
+        endpoint: &CompactString,
         output: Bytes,
     ) -> Result<(), Refusal> {
         let Some(kept) = &self.kept else {
@@ -44,6 +44,7 @@
         };
         let turn = Turn {
             line: kept.line.clone(),
+            endpoint: endpoint.clone(),
             input: kept.input.clone(),
             output,
         };
@@ -51,18 +52,56 @@
     }
 }
 
-/// Prepares a call that is a turn: the body to send, and the ticket; no ticket for other calls.
+/// A turn whose text is complete and whose tokens are not reserved yet.
+pub(crate) struct Opened {
+    program: Arc<Program>,
+    /// Where the turn before ran, if that is known.
+    before: CompactString,
+    need: Tokens,
+    budget: Tokens,
+    event_tokens: u64,
+    kept: Option<Kept>,
+}
+
+impl Opened {
+    /// The endpoint that probably has most of the turn's text in memory; empty if none is known.
+    pub(crate) fn home(&self) -> CompactString {
+        if self.before.is_empty() {
+            self.program.home()
+        } else {
+            self.before.clone()
+        }
+    }
+
+    /// Reserves the turn's tokens; `endpoint` is where it is to run.
+    ///
+    /// # Errors
+    /// A refusal; the turn must not run then.
+    pub(crate) async fn reserve(&self, endpoint: &CompactString) -> Result<Ticket, Refusal> {
+        let reservation = self
+            .program
+            .reserve(self.need, self.budget, endpoint)
+            .await?;
+        Ok(Ticket {
+            reservation,
+            event_tokens: self.event_tokens,
+            kept: self.kept.clone(),
+        })
+    }
+}
+
+/// Opens a call that is a turn, with the body to send; nothing is opened for other calls.
 ///
 /// # Errors
 /// A refusal; the turn must not run then.
-pub(crate) async fn prepare(
+pub(crate) async fn open(
     shared: &Shared,
     environment: &Environment,
     route: &Route,
     call: &Call,
     service: &str,
     body: Bytes,
-) -> Result<(Bytes, Option<Ticket>), Refusal> {
+) -> Result<(Bytes, Option<Opened>), Refusal> {
     let is_turn = route.repeat == Repeat::Stream;
     let (Some(id), true) = (&call.program, is_turn) else {
         return Ok((body, None));
@@ -71,7 +110,6 @@
         // What the caller has of the stream was not kept, so the turn could not be kept whole.
         return Err(Refusal::NoBeginning);
     }
-    let program = shared.programs.open(id, route.retain);
     let past = match &call.previous {
         Some(previous) if route.keeps => shared.histories.past(previous).await?,
         _ => Past::default(),
@@ -87,17 +125,17 @@
         Some(budget) => (call.output_max, budget),
         None => (Tokens(0), Tokens(u64::MAX)),
     };
-    let reservation = program.reserve(need, budget).await?;
-    let kept = route.keeps.then_some(Kept {
-        line: past.line,
-        input: body,
-        retain: route.retain,
-    });
-    let ticket = Ticket {
-        program,
-        reservation,
+    let opened = Opened {
+        program: shared.programs.open(id, route.retain),
+        before: past.endpoint,
+        need,
+        budget,
         event_tokens: engine.map_or(1, |engine| engine.event_tokens),
-        kept,
+        kept: route.keeps.then_some(Kept {
+            line: past.line,
+            input: body,
+            retain: route.retain,
+        }),
     };
-    Ok((text.freeze(), Some(ticket)))
+    Ok((text.freeze(), Some(opened)))
 }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -180,7 +180,6 @@
         let seat = self.seats.get_mut(&id)?;
         seat.outstanding += 1;
         seat.backlog += missing.0 as f64;
-        seat.remember(demand.chunks, now);
         Some(Choice {
             id,
             missing,
@@ -190,6 +189,13 @@
         })
     }
 
+    /// Takes in that the request was sent there: from now on its prompt is in that memory.
+    pub fn sent(&mut self, choice: &Choice, chunks: &[Chunk], now: Time) {
+        if let Some(seat) = self.seat(choice) {
+            seat.remember(chunks, now);
+        }
+    }
+
     /// Takes in that the first token, or the answer of a plain service, came after `span`.
     pub fn first(&mut self, choice: &Choice, span: Span, now: Time) {
         let Some(seat) = self.seat(choice) else {
--- a/crates/turns/src/chain.rs
+++ b/crates/turns/src/chain.rs
@@ -19,6 +19,8 @@
 pub struct Turn {
     /// The turns before it, the oldest first.
     pub line: Vec<CompactString>,
+    /// The endpoint that ran it, which probably has all of this text in memory.
+    pub endpoint: CompactString,
     /// What the caller sent.
     pub input: Bytes,
     /// The data of each event of the answer, each followed by a line feed.
@@ -29,6 +31,7 @@
 #[derive(Serialize, Deserialize)]
 struct Stored {
     line: Vec<CompactString>,
+    endpoint: CompactString,
     input: Vec<u8>,
     output: Vec<u8>,
 }
@@ -42,6 +45,7 @@
     pub fn write(&self, key: &TurnKey) -> Result<Transaction> {
         let stored = Stored {
             line: self.line.clone(),
+            endpoint: self.endpoint.clone(),
             input: self.input.to_vec(),
             output: self.output.to_vec(),
         };
@@ -80,6 +84,7 @@
             .map_err(|error| Error::Decode(error.to_compact_string()))?;
         Ok(Some(Turn {
             line: stored.line,
+            endpoint: stored.endpoint,
             input: stored.input.into(),
             output: stored.output.into(),
         }))
@@ -95,6 +100,8 @@
 pub struct Past {
     /// The turns that it goes on from, the oldest first.
     pub line: Vec<CompactString>,
+    /// The endpoint that ran the last of them.
+    pub endpoint: CompactString,
     /// What was said in them.
     pub text: BytesMut,
 }
@@ -156,6 +163,7 @@
         let Some(last) = self.turns.get(id) else {
             return Err(vec![id.clone()]);
         };
+        let endpoint = last.endpoint.clone();
         let mut line = last.line.clone();
         line.push(id.clone());
         let missing = line.iter().filter(|id| !self.turns.contains_key(*id));
@@ -168,7 +176,11 @@
             text.extend_from_slice(&turn.input);
             text.extend_from_slice(&turn.output);
         }
-        Ok(Past { line, text })
+        Ok(Past {
+            line,
+            endpoint,
+            text,
+        })
     }
 
     /// Bytes of text held.
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -81,6 +81,12 @@
         self.running.0 > 0
     }
 
+    /// Whether this host holds more ahead than the budget has left for the others.
+    pub fn is_hoarding(&self) -> bool {
+        let granted = self.account.granted_to_others(self.me).plus(self.granted);
+        self.spare() > self.budget.minus(granted)
+    }
+
     /// Tokens granted beyond what is used and reserved.
     pub fn spare(&self) -> Tokens {
         self.granted.minus(self.taken())
--- a/crates/turns/tests/chain.rs
+++ b/crates/turns/tests/chain.rs
@@ -12,6 +12,7 @@
 fn turn(line: &[&str], input: &str, output: &str) -> Turn {
     Turn {
         line: line.iter().map(|id| CompactString::new(id)).collect(),
+        endpoint: "endpoint-1".into(),
         input: Bytes::copy_from_slice(input.as_bytes()),
         output: Bytes::copy_from_slice(output.as_bytes()),
     }
@@ -39,6 +40,7 @@
     let past = history.past(&"c".into()).expect("known");
     assert_eq!(&past.text[..], b"q1 r1\nq2 r2\nq3 r3\n");
     assert_eq!(past.line, ["a", "b", "c"]);
+    assert_eq!(past.endpoint, "endpoint-1");
 }
 
 #[test]
@@ -92,6 +94,7 @@
     ) {
         let turn = Turn {
             line: line.into_iter().map(CompactString::from).collect(),
+            endpoint: "endpoint-1".into(),
             input: vec![b'x'; length].into(),
             output: output.into(),
         };
