--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -44,17 +44,24 @@
 
 /// What happened to an endpoint, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum News {
+pub enum News {
+    /// It is new.
     Added,
+    /// It has started again, or is another one under the same identifier.
     Restarted,
+    /// It takes no new requests from now on.
     Draining,
+    /// Something else about it has changed.
     Changed,
+    /// Its entry is missing, which may be the store's doing.
     Doubtful,
+    /// It is gone.
     Gone,
 }
 
 impl News {
-    pub(crate) fn as_str(self) -> &'static str {
+    /// The news as a log message.
+    pub fn as_str(self) -> &'static str {
         match self {
             News::Added => "endpoint added",
             News::Restarted => "endpoint restarted under its identifier",
@@ -68,7 +75,7 @@
 
 /// All endpoints by identifier.
 #[derive(Debug, Default)]
-pub(crate) struct Endpoints {
+pub struct Endpoints {
     members: HashMap<CompactString, Member>,
     missing: HashMap<CompactString, Time>,
     doubt_until: Time,
@@ -80,17 +87,22 @@
         self.members.values()
     }
 
+    /// Whether an endpoint is known, be it draining or doubtful.
+    pub fn has(&self, id: &str) -> bool {
+        self.members.contains_key(id)
+    }
+
     pub(crate) fn get(&self, id: &str) -> Option<&Member> {
         self.members.get(id)
     }
 
     /// Takes in that the store was away until now.
-    pub(crate) fn store_returned(&mut self, now: Time) {
+    pub fn store_returned(&mut self, now: Time) {
         self.doubt_until = now.after(LAPSE_MAX);
     }
 
     /// Takes in an entry.
-    pub(crate) fn list(&mut self, endpoint: Endpoint) -> Option<News> {
+    pub fn list(&mut self, endpoint: Endpoint) -> Option<News> {
         self.missing.remove(&endpoint.id);
         let Some(member) = self.members.get_mut(&endpoint.id) else {
             self.insert(endpoint);
@@ -115,7 +127,7 @@
     }
 
     /// Takes in that an entry is missing.
-    pub(crate) fn unlist(&mut self, id: &str, now: Time) -> Option<News> {
+    pub fn unlist(&mut self, id: &str, now: Time) -> Option<News> {
         if !self.members.contains_key(id) || self.missing.contains_key(id) {
             return None;
         }
@@ -128,7 +140,7 @@
     }
 
     /// Takes in the whole list: entries that are not in it are missing.
-    pub(crate) fn unlist_others(
+    pub fn unlist_others(
         &mut self,
         listed: &[CompactString],
         now: Time,
@@ -146,7 +158,7 @@
     }
 
     /// Drops the entries that are still missing when they have to be back.
-    pub(crate) fn expire(&mut self, now: Time) -> Vec<CompactString> {
+    pub fn expire(&mut self, now: Time) -> Vec<CompactString> {
         let gone: Vec<CompactString> = self
             .missing
             .iter()
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use http_io::{Lease, Outgoing, Pool, SendError};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use policy::{Choice, Chunk, Demand};
@@ -200,6 +200,10 @@
     limit: usize,
     deadline: Time,
 ) -> Result<Bytes, Refusal> {
+    // An announced length is refused before any of it has come.
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Refusal::TooLarge);
+    }
     let read = async {
         match Limited::new(body, limit).collect().await {
             Ok(body) => Ok(body.to_bytes()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,10 +35,11 @@
 
 pub use call::{Call, Malformed, Orders, Part, Receipt};
 pub use dialect::{Adapter, Dialect, Directory};
-pub use endpoints::Endpoint;
+pub use endpoints::{Endpoint, Endpoints, News};
 pub use environment::{Engine, Environment, Limits, Repeat, Route, Service, Share};
 pub use error::{Error, Result};
 pub use peers::{Peer, Roster};
 pub use reach::{Reach, Turned};
 pub use reply::Refusal;
 pub use server::{Control, run};
+pub use sniff::{Seen, Sniffer};
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -113,9 +113,10 @@
             Refusal::Held => HELD_DELAY,
             _ => return None,
         };
-        // No longer than the caller would wait; jitter below that.
+        // No longer than the caller would wait. Callers come at times of their own, so a little
+        // jitter keeps them apart, and more of it would only spend their retries early.
         let longest = (base.0 * 3 / 2).min(patience.0 / DELAY_SHARE);
-        Some(Span(rng.random_range(longest * 2 / 3..=longest)))
+        Some(Span(rng.random_range(longest * 9 / 10..=longest)))
     }
 
     /// Whether it is certain that no endpoint ran or will run the request.
--- /dev/null
+++ b/crates/gateway/tests/reach.rs
@@ -0,0 +1,73 @@
+//! When calls of the store are refused at once, and when it is asked again.
+
+use gateway::{Reach, Turned};
+use store::Place;
+use units::{Span, Time};
+
+fn at(ms: u64) -> Time {
+    Time(0).after(Span::from_ms(ms))
+}
+
+fn place(part: &str) -> Place {
+    Place::new("table", part)
+}
+
+#[test]
+fn one_lost_answer_does_not_make_a_part_away() {
+    let mut reach = Reach::new(at(0));
+    assert_eq!(reach.failed(&place("a"), at(10)), None);
+    assert!(reach.admit(&place("a"), at(10)));
+    assert_eq!(reach.failed(&place("a"), at(20)), Some(Turned::Away));
+}
+
+#[test]
+fn a_part_that_is_away_is_asked_now_and_then() {
+    let mut reach = Reach::new(at(0));
+    reach.failed(&place("a"), at(1_000));
+    reach.failed(&place("a"), at(1_000));
+    let asked = (1_000..3_000).filter(|ms| reach.admit(&place("a"), at(*ms)));
+    let asked = asked.count();
+    // Often enough to see its return soon, seldom enough not to keep callers waiting.
+    assert!((4..=10).contains(&asked), "{asked}");
+    let back = reach.answered(&place("a"), Some(Span::from_ms(5)), at(3_000));
+    assert_eq!(back, Some(Turned::Back(Span::from_ms(2_000))));
+    assert!(reach.admit(&place("a"), at(3_000)));
+}
+
+#[test]
+fn parts_are_away_by_themselves() {
+    let mut reach = Reach::new(at(0));
+    for ms in 0..20 {
+        reach.failed(&place("a"), at(ms));
+        reach.answered(&place("b"), None, at(ms));
+    }
+    assert!(reach.is_away(&place("a")));
+    assert!(!reach.is_away(&place("b")) && !reach.is_all_away());
+}
+
+#[test]
+fn failures_of_many_parts_make_all_of_them_away() {
+    let mut reach = Reach::new(at(0));
+    for part in ["a", "b", "c", "d"] {
+        reach.failed(&place(part), at(10));
+    }
+    assert!(reach.is_all_away());
+    assert!(reach.is_away(&place("never asked")));
+    assert!(reach.admit(&place("e"), at(2_000)));
+    assert!(!reach.admit(&place("f"), at(2_001)));
+    reach.answered(&place("a"), None, at(2_100));
+    assert!(!reach.is_away(&place("b")));
+}
+
+#[test]
+fn a_slow_store_is_waited_for() {
+    let mut reach = Reach::new(at(0));
+    let calm = reach.wait(&place("a"));
+    reach.failed(&place("a"), at(10));
+    assert!(reach.wait(&place("a")) > calm);
+    for ms in 0..40 {
+        reach.answered(&place("a"), Some(Span::from_ms(250)), at(ms));
+    }
+    // 60 times the store's usual 4 ms.
+    assert!(reach.wait(&place("a")) >= Span::from_ms(240));
+}
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -42,6 +42,7 @@
     accepted: AtomicU64,
     relayed: AtomicU64,
     delay_us: AtomicU64,
+    refuses: AtomicBool,
 }
 
 /// A running relay; it stops when this is dropped.
@@ -98,6 +99,11 @@
         }
     }
 
+    /// Closes new connections at once from now on, or no longer.
+    pub fn refuse(&self, refuses: bool) {
+        self.state.refuses.store(refuses, Ordering::Relaxed);
+    }
+
     /// Delays all bytes, one way, from now on.
     pub fn delay(&self, delay: Duration) {
         let delay_us = delay.as_micros() as u64;
@@ -123,6 +129,9 @@
 ) {
     while let Ok((client, _)) = listener.accept().await {
         state.accepted.fetch_add(1, Ordering::Relaxed);
+        if state.refuses.load(Ordering::Relaxed) {
+            continue;
+        }
         let Ok(server) = TcpStream::connect(target).await else {
             continue;
         };
--- /dev/null
+++ b/tests/all/gateway/bad_input.rs
@@ -0,0 +1,109 @@
+//! Requests that are malformed or meant to be misread.
+
+use crate::cases;
+use crate::gateway::cluster::{Cluster, KEPT, ORDER, SAFE, turn};
+use crate::gateway::http::{Connection, Request};
+
+struct Case {
+    bytes: Vec<u8>,
+    status: u16,
+    /// Whether the connection ends.
+    closes: bool,
+}
+
+fn check(case: Case) {
+    let cluster = Cluster::start(1, 1);
+    let mut connection = Connection::open(cluster.callers(0));
+    let answer = connection.send(&case.bytes);
+    assert_eq!(answer.status, case.status, "{answer:?}");
+    if case.closes {
+        assert!(connection.is_closed());
+    } else {
+        let again = connection.send(&Request::new("GET", SAFE, "again").bytes());
+        assert_eq!(again.status, 200);
+    }
+    for worker in cluster.desks.iter().chain(&cluster.models) {
+        let runs = worker.state().runs.clone();
+        assert!(runs.iter().all(|run| run.id == "again"), "{runs:?}");
+    }
+}
+
+fn raw(text: &str) -> Vec<u8> {
+    text.replace('\n', "\r\n").into_bytes()
+}
+
+/// A request within the body of another one, as one reader would take it.
+const INNER: &str = "POST /order/a HTTP/1.1\nHost: shop.example\nRequest-Id: inner\n\n";
+
+fn two_framings(first: &str, second: &str) -> Vec<u8> {
+    raw(&format!(
+        "POST /order/a HTTP/1.1\nHost: shop.example\nRequest-Id: outer\n{first}\n{second}\n\n0\n\n{INNER}"
+    ))
+}
+
+cases!(check;
+    no_request_id: Case {
+        bytes: raw("GET /look/a HTTP/1.1\nHost: shop.example\n\n"), status: 400, closes: true },
+    not_http: Case { bytes: raw("hello\n\n"), status: 400, closes: true },
+    length_then_chunks: Case {
+        bytes: two_framings("Content-Length: 5", "Transfer-Encoding: chunked"),
+        status: 400, closes: true },
+    chunks_then_length: Case {
+        bytes: two_framings("Transfer-Encoding: chunked", "Content-Length: 5"),
+        status: 400, closes: true },
+    two_lengths: Case {
+        bytes: two_framings("Content-Length: 5", "Content-Length: 6"), status: 400, closes: true },
+    bad_chunk: Case {
+        bytes: raw("POST /order/a HTTP/1.1\nHost: shop.example\nRequest-Id: r\n\
+            Transfer-Encoding: chunked\n\nzz\n\n"),
+        status: 400, closes: true },
+    body_too_long: Case {
+        bytes: raw("POST /order/a HTTP/1.1\nHost: shop.example\nRequest-Id: r\n\
+            Content-Length: 200000\n\n"),
+        status: 413, closes: true },
+    unknown_path: Case {
+        bytes: Request::new("GET", "/nowhere/a", "r").bytes(), status: 404, closes: false },
+    unknown_host: Case {
+        bytes: raw("GET /look/a HTTP/1.1\nHost: other.example\nRequest-Id: r\n\n"),
+        status: 404, closes: false },
+    budget_that_is_no_number: Case {
+        bytes: turn(KEPT, "r", "p", 9).with("Previous-Turn", " ").bytes(),
+        status: 400, closes: true },
+    deadline_that_is_no_number: Case {
+        bytes: Request::new("GET", SAFE, "r").with("Deadline-Ms", "soon").bytes(),
+        status: 400, closes: true },
+    unknown_turn: Case {
+        bytes: turn(KEPT, "r", "p", 900).with("Previous-Turn", "nobody").bytes(),
+        status: 404, closes: false },
+    spent_budget: Case { bytes: turn(KEPT, "r", "p", 9).bytes(), status: 402, closes: false },
+);
+
+#[test]
+fn what_only_the_gateway_may_say_is_not_passed_on() {
+    let cluster = Cluster::start(1, 1);
+    let forged = ["Kv-Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch"];
+    let request = Request::new("POST", ORDER, "r1")
+        .with("Expect-Instance", "forged")
+        .with("Request-Urgency", "0")
+        .with("X-Own", "kept")
+        .with("Connection", "x-hop")
+        .with("X-Hop", "dropped")
+        .with("Deadline-Ms", "900")
+        .with_body("body");
+    let request = forged
+        .into_iter()
+        .fold(request, |request, name| request.with(name, "9"));
+    assert_eq!(request.send(cluster.callers(0)).status, 200);
+    let run = &cluster.runs("r1")[0];
+    assert_eq!(run.line, "POST /order/a HTTP/1.1");
+    assert_eq!(run.body, b"body");
+    assert_eq!(run.header("x-own"), Some("kept"));
+    assert_eq!(run.header("x-hop"), None);
+    assert_eq!(run.header("expect-instance"), Some("desk-0"));
+    assert_eq!(run.header("request-urgency"), None);
+    for name in forged {
+        assert_eq!(run.header(&name.to_ascii_lowercase()), None, "{name}");
+    }
+    let left: u64 = run.header("deadline-ms").unwrap().parse().unwrap();
+    assert!(left <= 900);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod drain;
 mod explain;
 mod failures;
+mod gateway;
 mod history;
 mod leave;
 mod links;
