gateway: requests that come until the end are answered; parts are asked again

Change: the last writes come while requests are served, then the listener closes, then connections are counted down; a connection is counted when it is accepted. Tests in reach.rs. Change: a refusal only while no probe is due; when all parts were away, one answer brings all back.

--- a/crates/gateway/src/programs.rs
+++ b/crates/gateway/src/programs.rs
@@ -223,7 +223,7 @@
                 drop(state);
                 return Ok(self.reservation(need));
             }
-            if self.rows.is_away(&self.key.place) {
+            if self.rows.refuses(&self.key.place) {
                 return Err(Refusal::Away);
             }
             let (answer, receiver) = async_channel::bounded(1);
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -50,8 +50,12 @@
         }
     }
 
+    fn is_due(&self, now: Time) -> bool {
+        now.since(self.probed) >= PROBE_INTERVAL
+    }
+
     fn probe(&mut self, now: Time) -> bool {
-        let due = now.since(self.probed) >= PROBE_INTERVAL;
+        let due = self.is_due(now);
         if due {
             self.probed = now;
         }
@@ -88,6 +92,17 @@
         self.all.failures >= FAILURES_ALL
     }
 
+    /// Whether a caller that needs a part is to be refused now: it is away, and it is not time to
+    /// find out whether it is back.
+    pub fn refuses(&self, place: &Place, now: Time) -> bool {
+        let link = if self.is_all_away() {
+            Some(&self.all)
+        } else {
+            self.places.get(place)
+        };
+        self.is_away(place) && link.is_some_and(|link| !link.is_due(now))
+    }
+
     /// Whether a call to a part may be made now: it is not away, or the call is to find out.
     pub fn admit(&mut self, place: &Place, now: Time) -> bool {
         if self.is_all_away() {
@@ -112,10 +127,13 @@
         if let Some(took) = took {
             self.mean.0 = (self.mean.0 * (MEAN_DIVISOR - 1) + took.0) / MEAN_DIVISOR;
         }
+        let silent = now.since(self.link(place, now).last_answer);
+        if self.is_all_away() {
+            // What failed together is probably back together; what is not fails again at once.
+            self.places.clear();
+        }
         self.all = Link::new(now);
-        let link = self.link(place, now);
-        let silent = now.since(link.last_answer);
-        *link = Link::new(now);
+        *self.link(place, now) = Link::new(now);
         was_away.then_some(Turned::Back(silent))
     }
 
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -89,6 +89,12 @@
         self.own.reach().is_away(place) && self.relayed.reach().is_away(place)
     }
 
+    /// Whether a caller that needs a part is to be refused now.
+    pub(crate) fn refuses(&self, place: &Place) -> bool {
+        let now = self.clock.now();
+        self.own.reach().refuses(place, now) && self.relayed.reach().refuses(place, now)
+    }
+
     /// Whether calls to any part would only fail now, over every way.
     pub(crate) fn is_all_away(&self) -> bool {
         self.own.reach().is_all_away() && self.relayed.reach().is_all_away()
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -15,7 +15,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use telemetry::Metrics;
-use units::{Incarnation, Span};
+use units::{Incarnation, Span, Time};
 use wire::{Identity, Key, Role};
 
 use crate::control::{FEED_WAIT, endpoint_news, environment_news, follow, peer_news, tell};
@@ -82,13 +82,13 @@
         "zone" => %settings.zone, "callers" => %settings.callers);
     let own = start_peers(&shared, me).await?;
     let (end, ended) = async_channel::bounded::<()>(1);
+    let accepting = smol::spawn(serve_callers(shared.clone(), callers, ended));
     let tasks = [
         smol::spawn(serve_status(shared.clone(), status)),
         smol::spawn(follow_environment(shared.clone())),
         smol::spawn(follow_endpoints(shared.clone())),
         smol::spawn(follow_peers(shared.clone(), own.clone())),
         smol::spawn(sweep(shared.clone())),
-        smol::spawn(serve_callers(shared.clone(), callers, ended)),
         smol::spawn(follow_settings(
             shared.clone(),
             control.file,
@@ -96,20 +96,51 @@
         )),
     ];
     control.stop.await;
-    drain(&shared, end).await;
-    // Both need the store; a stop does not wait long for it.
+    let start = shared.clock.now();
+    let connections = shared.connections.load(Ordering::Acquire);
+    info!(shared.log, "gateway stops"; "connections" => connections);
+    shared.draining.store(true, Ordering::Release);
+    smol::Timer::after(DRAIN_MIN.into()).await;
+    say_goodbye(&shared, &own).await;
+    // From here on nothing new is accepted, so that a count of zero stays zero.
+    accepting.cancel().await;
+    drop(end);
+    finish(&shared, start).await;
+    for task in tasks {
+        task.cancel().await;
+    }
+    Ok(())
+}
+
+/// Writes what others wait for, while requests are still served. A stop does not wait long for it.
+async fn say_goodbye(shared: &Shared, own: &Peer) {
     let goodbye = async {
         shared.programs.give_back(GOODBYE_MAX).await;
-        peers::unregister(&shared.rows, &own, &shared.log).await;
+        peers::unregister(&shared.rows, own, &shared.log).await;
     };
     let late = async {
         smol::Timer::after(GOODBYE_MAX.into()).await;
     };
     goodbye.or(late).await;
-    for task in tasks {
-        task.cancel().await;
+}
+
+/// Waits until all connections have ended, or the process would be killed.
+async fn finish(shared: &Shared, start: Time) {
+    let limit = shared
+        .settings()
+        .stop_within
+        .0
+        .saturating_sub(DRAIN_SLACK.0);
+    loop {
+        let left = shared.connections.load(Ordering::Acquire);
+        let took = shared.clock.now().since(start);
+        if left == 0 || took.0 >= limit {
+            info!(shared.log, "gateway stopped"; "connections_cut" => left,
+                "after_ms" => took.as_ms());
+            return;
+        }
+        smol::Timer::after(Duration::from_millis(20)).await;
     }
-    Ok(())
 }
 
 /// Reads the settings again when told to, and when the file has changed without a word.
@@ -153,31 +184,6 @@
     }
 }
 
-/// Stops: first only the readiness, then the connections, as soon as they are idle.
-async fn drain(shared: &Shared, end: async_channel::Sender<()>) {
-    let start = shared.clock.now();
-    let connections = shared.connections.load(Ordering::Acquire);
-    info!(shared.log, "gateway stops"; "connections" => connections);
-    shared.draining.store(true, Ordering::Release);
-    smol::Timer::after(DRAIN_MIN.into()).await;
-    drop(end);
-    let limit = shared
-        .settings()
-        .stop_within
-        .0
-        .saturating_sub(DRAIN_SLACK.0);
-    loop {
-        let left = shared.connections.load(Ordering::Acquire);
-        let took = shared.clock.now().since(start);
-        if left == 0 || took.0 >= limit {
-            info!(shared.log, "gateway stopped"; "connections_cut" => left,
-                "after_ms" => took.as_ms());
-            return;
-        }
-        smol::Timer::after(Duration::from_millis(20)).await;
-    }
-}
-
 /// Starts the thread that talks with peers.
 async fn start_peers(shared: &Shared, me: Incarnation) -> Result<Peer> {
     let settings = shared.settings();
@@ -263,7 +269,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let task = serve_caller(shared.clone(), stream, ended.clone());
+                // Counted before anything else can happen.
+                let counted = Counted::new(shared.clone());
+                let task = serve_caller(counted, stream, ended.clone());
                 smol::spawn(task).detach();
             }
             Err(error) => {
@@ -290,8 +298,8 @@
     }
 }
 
-async fn serve_caller(shared: Arc<Shared>, stream: TcpStream, ended: async_channel::Receiver<()>) {
-    let _counted = Counted::new(shared.clone());
+async fn serve_caller(counted: Counted, stream: TcpStream, ended: async_channel::Receiver<()>) {
+    let shared = counted.0.clone();
     // Without it answers are only slower.
     drop(stream.set_nodelay(true));
     let idle = shared.environment().map_or(IDLE_UNKNOWN, |environment| {
--- a/crates/gateway/tests/reach.rs
+++ b/crates/gateway/tests/reach.rs
@@ -59,6 +59,33 @@
     assert!(!reach.is_away(&place("b")));
 }
 
+#[test]
+fn all_parts_are_asked_again_once_the_store_is_back() {
+    let mut reach = Reach::new(at(0));
+    for ms in 0..10 {
+        for part in ["a", "b", "c"] {
+            reach.failed(&place(part), at(ms));
+        }
+    }
+    reach.answered(&place("a"), None, at(5_000));
+    // Nobody has asked for these two since, and nobody should be refused because of that.
+    for part in ["b", "c"] {
+        assert!(!reach.is_away(&place(part)));
+        assert!(reach.admit(&place(part), at(5_000)));
+    }
+}
+
+#[test]
+fn whoever_comes_when_a_part_is_to_be_asked_is_not_refused() {
+    let mut reach = Reach::new(at(0));
+    reach.failed(&place("a"), at(1_000));
+    reach.failed(&place("a"), at(1_000));
+    assert!(!reach.refuses(&place("a"), at(1_000)));
+    assert!(reach.admit(&place("a"), at(1_000)));
+    assert!(reach.refuses(&place("a"), at(1_100)));
+    assert!(!reach.refuses(&place("a"), at(2_000)));
+}
+
 #[test]
 fn a_slow_store_is_waited_for() {
     let mut reach = Reach::new(at(0));
--- a/tests/all/gateway/http.rs
+++ b/tests/all/gateway/http.rs
@@ -87,6 +87,16 @@
     }
 }
 
+impl From<TcpStream> for Connection {
+    fn from(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(READ_MAX)).unwrap();
+        Connection {
+            stream,
+            buffer: Vec::new(),
+        }
+    }
+}
+
 /// A connection that is kept.
 pub struct Connection {
     stream: TcpStream,
@@ -96,12 +106,7 @@
 impl Connection {
     /// Connects.
     pub fn open(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).unwrap();
-        stream.set_read_timeout(Some(READ_MAX)).unwrap();
-        Connection {
-            stream,
-            buffer: Vec::new(),
-        }
+        Self::from(TcpStream::connect(address).unwrap())
     }
 
     /// Sends bytes and reads one answer.
--- a/tests/all/gateway/routes.rs
+++ b/tests/all/gateway/routes.rs
@@ -112,6 +112,46 @@
     assert!(cluster.wait(0).success());
 }
 
+#[test]
+fn requests_that_come_until_the_end_are_answered() {
+    let mut cluster = Cluster::start(1, 1);
+    cluster.desks[0].state().pause_ms = 150;
+    // The last writes of the gateway take their time.
+    assert_eq!(
+        turn(PLAIN_TURN, "t0", "p", 900)
+            .send(cluster.callers(0))
+            .status,
+        200
+    );
+    cluster.store.state().knobs.slow_ms = 150;
+    cluster.signal(0, Signal::SIGTERM);
+    let mut callers = Vec::new();
+    for number in 0.. {
+        let address = cluster.callers(0);
+        if std::net::TcpStream::connect(address).is_err() {
+            break;
+        }
+        let id = format!("r{number}");
+        let caller = std::thread::spawn(move || {
+            let Ok(stream) = std::net::TcpStream::connect(address) else {
+                return (id, None);
+            };
+            let request = Request::new("GET", SAFE, &id).bytes();
+            let answer = Connection::from(stream).send(&request);
+            (id, Some(answer))
+        });
+        callers.push(caller);
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    assert!(cluster.wait(0).success());
+    assert!(callers.len() > 100, "{}", callers.len());
+    for caller in callers {
+        let (id, answer) = caller.join().unwrap();
+        let answered = answer.is_some_and(|answer| answer.status == 200 && answer.whole);
+        assert!(answered || cluster.runs(&id).is_empty(), "{id} was cut off");
+    }
+}
+
 #[test]
 fn settings_are_read_again_and_bad_ones_change_nothing() {
     let cluster = Cluster::start(1, 1);
