gateway: fewer writes of accounts

Change: kept turns tell where they ran, so the account is not written for that; out of an ample budget a quarter of the room is held ahead.

--- a/crates/gateway/src/programs.rs
+++ b/crates/gateway/src/programs.rs
@@ -203,7 +203,8 @@
 }
 
 impl Program {
-    /// Reserves the tokens that a turn may generate.
+    /// Reserves the tokens that a turn at `home` may generate; with `notes`, the account is to tell
+    /// other hosts of it.
     ///
     /// # Errors
     /// A refusal; the turn must not run then.
@@ -212,12 +213,13 @@
         need: Tokens,
         budget: Tokens,
         home: &CompactString,
+        notes: bool,
     ) -> std::result::Result<Reservation, Refusal> {
         let receiver = {
             let mut state = self.lock();
             state.last_need = need;
-            // Other hosts look for it in the account.
-            state.note_home = state.ledger.version() > 0 && state.ledger.home() != home;
+            // Other hosts look for it in the account, unless the turns themselves tell.
+            state.note_home = notes && state.ledger.version() > 0 && state.ledger.home() != home;
             state.home = Some(home.clone());
             if state.waiting.is_empty() && state.ledger.admit(need, budget) == Admission::Start {
                 drop(state);
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -80,7 +80,7 @@
     pub(crate) async fn reserve(&self, endpoint: &CompactString) -> Result<Ticket, Refusal> {
         let reservation = self
             .program
-            .reserve(self.need, self.budget, endpoint)
+            .reserve(self.need, self.budget, endpoint, self.kept.is_none())
             .await?;
         Ok(Ticket {
             reservation,
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -14,9 +14,13 @@
 /// Share of the room left that a host may hold ahead, as a divisor: half of it still leaves the
 /// other hosts of a program as much again.
 const AHEAD_DIVISOR: u64 = 2;
-/// Turns that a host may hold ahead, each at its most. A turn mostly uses a fraction of its most, so
-/// one lasts for several turns; what a host holds when it dies is lost to the program.
+/// Turns that a host may hold ahead, each at its most, out of a tight budget. A turn mostly uses a
+/// fraction of its most, so one lasts for several turns; what a host holds when it dies is lost to
+/// the program.
 const AHEAD_TURNS: u64 = 1;
+/// Share of the room that a host may hold ahead in any case, as a divisor: of an ample budget it is
+/// more than one turn's most, and three hosts that die still leave a quarter of it.
+const AMPLE_DIVISOR: u64 = 4;
 
 /// Whether a turn may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -182,7 +186,8 @@
 
     /// What to take for later turns of the `room` that is left.
     fn ahead(&self, room: Tokens) -> Tokens {
-        Tokens((room.0 / AHEAD_DIVISOR).min(self.need.0 * AHEAD_TURNS))
+        let tight = (room.0 / AHEAD_DIVISOR).min(self.need.0 * AHEAD_TURNS);
+        Tokens(tight.max(room.0 / AMPLE_DIVISOR))
     }
 
     fn taken(&self) -> Tokens {
