policy: idle connections are trusted as long as they hold

Change: policy::Idle, 4 s to begin with, halved when a kept connection breaks under a request, slowly back; the loads of it are played in its test.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -26,10 +26,7 @@
 const CONNECT_MAX: Span = Span::from_ms(350);
 /// Connections that are tried for one request; none of them has carried a byte of it.
 const CONNECTS_MAX: usize = 3;
-/// A connection that was idle for longer carries no request that must not be repeated: the
-/// endpoint may be about to close it.
-const IDLE_MAX_ONCE: Span = Span::from_ms(1_500);
-/// The same for requests that may be repeated.
+/// A connection that was idle for longer carries no request, not even one that may be repeated.
 const IDLE_MAX_SAFE: Span = Span::from_ms(10_000);
 /// How long a connection is kept whose endpoint does not say how long it keeps it: less than a
 /// second, as it would say whole seconds.
@@ -400,13 +397,23 @@
         let idle_max = if self.route.may_run_again() {
             IDLE_MAX_SAFE
         } else {
-            IDLE_MAX_ONCE
+            self.shared.idle(&self.service).limit()
         };
         if let Some(mut lease) = pool.take(idle_max, self.shared.clock.now()) {
+            let idle = lease.idle.unwrap_or_default();
             match lease.send(self.request(body, choice)).await {
-                Ok(response) => return Ok((response, lease)),
+                Ok(response) => {
+                    self.shared
+                        .note_idle(&self.service, |limit| limit.held(idle));
+                    return Ok((response, lease));
+                }
                 Err(SendError::NotSent(_)) => {}
-                Err(error) => return Err(error),
+                Err(error) => {
+                    self.shared
+                        .note_idle(&self.service, |limit| limit.broke(idle));
+                    self.tell_idle(choice, idle);
+                    return Err(error);
+                }
             }
         }
         self.shared.metrics.count("connections-opened");
@@ -530,6 +537,13 @@
         pool.put(lease, keep, self.shared.clock.now());
     }
 
+    fn tell_idle(&self, choice: &Choice, idle: Span) {
+        let limit = self.shared.idle(&self.service).limit();
+        info!(self.shared.log, "kept connection broke"; "request" => %self.call.id,
+            "endpoint" => %choice.id, "service" => %self.service, "idle_ms" => idle.as_ms(),
+            "limit_ms" => limit.as_ms());
+    }
+
     pub(crate) fn tell_answer(&self, visit: &Visit, status: StatusCode, outcome: &'static str) {
         let shared = &self.shared;
         let now = shared.clock.now();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,10 +1,12 @@
 //! What the tasks of a gateway share.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use policy::{Places, Spot, Way};
+use compact_str::CompactString;
+use policy::{Idle, Places, Spot, Way};
 use slog::{Logger, info};
 use telemetry::Metrics;
 use units::{Clock, Incarnation, Span, Zone};
@@ -43,6 +45,7 @@
     environment: ArcSwapOption<Environment>,
     endpoints: Mutex<Endpoints>,
     places: Mutex<Places>,
+    idle: Mutex<HashMap<CompactString, Idle>>,
 }
 
 impl Shared {
@@ -72,6 +75,7 @@
             environment: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
             places: Mutex::default(),
+            idle: Mutex::default(),
         }
     }
 
@@ -114,6 +118,18 @@
         self.places.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// How long connections to a service can be trusted.
+    pub(crate) fn idle(&self, service: &CompactString) -> Idle {
+        let all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        all.get(service).copied().unwrap_or_default()
+    }
+
+    /// Learns how long connections to a service can be trusted.
+    pub(crate) fn note_idle(&self, service: &CompactString, learn: impl FnOnce(&mut Idle)) {
+        let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        learn(all.entry(service.clone()).or_default());
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -39,8 +39,8 @@
 pub struct Lease {
     sender: http1::SendRequest<Full<Bytes>>,
     _driver: Task<()>,
-    /// Whether it was opened for this request.
-    pub fresh: bool,
+    /// How long it had been idle before this request; `None` if it was opened for it.
+    pub idle: Option<Span>,
 }
 
 #[derive(Debug)]
@@ -76,7 +76,8 @@
     pub fn take(&self, idle_max: Span, now: Time) -> Option<Lease> {
         let mut idle = self.lock();
         idle.retain(|idle| now.since(idle.since) < idle.keep && !idle.lease.sender.is_closed());
-        let last = idle.pop_if(|idle| now.since(idle.since) <= idle_max)?;
+        let mut last = idle.pop_if(|idle| now.since(idle.since) <= idle_max)?;
+        last.lease.idle = Some(now.since(last.since));
         Some(last.lease)
     }
 
@@ -97,7 +98,7 @@
             Ok(Lease {
                 sender,
                 _driver: driver,
-                fresh: true,
+                idle: None,
             })
         };
         let expire = async {
@@ -108,10 +109,9 @@
     }
 
     /// Keeps a connection, whose answer was read whole, for at most `keep`.
-    pub fn put(&self, mut lease: Lease, keep: Span, now: Time) {
+    pub fn put(&self, lease: Lease, keep: Span, now: Time) {
         let mut idle = self.lock();
         if idle.len() < IDLE_MAX && keep > Span(0) {
-            lease.fresh = false;
             idle.push(Idle {
                 lease,
                 since: now,
