policy: a token that would be read again counts twice; exchange split

Change: MISSING_WEIGHT 2 in policy::Places; a test that plays the noise fails with 1 and passes with 2.

--- /dev/null
+++ b/crates/gateway/src/accept.rs
@@ -0,0 +1,143 @@
+//! A request as it comes from its caller, and the refusals of what cannot be served.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
+use hyper::http::request::Parts;
+use hyper::{Request, Response};
+use slog::info;
+use smol::future::FutureExt;
+use units::{Span, Time};
+
+use crate::call::Call;
+use crate::exchange::Exchange;
+use crate::prompt::point;
+use crate::reply::{Body, Refusal, close, refuse};
+use crate::sniff::Seen;
+use crate::state::Shared;
+
+/// Patience of a caller that does not tell it.
+const PATIENCE_UNSAID: Span = Span::from_ms(30_000);
+
+/// Serves one request.
+pub(crate) async fn serve(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    seen: Arc<Seen>,
+) -> Response<Body> {
+    let started = shared.clock.now();
+    let (head, body) = request.into_parts();
+    let ambiguous = seen.is_ambiguous();
+    let chunked = head.headers.contains_key(hyper::header::TRANSFER_ENCODING);
+    let call = match shared.adapter.dialect.call(&head) {
+        Ok(_) if ambiguous => Err((CompactString::default(), Refusal::Framing)),
+        Ok(call) => Ok(call),
+        Err(why) => Err((CompactString::default(), Refusal::Malformed(why))),
+    };
+    let mut response = match call {
+        Ok(call) => {
+            let patience = call.patience.unwrap_or(PATIENCE_UNSAID);
+            let id = call.id.clone();
+            let program = call.program.clone();
+            let result = accept(shared.clone(), head, call, body, &seen, started).await;
+            result.unwrap_or_else(|refusal| {
+                let delay = refusal.delay(patience, &mut rand::rng());
+                tell_refusal(&shared, &id, program.as_ref(), &refusal, delay, started);
+                refuse(&*shared.adapter.dialect, &id, &refusal, delay)
+            })
+        }
+        Err((id, refusal)) => {
+            tell_refusal(&shared, &id, None, &refusal, None, started);
+            let mut response = refuse(&*shared.adapter.dialect, &id, &refusal, None);
+            close(&mut response);
+            response
+        }
+    };
+    // Bytes after a chunked request are never taken for another one.
+    if shared.is_draining() || chunked {
+        close(&mut response);
+    }
+    response
+}
+
+fn tell_refusal(
+    shared: &Shared,
+    id: &CompactString,
+    program: Option<&CompactString>,
+    refusal: &Refusal,
+    delay: Option<Span>,
+    started: Time,
+) {
+    shared.metrics.request(refusal.code());
+    info!(shared.log, "request refused"; "request" => %id,
+        "program" => program.map_or("", CompactString::as_str),
+        "code" => refusal.code(), "status" => refusal.status().as_u16(), "ran" => refusal.ran(),
+        "retry_ms" => delay.map_or(0, Span::as_ms),
+        "environment" => shared.environment().map_or(0, |environment| environment.version),
+        "store_away" => shared.rows.is_all_away(),
+        "after_ms" => shared.clock.now().since(started).as_ms());
+}
+
+async fn accept(
+    shared: Arc<Shared>,
+    head: Parts,
+    call: Call,
+    body: Incoming,
+    seen: &Seen,
+    started: Time,
+) -> Result<Response<Body>, Refusal> {
+    let environment = shared.environment().ok_or(Refusal::Starting)?;
+    let route = environment.route(&call.host, &call.path);
+    let route = route.ok_or(Refusal::NoRoute)?.clone();
+    let patience = call.patience.unwrap_or(PATIENCE_UNSAID);
+    let deadline = started.after(patience.min(route.timeout));
+    let limit = environment.limits.body.0 as usize;
+    let body = read_body(&shared, body, limit, deadline).await?;
+    seen.next();
+    let spread = call.program.as_ref().unwrap_or(&call.id);
+    let service = route.service(point(spread)).ok_or(Refusal::Full)?.clone();
+    let exchange = Exchange {
+        shared,
+        environment,
+        call,
+        head,
+        started,
+        deadline,
+        route,
+        service,
+    };
+    exchange.run(body).await
+}
+
+async fn read_body(
+    shared: &Shared,
+    body: Incoming,
+    limit: usize,
+    deadline: Time,
+) -> Result<Bytes, Refusal> {
+    // An announced length is refused before any of it has come.
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Refusal::TooLarge);
+    }
+    let read = async {
+        match Limited::new(body, limit).collect().await {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+            Err(_) => Err(Refusal::BodyCut),
+        }
+    };
+    read.or(expire(shared, deadline, Refusal::BodyCut)).await
+}
+
+/// Fails with `refusal` at `deadline`.
+pub(crate) async fn expire<T>(
+    shared: &Shared,
+    deadline: Time,
+    refusal: Refusal,
+) -> Result<T, Refusal> {
+    smol::Timer::after(deadline.since(shared.clock.now()).into()).await;
+    Err(refusal)
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,8 @@
 //! The gateway knows no names of the platform: [`Dialect`] reads and writes the messages,
 //! [`Directory`] the rows.
 
+mod accept;
+mod attempt;
 mod call;
 mod control;
 mod dialect;
@@ -24,6 +26,7 @@
 mod history;
 mod peers;
 mod programs;
+mod prompt;
 mod reach;
 mod relay;
 mod reply;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,8 +16,10 @@
 use turns::Events;
 use units::Time;
 
+use crate::accept::expire;
+use crate::attempt::Visit;
 use crate::call::Receipt;
-use crate::exchange::{Exchange, Visit, expire};
+use crate::exchange::Exchange;
 use crate::reply::{Body, Refusal};
 use crate::state::Shared;
 use crate::turn::Ticket;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -18,11 +18,11 @@
 use units::{Incarnation, Span, Time};
 use wire::{Identity, Key, Role};
 
+use crate::accept::serve;
 use crate::control::{FEED_WAIT, endpoint_news, environment_news, follow, peer_news, tell};
 use crate::dialect::Adapter;
 use crate::endpoints::News;
 use crate::error::{Error, Result};
-use crate::exchange::serve;
 use crate::peers::{self, Peer, Side};
 use crate::reply::{Body, whole};
 use crate::sniff::Sniffer;
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -16,6 +16,10 @@
 /// Time to read a token of a prompt, in microseconds: about 30 tokens a millisecond, the slower of
 /// the engines served.
 const PREFILL: f64 = 34.0;
+/// How much more a token that has to be read again counts than the time it takes: it delays all
+/// others of that endpoint as well, and at a crest noise in the observed delays would move programs
+/// about.
+const MISSING_WEIGHT: f64 = 2.0;
 /// Time that a request of a plain service takes before any was observed.
 const SERVICE_START: f64 = 50_000.0;
 /// Half-life of an observed delay: queues of bursts last seconds.
@@ -263,7 +267,7 @@
         let faults = FAULT_DELAY * self.fault_level(now);
         let work = if self.spot.model {
             let missing = self.missing(demand, now).0 as f64;
-            (missing + self.backlog) * PREFILL + self.delay_level(now)
+            (missing * MISSING_WEIGHT + self.backlog) * PREFILL + self.delay_level(now)
         } else {
             f64::from(self.outstanding) * service_time
         };
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -102,6 +102,20 @@
     assert_ne!(next.id, home.id);
 }
 
+#[test]
+fn noise_of_a_crest_does_not_move_a_program_from_its_prompt() {
+    let mut places = places(2, true);
+    let prompt = [chunk(1, 2_500), chunk(2, 500)];
+    let home = run(&mut places, &demand(&prompt, "", 7), at(0));
+    finish(&mut places, &home, at(1));
+    // One first token came 400 ms late; reading the prompt elsewhere takes 102 ms of all others'
+    // time there.
+    places.first(&home, Span::from_ms(400), at(2));
+    let longer = [chunk(1, 2_500), chunk(2, 500), chunk(3, 10)];
+    let next = run(&mut places, &demand(&longer, "", 7), at(3));
+    assert_eq!(next.id, home.id);
+}
+
 #[test]
 fn a_queue_is_forgotten() {
     let mut places = places(2, true);
