gateway: heads longer than the operator allows get 431; a setting that did nothing goes

Cause: the limit of the head was read and not kept to; log-format of a gateway had no effect. Change: both, with a test of 431 that found 200 before.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -19,6 +19,10 @@
 use crate::sniff::Seen;
 use crate::state::Shared;
 
+/// What a request line has beside method, path and query: spaces, version, line feed.
+const LINE_EXTRA_BYTES: usize = 12;
+/// What a header line has beside name and value: colon, space, line feed.
+const FIELD_EXTRA_BYTES: usize = 4;
 /// Patience of a caller that does not tell it.
 const PATIENCE_UNSAID: Span = Span::from_ms(30_000);
 
@@ -90,6 +94,9 @@
     started: Time,
 ) -> Result<Response<Body>, Refusal> {
     let environment = shared.environment().ok_or(Refusal::Starting)?;
+    if head_bytes(&head) > environment.limits.head.0 {
+        return Err(Refusal::HeadTooLarge);
+    }
     let route = environment.route(&call.host, &call.path);
     let route = route.ok_or(Refusal::NoRoute)?.clone();
     let patience = call.patience.unwrap_or(PATIENCE_UNSAID);
@@ -112,6 +119,15 @@
     exchange.run(body).await
 }
 
+/// The length of a head, with what its lines have beside names and values.
+fn head_bytes(head: &Parts) -> u64 {
+    let line = head.method.as_str().len() + head.uri.path().len() + LINE_EXTRA_BYTES;
+    let query = head.uri.query().map_or(0, str::len);
+    let fields = head.headers.iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_EXTRA_BYTES);
+    (line + query + fields.sum::<usize>()) as u64
+}
+
 async fn read_body(
     shared: &Shared,
     body: Incoming,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -36,13 +36,20 @@
     pub(crate) environment: Arc<Environment>,
     pub(crate) call: Call,
     pub(crate) head: Parts,
+    /// When its head had come.
     pub(crate) started: Time,
+    /// When its caller has to have a final answer.
     pub(crate) deadline: Time,
     pub(crate) route: Route,
     pub(crate) service: CompactString,
 }
 
 impl Exchange {
+    /// Serves the request: opens its turn if it is one, chooses an endpoint, reserves its tokens,
+    /// and sends it.
+    ///
+    /// # Errors
+    /// The refusal to answer with.
     pub(crate) async fn run(self, body: Bytes) -> Result<Response<Body>, Refusal> {
         let opened = turn::open(
             &self.shared,
@@ -226,7 +233,7 @@
     }
 }
 
-/// An answer for the caller.
+/// An answer for the caller: one that is all here, or a stream that begins.
 enum Found {
     Whole(Response<Body>),
     Stream(Box<Arrived>),
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -34,6 +34,8 @@
     Framing,
     /// Its head cannot be used.
     Malformed(Malformed),
+    /// Its head is too long.
+    HeadTooLarge,
     /// Its body is too long.
     TooLarge,
     /// Its body did not come in time, or broke off.
@@ -68,6 +70,7 @@
     pub fn status(&self) -> StatusCode {
         match self {
             Refusal::Framing | Refusal::Malformed(_) | Refusal::BodyCut => StatusCode::BAD_REQUEST,
+            Refusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::NoRoute | Refusal::NoTurn => StatusCode::NOT_FOUND,
             Refusal::Spent => StatusCode::PAYMENT_REQUIRED,
@@ -87,6 +90,7 @@
         match self {
             Refusal::Framing => "framing",
             Refusal::Malformed(_) => "malformed",
+            Refusal::HeadTooLarge => "head-too-large",
             Refusal::TooLarge => "too-large",
             Refusal::BodyCut => "body-cut",
             Refusal::NoRoute => "no-route",
@@ -154,7 +158,7 @@
     }
     if matches!(
         refusal,
-        Refusal::Framing | Refusal::TooLarge | Refusal::BodyCut
+        Refusal::Framing | Refusal::HeadTooLarge | Refusal::TooLarge | Refusal::BodyCut
     ) {
         close(&mut response);
     }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -6,7 +6,7 @@
 use units::{Host, Rate, Region, Span, Zone};
 
 use crate::error::Result;
-use crate::process::{ADDRESS, Format, NAME, Platform, Secret, read};
+use crate::process::{ADDRESS, NAME, Platform, Secret, read};
 use crate::reader::{HEX, Reader};
 
 /// Time within which a stopping process has to end, by default and at most, in seconds.
@@ -22,8 +22,6 @@
     pub region: Region,
     /// The host's availability zone.
     pub zone: Zone,
-    /// How log lines look.
-    pub format: Format,
     /// The address for callers.
     pub callers: SocketAddr,
     /// The address of `/ready`, `/live` and `/metrics`.
@@ -45,13 +43,9 @@
     pub fn parse(file: &str, text: &str) -> Result<Self> {
         let reader = Reader::new(file, text)?;
         let process = reader.required("process")?;
-        let formats = [("json", Format::Json), ("terminal", Format::Terminal)];
         let host = process.get("host", NAME)?;
         let region = process.get("region", NAME)?;
         let zone = process.get("zone", NAME)?;
-        let format = process
-            .choice("log-format", &formats)?
-            .unwrap_or(Format::Json);
         process.close()?;
         let gateway = reader.required("gateway")?;
         let callers = gateway.get("caller-address", ADDRESS)?;
@@ -73,7 +67,6 @@
             host,
             region,
             zone,
-            format,
             callers,
             status,
             peers,
--- a/tests/all/gateway/bad_input.rs
+++ b/tests/all/gateway/bad_input.rs
@@ -57,6 +57,9 @@
         bytes: raw("POST /order/a HTTP/1.1\nHost: shop.example\nRequest-Id: r\n\
             Transfer-Encoding: chunked\n\nzz\n\n"),
         status: 400, closes: true },
+    head_too_long: Case {
+        bytes: Request::new("GET", SAFE, "r").with("X-Long", &"x".repeat(17_000)).bytes(),
+        status: 431, closes: true },
     body_too_long: Case {
         bytes: raw("POST /order/a HTTP/1.1\nHost: shop.example\nRequest-Id: r\n\
             Content-Length: 200000\n\n"),
