gateway: a slow store is waited for, not taken for one that is away

Change: the wait grows with failures of whatever part, and the mean follows a longer answer at once and a shorter one in a few samples; waits are three times the mean.

Test: a_slow_store_is_soon_waited_for, fails on the code before.

The entry logs connections opened, lost and suspected, and what it knew of a target without an endpoint.

--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use board::Observation;
+use slog::{info, warn};
 use smol::LocalExecutor;
 use smol::future::FutureExt;
 use store::api::HostInfo;
@@ -51,6 +52,8 @@
                 current = Some(link);
             }
             Err(error) => {
+                info!(traffic.shared.logger, "connection not opened"; "peer" => %info.host,
+                    "error" => error.label(), "suspected_one_open" => current.is_some());
                 traffic.shared.metrics.count("connect-failed");
                 traffic.shared.metrics.count(error.label());
                 drop_link(&traffic, &info.host, current.take()).await;
@@ -107,6 +110,8 @@
         .insert(host.clone(), link.clone());
     let mut identity = link.peer().clone();
     identity.host = host.clone();
+    info!(traffic.shared.logger, "connection opened"; "peer" => %host,
+        "peer_incarnation" => %identity.incarnation, "replaces" => before.is_some());
     traffic.observe(Observation::Up(identity)).await;
     if let Some(before) = before {
         traffic.shared.metrics.count("link-replaced");
@@ -117,6 +122,8 @@
 /// Ends the use of a host's connection.
 async fn drop_link(traffic: &Traffic, host: &Host, link: Option<Link>) {
     if let Some(link) = link {
+        warn!(traffic.shared.logger, "connection lost"; "peer" => %host,
+            "peer_incarnation" => %link.peer().incarnation, "leaving" => link.is_leaving());
         traffic.links.borrow_mut().remove(host);
         link.close();
         traffic.observe(Observation::Down(host.clone())).await;
@@ -132,6 +139,8 @@
     };
     watch.or(link.suspected()).await;
     if link.is_suspect() {
+        warn!(traffic.shared.logger, "connection suspected"; "peer" => %host,
+            "peer_incarnation" => %link.peer().incarnation);
         traffic.shared.metrics.count("link-suspected");
     }
 }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -8,6 +8,7 @@
 use policy::{Budget, Fleet, Gate, Knobs, Rank, Site, Standing, Ticket};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use slog::warn;
 use units::{Host, Span, Target, Tokens, Version};
 
 use crate::calls::Run;
@@ -94,7 +95,10 @@
         sync(traffic);
         ticket = route(except).or_else(|| route(None));
     }
-    let ticket = ticket.ok_or(Refusal::NoEndpoint)?;
+    let Some(ticket) = ticket else {
+        tell_none(traffic, request);
+        return Err(Refusal::NoEndpoint);
+    };
     let view = traffic.shared.view.load();
     let endpoint = view
         .endpoints
@@ -187,6 +191,19 @@
     link.is_some_and(|link| !link.is_leaving())
 }
 
+/// Logs what was known of the endpoints of a target that has none to choose.
+fn tell_none(traffic: &Traffic, request: &policy::Request) {
+    let view = traffic.shared.view.load();
+    let serving = view.endpoints.iter();
+    let serving = serving.filter(|endpoint| endpoint.serves.contains(&request.target));
+    let (usable, unusable): (Vec<_>, Vec<_>) =
+        serving.partition(|endpoint| is_usable(traffic, &endpoint.host));
+    warn!(traffic.shared.logger, "no endpoint to choose"; "program" => %request.program,
+        "target" => %request.target, "usable" => usable.len(), "unusable" => unusable.len(),
+        "endpoints" => view.endpoints.len(), "connections" => traffic.links.borrow().len(),
+        "hosts_listed" => view.hosts.len());
+}
+
 /// Takes in the board's view, if it has changed.
 fn sync(traffic: &Traffic) {
     let view = traffic.shared.view.load_full();
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -14,9 +14,12 @@
 /// Longest wait; a store that takes this long is away for callers.
 const WAIT_MAX: Span = Span::from_ms(1_600);
 /// Waits are so many times the mean time of an answer.
-const WAIT_FACTOR: u64 = 6;
-/// Weight of a new sample in the mean time of an answer, as a divisor.
-const MEAN_DIVISOR: u64 = 8;
+const WAIT_FACTOR: u64 = 3;
+/// Weight of a sample in the mean time of an answer, as a divisor; a longer one counts more, so that
+/// a store that turns slow is not taken for one that is away.
+const MEAN_DIVISOR: u64 = 4;
+/// The same of a sample that is longer than the mean.
+const RISE_DIVISOR: u64 = 2;
 /// Failures in a row after which a part counts as away: one may be a lost answer.
 const FAILURES_PLACE: u32 = 2;
 /// Failures in a row, of any parts, after which all of them count as away.
@@ -119,9 +122,11 @@
         self.link(place, now).probe(now)
     }
 
-    /// How long to wait for an answer: longer after each failure, as the store may be slow.
+    /// How long to wait for an answer: longer after each failure, of whatever part, as the store may
+    /// be slow.
     pub fn wait(&self, place: &Place) -> Span {
         let failures = self.places.get(place).map_or(0, |link| link.failures);
+        let failures = failures.max(self.all.failures);
         let wait = (self.mean.0 * WAIT_FACTOR).clamp(WAIT_MIN.0, WAIT_MAX.0);
         Span((wait << failures.min(4)).min(WAIT_MAX.0))
     }
@@ -130,7 +135,9 @@
     pub fn answered(&mut self, place: &Place, took: Option<Span>, now: Time) -> Option<Turned> {
         let was_away = self.is_away(place);
         if let Some(took) = took {
-            self.mean.0 = (self.mean.0 * (MEAN_DIVISOR - 1) + took.0) / MEAN_DIVISOR;
+            let rises = took > self.mean;
+            let divisor = if rises { RISE_DIVISOR } else { MEAN_DIVISOR };
+            self.mean.0 = (self.mean.0 * (divisor - 1) + took.0) / divisor;
         }
         let silent = now.since(self.link(place, now).last_answer);
         if self.is_all_away() {
--- a/crates/gateway/tests/reach.rs
+++ b/crates/gateway/tests/reach.rs
@@ -113,3 +113,25 @@
     }
     assert_eq!(wait_end(at(2_000), at(1_000)), at(2_000));
 }
+
+#[test]
+fn a_slow_store_is_soon_waited_for() {
+    // A store in trouble takes 60 to 80 times as long; 4 ms are usual.
+    let slow = Span::from_ms(400);
+    let mut reach = Reach::new(at(0));
+    let mut now = at(0);
+    let mut missed = Vec::new();
+    // Calls to parts that were not asked before, one after the other.
+    for part in 0..40 {
+        let place = place(&part.to_string());
+        let wait = reach.wait(&place);
+        now = now.after(wait.min(slow));
+        if wait < slow {
+            reach.failed(&place, now);
+            missed.push(part);
+        } else {
+            reach.answered(&place, Some(slow), now);
+        }
+    }
+    assert!(missed.iter().all(|part| *part < 3), "{missed:?}");
+}
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -23,6 +23,8 @@
 /// Bound for a process to start and to find its peers.
 pub const START_MAX: Duration = Duration::from_secs(10);
 
+/// Set to keep the logs of tests that pass, too.
+const KEEP: &str = "BALSAMHOLD_KEEP";
 const POLL: Duration = Duration::from_millis(20);
 
 /// The key that the environment's processes share.
@@ -496,7 +498,7 @@
                 let _ = child.wait();
             }
         }
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && std::env::var_os(KEEP).is_none() {
             let _ = std::fs::remove_dir_all(&self.directory);
         }
     }
