--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,7 +17,7 @@
 use crate::call::Call;
 use crate::environment::{Environment, Repeat, Route};
 use crate::prompt::{chunks, hash};
-use crate::reach::wait_end;
+use crate::reach::{call_end, wait_end};
 use crate::relay::{Relay, collect};
 use crate::reply::{Body, Refusal, whole};
 use crate::state::Shared;
@@ -62,9 +62,11 @@
     /// Prepares the request; waits a while for the store if that is away.
     async fn prepare(&self, body: &Bytes) -> Result<Ready, Refusal> {
         let end = wait_end(self.started, self.deadline);
+        let limit = call_end(self.started, self.deadline);
         let mut waited = false;
         loop {
-            let prepared = self.try_prepare(body.clone()).or(self.late()).await;
+            let expire = expire(&self.shared, limit, Refusal::Away);
+            let prepared = self.try_prepare(body.clone()).or(expire).await;
             let now = self.shared.clock.now();
             let is_away = matches!(prepared, Err(Refusal::Away));
             if is_away && now < end {
@@ -113,10 +115,6 @@
         })
     }
 
-    async fn late<T>(&self) -> Result<T, Refusal> {
-        expire(&self.shared, self.deadline, Refusal::Late).await
-    }
-
     /// Sends the request, first to the endpoint of `first`, until it has an answer, within what may
     /// be repeated.
     async fn send(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,7 +42,7 @@
 pub use environment::{Engine, Environment, Limits, Repeat, Route, Service, Share};
 pub use error::{Error, Result};
 pub use peers::{Peer, Roster};
-pub use reach::{Reach, Turned, wait_end};
+pub use reach::{Reach, Turned, call_end, wait_end};
 pub use reply::Refusal;
 pub use server::{Control, run};
 pub use sniff::{Seen, Sniffer};
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -30,6 +30,9 @@
 /// Share of a caller's patience that a request waits for the store, as a divisor: what is left is
 /// enough to come back later, and to run then.
 const STORE_WAIT_SHARE: u64 = 3;
+/// Share of a caller's patience after which a request whose calls of the store are under way is given
+/// up, as a divisor: it may still come back, and find then what the calls have done.
+const STORE_CALL_SHARE: u64 = 2;
 /// Longest wait for the store: callers leave streams that are silent for two seconds.
 const STORE_WAIT_MAX: Span = Span::from_ms(1_800);
 /// What has changed, for the log.
@@ -172,3 +175,10 @@
     let patience = deadline.since(started);
     started.after(Span(patience.0 / STORE_WAIT_SHARE).min(STORE_WAIT_MAX))
 }
+
+/// When a request that waits for answers of the store is given up. The load this answers: a store
+/// that is slow, or loses answers, where callers would be held until their patience is over.
+pub fn call_end(started: Time, deadline: Time) -> Time {
+    let patience = deadline.since(started);
+    started.after(Span(patience.0 / STORE_CALL_SHARE).min(STORE_WAIT_MAX))
+}
--- a/crates/gateway/tests/reach.rs
+++ b/crates/gateway/tests/reach.rs
@@ -1,6 +1,6 @@
 //! When calls of the store are refused at once, and when it is asked again.
 
-use gateway::{Reach, Turned, wait_end};
+use gateway::{Reach, Turned, call_end, wait_end};
 use store::Place;
 use units::{Span, Time};
 
@@ -114,6 +114,18 @@
     assert_eq!(wait_end(at(2_000), at(1_000)), at(2_000));
 }
 
+#[test]
+fn a_slow_call_of_the_store_leaves_time_to_come_back() {
+    for patience_ms in [0, 400, 1_200, 4_000, 5_000, 30_000] {
+        let (started, deadline) = (at(1_000), at(1_000 + patience_ms));
+        let held = call_end(started, deadline).since(started);
+        assert!(held.as_ms() * 2 <= patience_ms, "{patience_ms}: {held:?}");
+        assert!(held < Span::from_ms(2_000), "{patience_ms}: {held:?}");
+        // A call under way is not given up before a caller that waits for the store's return.
+        assert!(call_end(started, deadline) >= wait_end(started, deadline));
+    }
+}
+
 #[test]
 fn a_slow_store_is_soon_waited_for() {
     // A store in trouble takes 60 to 80 times as long; 4 ms are usual.
