entry: a call waits a moment for a connection that was just lost

The order was refused as no-endpoint, which was true and needless: the platform lists the host.

Why the connection broke under that load is not shown by the logs of either side.

Change: a call whose target has no endpoint that can be reached waits for one of them for as long as opening a connection may take, if the platform lists its host as staying. A target that no listed host serves is refused at once, as before.

Test: an_order_waits_for_a_connection_that_was_just_lost, failed with the wait taken out.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -211,8 +211,8 @@
     for _ in 0..ATTEMPTS_MAX {
         let refuse = |refusal| unsettled(ran, reason, refusal);
         reserve(traffic, run, worst).await.map_err(refuse)?;
-        let chosen = routing::choose(traffic, run, &request, failed.as_ref(), plan.version)
-            .map_err(refuse)?;
+        let chosen = routing::choose(traffic, run, &request, failed.as_ref(), plan.version);
+        let chosen = chosen.await.map_err(refuse)?;
         failed = Some(chosen.ticket.host.clone());
         let (route, dispatched) = attempt(traffic, run, &plan, chosen, hedges).await?;
         let refused = match dispatched {
--- a/crates/entry/src/hedge.rs
+++ b/crates/entry/src/hedge.rs
@@ -125,7 +125,7 @@
 /// Chooses the endpoint of the second dispatch and reserves its tokens.
 async fn second(traffic: &Traffic, run: &Run, call: &Plan<'_>, ticket: &Ticket) -> Option<Chosen> {
     let host = Some(&ticket.host);
-    let other = routing::choose(traffic, run, call.request, host, call.version).ok()?;
+    let other = routing::try_choose(traffic, run, call.request, host, call.version).ok()?;
     if other.ticket.host == ticket.host {
         return None;
     }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -16,6 +16,10 @@
 use crate::refusal::{Refusal, Result};
 use crate::traffic::Traffic;
 
+/// How long a call waits for a lost connection: as long as opening one may take.
+const RECONNECT_WAIT: Span = wire::connection::CONNECT_TIMEOUT;
+/// Time between looks for it; short against a call.
+const RECONNECT_POLL: Span = Span::from_ms(10);
 const LINK_COST: Span = Span::from_ms(24);
 const TOKEN_BYTES: u64 = 4;
 
@@ -68,8 +72,42 @@
     }
 }
 
-/// Chooses an endpoint for the call, other than `except`.
-pub(crate) fn choose(
+/// Chooses an endpoint for the call, other than `except`; waits a moment if the connections to all
+/// that would do were just lost. The load this answers: a call that comes between the loss of a
+/// connection and the next one, which mostly opens some milliseconds later.
+pub(crate) async fn choose(
+    traffic: &Traffic,
+    run: &Run,
+    request: &policy::Request,
+    except: Option<&Host>,
+    document: Version,
+) -> Result<Chosen> {
+    let end = traffic.shared.clock.now().after(RECONNECT_WAIT);
+    loop {
+        let chosen = try_choose(traffic, run, request, except, document);
+        let none = matches!(chosen, Err(Refusal::NoEndpoint));
+        let now = traffic.shared.clock.now();
+        if !none || now >= end || !may_return(traffic, &request.target) {
+            return chosen;
+        }
+        smol::Timer::after(RECONNECT_POLL.into()).await;
+    }
+}
+
+/// Whether an endpoint of a target that cannot be reached now is expected back: the platform lists
+/// its host, and does not say that it is leaving.
+fn may_return(traffic: &Traffic, target: &Target) -> bool {
+    let view = traffic.shared.view.load();
+    let fleet = traffic.routing.fleet.borrow();
+    let mut hosts = fleet.serving(target);
+    hosts.any(|host| {
+        let mut listed = view.hosts.iter();
+        listed.any(|info| info.host == *host && !info.leaving)
+    })
+}
+
+/// Chooses an endpoint for the call, other than `except`, from those that can be reached now.
+pub(crate) fn try_choose(
     traffic: &Traffic,
     run: &Run,
     request: &policy::Request,
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -168,6 +168,13 @@
         self.others = (self.others + after).saturating_sub(before);
     }
 
+    /// Hosts whose endpoints serve a target, also those that may not be given new work now.
+    pub fn serving(&self, target: &Target) -> impl Iterator<Item = &Host> {
+        let serving = self.endpoints.iter();
+        let serving = serving.filter(|endpoint| endpoint.site.serves.contains(target));
+        serving.map(|endpoint| &endpoint.site.host)
+    }
+
     /// This entry's part of all slots, by its part of the work under way.
     pub fn part(&self) -> f64 {
         let own = f64::from(self.outstanding + 1);
--- a/tests/all/links.rs
+++ b/tests/all/links.rs
@@ -105,3 +105,27 @@
     order_runs_on_behind_a_cut_connection: cut,
     order_runs_on_in_a_frozen_sidecar: freeze,
 }
+
+#[test]
+fn an_order_waits_for_a_connection_that_was_just_lost() {
+    let cluster = Config::new().with_links().start();
+    let caller = cluster.caller(0, "meche");
+    let program = caller.create("reorder", 5_000, 20);
+    let link = &cluster.links["sidecar-service-0"];
+    link.refuse(true);
+    link.cut();
+    eventually(START_MAX, "the entry has lost its connection", || {
+        let endpoints = cluster.status(0)["endpoints"]
+            .as_array()
+            .map_or(0, Vec::len);
+        endpoints == 2
+    });
+    let call =
+        std::thread::spawn(move || caller.service(&program, 1, "stock", "reserve 2 pallets"));
+    // Long enough for the order to find no endpoint, short against what it may wait.
+    std::thread::sleep(Duration::from_millis(100));
+    link.refuse(false);
+    let answer = call.join().unwrap();
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(cluster.services[0].state().inputs.len(), 1);
+}
