gateway: rows that dead hosts left behind are dropped

Cause: a host dropped the rows that it had written; those of one that died stayed in the users' store for ever, as nothing expires there by itself.

Change: each host reads through the tables, one part a second among all hosts, and drops turns older than any route retains, accounts as old without a listed holder, and entries of gateways that were not written for ten minutes (each host writes its own again every two). Ages are told from the store's versions alone: what has a version that the store had reached a minute ago is a minute old.

Every drop is conditional on the row's version: what was written meanwhile stays.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod server;
 mod sniff;
 mod state;
+mod sweep;
 mod turn;
 
 pub use call::{Call, Malformed, Orders, Part, Receipt};
@@ -46,3 +47,4 @@
 pub use reply::Refusal;
 pub use server::{Control, run};
 pub use sniff::{Seen, Sniffer};
+pub use sweep::is_left_behind;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -106,6 +106,12 @@
         peers.into_iter().cloned().collect()
     }
 
+    /// Whether a process that is listed has this incarnation.
+    pub fn has(&self, incarnation: Incarnation) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.incarnation == incarnation)
+    }
+
     /// Gateways known, with the own one.
     pub fn count(&self) -> usize {
         self.peers.len()
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -1,5 +1,6 @@
 //! The calls of the store, over whichever way reaches it.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use event_listener::Event;
@@ -32,6 +33,8 @@
     relayed: Way,
     /// Tells those who wait that a part is back.
     back: Event,
+    /// The highest version of the store that was heard of.
+    version: AtomicU64,
     clock: Clock,
 }
 
@@ -88,6 +91,7 @@
             own: Way::new("own", now, log),
             relayed: Way::new("peers", now, log),
             back: Event::new(),
+            version: AtomicU64::new(0),
             clock,
         }
     }
@@ -118,6 +122,15 @@
         self.own.reach().is_all_away() && self.relayed.reach().is_all_away()
     }
 
+    /// The highest version of the store that was heard of; 0 before the first.
+    pub(crate) fn version(&self) -> u64 {
+        self.version.load(Ordering::Relaxed)
+    }
+
+    fn heard(&self, version: u64) {
+        self.version.fetch_max(version, Ordering::Relaxed);
+    }
+
     pub(crate) async fn write(&self, place: &Place, tx: &Transaction) -> Result<Written> {
         let direct = self.table.write(place, tx);
         let relay = || Relay::Write {
@@ -144,7 +157,8 @@
         Ok(all)
     }
 
-    async fn read_page(&self, place: &Place, from: &str, to: &str) -> Result<Page> {
+    /// Reads the first rows from `from` to `to`.
+    pub(crate) async fn read_page(&self, place: &Place, from: &str, to: &str) -> Result<Page> {
         let direct = self.table.read(place, from, to, PAGE_ROWS);
         let relay = || Relay::Read {
             place: place.clone(),
@@ -153,7 +167,10 @@
             limit: PAGE_ROWS as u32,
         };
         match self.call(place, direct, relay).await? {
-            Reached::Here(page) | Reached::There(Relayed::Page(page)) => Ok(page),
+            Reached::Here(page) | Reached::There(Relayed::Page(page)) => {
+                self.heard(page.version);
+                Ok(page)
+            }
             Reached::There(_) => Err(unexpected()),
         }
     }
@@ -173,6 +190,9 @@
         };
         let feed = self.table.feed(table, version, own_wait);
         let result = self.timed(&place, feed, limit, away).await;
+        if let Ok(Feed::Changes(_, version)) = &result {
+            self.heard(*version);
+        }
         if result.is_ok() || !self.own.reach().is_away(&place) {
             return result;
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,9 +27,10 @@
 use crate::reply::{Body, whole};
 use crate::sniff::Sniffer;
 use crate::state::Shared;
+use crate::sweep;
 
 /// Time between looks at what has become idle or overdue.
-const SWEEP: Duration = Duration::from_millis(300);
+const TICK: Duration = Duration::from_millis(300);
 /// Idle connections of callers are kept this much longer than they may be used.
 const IDLE_SLACK: Duration = Duration::from_secs(3);
 /// How long an idle connection is kept before the environment is known.
@@ -88,7 +89,8 @@
         smol::spawn(follow_environment(shared.clone())),
         smol::spawn(follow_endpoints(shared.clone())),
         smol::spawn(follow_peers(shared.clone(), own.clone())),
-        smol::spawn(sweep(shared.clone())),
+        smol::spawn(tick(shared.clone())),
+        smol::spawn(sweep::run(shared.clone(), own.clone())),
         smol::spawn(follow_settings(
             shared.clone(),
             control.file,
@@ -238,9 +240,10 @@
     follow(shared, peers::TABLE.into(), PEERS_WAIT, peer_news).await;
 }
 
-async fn sweep(shared: Arc<Shared>) {
+/// Expires and counts what this process itself keeps.
+async fn tick(shared: Arc<Shared>) {
     loop {
-        smol::Timer::after(SWEEP).await;
+        smol::Timer::after(TICK).await;
         let gone = shared.endpoints().expire(shared.clock.now());
         if !gone.is_empty() {
             for id in &gone {
--- /dev/null
+++ b/crates/gateway/tests/sweep.rs
@@ -0,0 +1,59 @@
+//! Which rows are dropped that no host cares for any more.
+
+use gateway::is_left_behind;
+use store::Place;
+use store::api::{Row, Value};
+use turns::{Account, Grant};
+use units::{Incarnation, Tokens};
+
+const LIVE: Incarnation = Incarnation(1);
+const DEAD: Incarnation = Incarnation(2);
+/// Up to which version rows are old.
+const BEFORE: u64 = 100;
+
+fn account(holders: &[Incarnation]) -> Vec<u8> {
+    let grants = holders.iter().map(|holder| Grant {
+        holder: *holder,
+        granted: Tokens(10),
+        taken: Tokens(3),
+    });
+    let account = Account {
+        grants: grants.collect(),
+        home: "e".into(),
+    };
+    account.encode().expect("plain data encodes")
+}
+
+fn is_dropped(table: &str, version: u64, value: Vec<u8>) -> bool {
+    let row = Row {
+        key: "k".into(),
+        version,
+        value: Value(value),
+    };
+    is_left_behind(&Place::new(table, "00"), &row, BEFORE, |process| {
+        process == LIVE
+    })
+}
+
+#[test]
+fn old_turns_are_dropped() {
+    assert!(is_dropped("turns", BEFORE, Vec::new()));
+    assert!(!is_dropped("turns", BEFORE + 1, Vec::new()));
+}
+
+#[test]
+fn old_accounts_without_a_living_holder_are_dropped() {
+    assert!(is_dropped("accounts", 5, account(&[DEAD])));
+    assert!(is_dropped("accounts", 5, account(&[])));
+    assert!(!is_dropped("accounts", BEFORE + 1, account(&[DEAD])));
+}
+
+#[test]
+fn an_account_with_a_living_holder_stays() {
+    assert!(!is_dropped("accounts", 5, account(&[DEAD, LIVE])));
+}
+
+#[test]
+fn an_account_that_cannot_be_read_stays() {
+    assert!(!is_dropped("accounts", 5, vec![0xff; 3]));
+}
--- /dev/null
+++ b/crates/turns/src/age.rs
@@ -0,0 +1,43 @@
+//! How old rows are, told from their versions alone.
+//!
+//! Versions come from one counter of the store, so whatever has a version that the store had reached
+//! at some moment was written before that moment. Hosts that die leave rows behind that no one knows
+//! of; this tells which of them are old, without a clock that hosts would have to share.
+
+use std::collections::VecDeque;
+
+use units::{Span, Time};
+
+/// Time between marks: ages are told this exactly.
+const MARK_INTERVAL: Span = Span::from_ms(5_000);
+/// Marks kept: they reach back for a quarter of an hour.
+const MARKS_MAX: usize = 180;
+
+/// The versions that the store had reached at some moments of this host's own clock.
+#[derive(Clone, Debug, Default)]
+pub struct Ages {
+    marks: VecDeque<(Time, u64)>,
+}
+
+impl Ages {
+    /// Takes in that the store has reached `version`.
+    pub fn note(&mut self, version: u64, now: Time) {
+        let last = self.marks.back();
+        let is_due = last.is_none_or(|(at, _)| now.since(*at) >= MARK_INTERVAL);
+        if version == 0 || !is_due {
+            return;
+        }
+        self.marks.push_back((now, version));
+        if self.marks.len() > MARKS_MAX {
+            self.marks.pop_front();
+        }
+    }
+
+    /// The highest version that is surely `age` old; `None` if nothing is known to be that old.
+    pub fn written_before(&self, age: Span, now: Time) -> Option<u64> {
+        let old = |at: &Time| now.since(*at) >= age;
+        let marks = self.marks.iter();
+        let marks = marks.take_while(|(at, _)| old(at));
+        marks.last().map(|(_, version)| *version)
+    }
+}
--- a/crates/turns/src/key.rs
+++ b/crates/turns/src/key.rs
@@ -6,6 +6,10 @@
 use compact_str::{CompactString, format_compact};
 use store::Place;
 
+/// The table of accounts.
+pub const ACCOUNTS: &str = "accounts";
+/// The table of turns.
+pub const TURNS: &str = "turns";
 /// Parts that each table is spread over: enough that the transactions which a store runs in a part
 /// one after another do not queue, few enough that all can be read through.
 const PARTS: u8 = 64;
@@ -26,7 +30,7 @@
     /// The account of `program`.
     pub fn new(program: &str) -> Self {
         AccountKey {
-            place: Place::new("accounts", &format_compact!("{:02x}", part(program))),
+            place: place(ACCOUNTS, part(program)),
             key: plain(program),
         }
     }
@@ -54,7 +58,7 @@
     fn new(turn: &str, part: u8) -> Self {
         let id = plain(turn);
         TurnKey {
-            place: Place::new("turns", &format_compact!("{part:02x}")),
+            place: place(TURNS, part),
             first: format_compact!("{id}/"),
             // '0' is the character after '/'.
             end: format_compact!("{id}0"),
@@ -67,6 +71,16 @@
     }
 }
 
+/// All places of both tables.
+pub fn places() -> Vec<Place> {
+    let of = |table| (0..PARTS).map(move |part| place(table, part));
+    of(ACCOUNTS).chain(of(TURNS)).collect()
+}
+
+fn place(table: &str, part: u8) -> Place {
+    Place::new(table, &format_compact!("{part:02x}"))
+}
+
 fn part(id: &str) -> u8 {
     blake3::hash(id.as_bytes()).as_bytes()[0] % PARTS
 }
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -13,6 +13,7 @@
 //! Nothing here reads a clock or a socket.
 
 mod account;
+mod age;
 mod chain;
 mod error;
 mod events;
@@ -20,8 +21,9 @@
 mod ledger;
 
 pub use account::{Account, Grant};
+pub use age::Ages;
 pub use chain::{History, Past, Turn};
 pub use error::{Error, Result};
 pub use events::{Events, Piece};
-pub use key::{AccountKey, TurnKey};
+pub use key::{ACCOUNTS, AccountKey, TURNS, TurnKey, places};
 pub use ledger::{Admission, Ledger, Plan};
--- /dev/null
+++ b/crates/turns/tests/age.rs
@@ -0,0 +1,48 @@
+//! Which rows are old.
+
+use turns::Ages;
+use units::{Span, Time};
+
+fn at(s: u64) -> Time {
+    Time(0).after(Span::from_ms(s * 1_000))
+}
+
+const MINUTE: Span = Span::from_ms(60_000);
+
+#[test]
+fn nothing_is_old_to_a_host_that_has_just_started() {
+    let mut ages = Ages::default();
+    assert_eq!(ages.written_before(MINUTE, at(500)), None);
+    ages.note(1_000, at(500));
+    assert_eq!(ages.written_before(MINUTE, at(559)), None);
+    assert_eq!(ages.written_before(MINUTE, at(560)), Some(1_000));
+}
+
+#[test]
+fn a_row_is_never_told_older_than_it_is() {
+    let mut ages = Ages::default();
+    // One version a second, noted each second; the version is the second in which it was written.
+    for second in 1..2_000 {
+        ages.note(second, at(second));
+        let old = ages.written_before(MINUTE, at(second));
+        assert!(
+            old.is_none_or(|old| old + 60 <= second),
+            "{old:?} at {second}"
+        );
+    }
+    let old = ages.written_before(MINUTE, at(2_000));
+    assert!(old.is_some_and(|old| old + 70 >= 2_000), "{old:?}");
+}
+
+#[test]
+fn ages_are_kept_for_ten_minutes() {
+    let mut ages = Ages::default();
+    for second in 1..5_000 {
+        ages.note(second, at(second));
+    }
+    let old = ages.written_before(Span::from_ms(600_000), at(5_000));
+    assert!(
+        old.is_some_and(|old| (4_300..=4_400).contains(&old)),
+        "{old:?}"
+    );
+}
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -8,4 +8,5 @@
 mod faults;
 mod outage;
 mod routes;
+mod sweep;
 mod turns;
