policy: errors and refusals of endpoints count in placing

Change: an error of the endpoint's own and a request that it did not take on count as half a fault.

Tests: an endpoint that errs gets little; rare errors of all leave the work spread.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use http_io::{Lease, Outgoing, Pool, SendError};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use policy::Choice;
+use policy::{Choice, Fault};
 use slog::info;
 use smol::future::FutureExt;
 use units::{Span, Time};
@@ -36,7 +36,7 @@
     pub(crate) choice: Choice,
     pub(crate) sent: Time,
     pub(crate) begun: bool,
-    pub(crate) fault: bool,
+    pub(crate) fault: Fault,
 }
 
 impl Visit {
@@ -99,18 +99,20 @@
         let (response, lease) = match result {
             Ok(Ok(arrived)) => arrived,
             Ok(Err(SendError::NotSent(error))) => {
-                visit.fault = true;
+                visit.fault = Fault::Failed;
                 self.shared.metrics.count("connects-failed");
                 self.tell_attempt(&visit, "not sent", &error.to_string());
                 return Attempt::Unsent;
             }
             Ok(Err(SendError::Broken(error))) => {
-                visit.fault = true;
+                visit.fault = Fault::Failed;
                 self.tell_attempt(&visit, "connection broke", &error.to_string());
                 return Attempt::Unknown(Refusal::Broken);
             }
             Err(refusal) => {
-                visit.fault = self.route.may_run_again();
+                if self.route.may_run_again() {
+                    visit.fault = Fault::Failed;
+                }
                 self.tell_attempt(&visit, "no answer in time", refusal.code());
                 return Attempt::Unknown(refusal);
             }
@@ -187,11 +189,12 @@
         let status = arrived.response.status();
         let receipt = arrived.receipt;
         if !receipt.matches {
-            arrived.visit.fault = true;
+            arrived.visit.fault = Fault::Failed;
             self.tell_attempt(&arrived.visit, "answer of another request", status.as_str());
             return Attempt::Unknown(Refusal::Broken);
         }
         if receipt.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+            arrived.visit.fault = Fault::Turned;
             self.tell_attempt(&arrived.visit, "not run", status.as_str());
             self.recycle(arrived).await;
             return Attempt::NotRun;
@@ -199,10 +202,13 @@
         let promises = matches!(status.as_u16(), 402 | 408 | 421 | 429 | 503);
         if promises || (status.is_success() && !receipt.sealed) {
             // It would promise what is not certain, or is not the endpoint's answer.
-            arrived.visit.fault = true;
+            arrived.visit.fault = Fault::Failed;
             self.tell_attempt(&arrived.visit, "unusable answer", status.as_str());
             return Attempt::Unknown(Refusal::Broken);
         }
+        if status.is_server_error() {
+            arrived.visit.fault = Fault::Turned;
+        }
         Attempt::Answered(Box::new(arrived))
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
-use policy::Demand;
+use policy::{Demand, Fault};
 use slog::info;
 use smol::future::FutureExt;
 use units::{Span, Time};
@@ -181,7 +181,7 @@
             choice,
             sent: now,
             begun: false,
-            fault: false,
+            fault: Fault::None,
         })
     }
 
@@ -220,7 +220,7 @@
                 Ok(Found::Whole(response))
             }
             Err(refusal) => {
-                arrived.visit.fault = true;
+                arrived.visit.fault = Fault::Failed;
                 self.tell_attempt(&arrived.visit, "answer cut", refusal.code());
                 Err(Attempt::Unknown(refusal))
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use http_io::{Lease, Pool};
 use hyper::StatusCode;
 use hyper::body::{Frame, Incoming};
+use policy::Fault;
 use slog::info;
 use smol::future::FutureExt;
 use turns::Events;
@@ -109,7 +110,9 @@
                     None
                 }
                 Err(Stop::Cut(why)) => {
-                    relay.visit.fault = why == "endpoint broke off";
+                    if why == "endpoint broke off" {
+                        relay.visit.fault = Fault::Failed;
+                    }
                     relay.tell(why);
                     Some((Err(std::io::Error::other(why)), None))
                 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,5 +19,5 @@
 pub use idle::Idle;
 pub use knobs::{Knobs, Order, Routing};
 pub use order::{Rank, Standing};
-pub use place::{Choice, Chunk, Demand, Places, Spot, Way};
+pub use place::{Choice, Chunk, Demand, Fault, Places, Spot, Way};
 pub use route::{Request, Ticket, Why};
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -32,6 +32,9 @@
 const PARTS_MAX: usize = 4_096;
 /// How much a fault counts as delay: more than any calm queue, less than a timeout.
 const FAULT_DELAY: f64 = 400_000.0;
+/// How much of a fault an error of the endpoint's own counts, or a request that it did not take on:
+/// services have some of them on good days.
+const TURNED_SHARE: f64 = 0.5;
 /// Half-life of a fault.
 const FAULT_HALF_LIFE_SECONDS: f64 = 2.0;
 /// How much better the endpoint is rated that all hosts prefer for an unknown program, so that they
@@ -92,6 +95,28 @@
     pub key: u64,
 }
 
+/// How an endpoint served a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// As it should, or the request was given up for another reason.
+    #[default]
+    None,
+    /// It answered with an error of its own, or did not take the request on.
+    Turned,
+    /// It could not be reached, broke off, or answered with what is no answer.
+    Failed,
+}
+
+impl Fault {
+    fn weight(self) -> f64 {
+        match self {
+            Fault::None => 0.0,
+            Fault::Turned => TURNED_SHARE,
+            Fault::Failed => 1.0,
+        }
+    }
+}
+
 /// A choice, to be given back by [`Places::finish`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -219,9 +244,8 @@
         }
     }
 
-    /// Takes in that a request is no longer at its endpoint; `fault` if the endpoint failed it, or
-    /// could not be reached.
-    pub fn finish(&mut self, choice: &Choice, begun: bool, fault: bool, now: Time) {
+    /// Takes in that a request is no longer at its endpoint, and how it was served there.
+    pub fn finish(&mut self, choice: &Choice, begun: bool, fault: Fault, now: Time) {
         let Some(seat) = self.seat(choice) else {
             return;
         };
@@ -229,8 +253,8 @@
         if !begun {
             seat.backlog = (seat.backlog - choice.missing.0 as f64).max(0.0);
         }
-        if fault {
-            seat.faults = seat.fault_level(now) + 1.0;
+        if fault != Fault::None {
+            seat.faults = seat.fault_level(now) + fault.weight();
             seat.fault_at = now;
         }
     }
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -1,7 +1,7 @@
 //! The choice of an endpoint under the loads that it answers.
 
 use compact_str::{CompactString, format_compact};
-use policy::{Choice, Chunk, Demand, Places, Spot, Way};
+use policy::{Choice, Chunk, Demand, Fault, Places, Spot, Way};
 use proptest::prelude::*;
 use units::{Span, Time, Tokens};
 
@@ -55,7 +55,7 @@
 }
 
 fn finish(places: &mut Places, choice: &Choice, now: Time) {
-    places.finish(choice, true, false, now);
+    places.finish(choice, true, Fault::None, now);
 }
 
 #[test]
@@ -76,7 +76,7 @@
     let prompt = [chunk(1, 3_000)];
     let choice = places.choose(&demand(&prompt, "", 7), &[], at(0));
     let choice = choice.expect("an endpoint");
-    places.finish(&choice, false, false, at(0));
+    places.finish(&choice, false, Fault::None, at(0));
     let again = places.choose(&demand(&prompt, "", 7), &[], at(1));
     assert_eq!(again.expect("an endpoint").missing, Tokens(3_000));
 }
@@ -132,7 +132,7 @@
 fn a_fault_sends_requests_elsewhere_for_a_while() {
     let mut places = places(3, false);
     let choice = run(&mut places, &demand(&[], "", 7), at(0));
-    places.finish(&choice, false, true, at(0));
+    places.finish(&choice, false, Fault::Failed, at(0));
     let next = run(&mut places, &demand(&[], "", 7), at(100));
     assert_ne!(next.id, choice.id);
     finish(&mut places, &next, at(200));
@@ -140,6 +140,55 @@
     assert_eq!(later.id, choice.id);
 }
 
+/// An endpoint fails half of its requests with errors of its own; all others serve.
+#[test]
+fn an_endpoint_that_errs_gets_little() {
+    let mut places = places(6, true);
+    let mut errors = 0;
+    for number in 0..300_u64 {
+        // Ten requests a second, each of a program of its own.
+        let now = at(number * 100);
+        let prompt = [chunk(number, 1_000)];
+        let choice = run(&mut places, &demand(&prompt, "", number), now);
+        let fails = choice.id == "endpoint-0" && number % 2 == 0;
+        let fault = if fails { Fault::Turned } else { Fault::None };
+        errors += u32::from(fails);
+        places.finish(&choice, true, fault, now.after(Span::from_ms(20)));
+    }
+    // A sixth of all requests would meet 25 errors.
+    assert!(errors <= 10, "{errors}");
+}
+
+/// Every endpoint errs now and then, as services do: none is left out for that.
+#[test]
+fn rare_errors_leave_the_work_spread() {
+    let mut places = places(3, false);
+    let mut taken = [0_u32; 3];
+    let mut running = Vec::new();
+    for number in 0..3_000_u64 {
+        // Two hundred requests a second of 50 ms each, one in a hundred of which fails.
+        let now = at(number * 5);
+        running.retain(|(choice, end)| {
+            let ends = *end <= now;
+            if ends {
+                let errs = number % 100 == 0;
+                let fault = if errs { Fault::Turned } else { Fault::None };
+                places.finish(choice, true, fault, now);
+            }
+            !ends
+        });
+        let choice = run(&mut places, &demand(&[], "", number), now);
+        let index: usize = choice.id["endpoint-".len()..].parse().expect("a number");
+        taken[index] += 1;
+        running.push((choice, now.after(Span::from_ms(50))));
+    }
+    assert!(taken.iter().all(|count| *count >= 600), "{taken:?}");
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![Just(Fault::None), Just(Fault::Turned), Just(Fault::Failed)]
+}
+
 #[test]
 fn an_endpoint_that_was_asked_is_not_asked_again() {
     let mut places = places(2, false);
@@ -209,7 +258,7 @@
 
     /// Whatever happens, no request stays counted after its end.
     #[test]
-    fn requests_are_counted_off(ends in prop::collection::vec((any::<bool>(), any::<bool>()), 1..40)) {
+    fn requests_are_counted_off(ends in prop::collection::vec((any::<bool>(), fault()), 1..40)) {
         let mut places = places(3, true);
         let prompt = [chunk(1, 100)];
         for (begun, fault) in ends {
