--- a/crates/gateway/src/sweep.rs
+++ b/crates/gateway/src/sweep.rs
@@ -62,8 +62,8 @@
         let place = &places[next];
         if let Some(before) = limit(&ages, place, retain, now) {
             sweep(&shared, &own, place, before).await;
-            next = (next + 1) % places.len();
         }
+        next = (next + 1) % places.len();
     }
 }
 
