gateway, turns: a chain stays whole for as long as it goes on

Cause, found by reading: a turn is retained with the turns that it goes on from, but the rows of each were dropped by the age of their own writing (its retention and 10 s). A chain longer than 70 s lost its first turns, and the next one was answered 404.

Change: rows of turns stay for a minute longer than turns are retained, and a host that goes on from turns older than 45 s, or of an age that it does not know, writes them again before it ends the new one. Ages come from versions and from the host's own writes. A host drops rows of its own only under the version that it wrote.

The test of refusals in outages reads the log with patience: it failed once, as another thread writes the log.

--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -1,12 +1,14 @@
 //! What was said: turns in memory and in the store.
 
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use compact_str::CompactString;
 use futures_util::future::join_all;
 use slog::{Logger, info, warn};
+use store::Written;
 use store::api::Transaction;
-use turns::{History, Past, Turn, TurnKey};
+use turns::{CHAIN_SLACK, History, Lives, Past, Turn, TurnKey};
 use units::{Clock, Span, Time};
 
 use crate::control::pause;
@@ -17,8 +19,6 @@
 const MEMORY_MAX_BYTES: usize = 16 << 20;
 /// How long a turn stays in memory at most; longer than programs live, as the store has it too.
 const MEMORY_KEEP: Span = Span::from_ms(120_000);
-/// Rows are kept this much longer than turns have to be, for requests under way.
-const RETAIN_SLACK: Span = Span::from_ms(10_000);
 /// Turns whose rows are dropped at a time.
 const DROPS_MAX: usize = 32;
 
@@ -28,8 +28,19 @@
     clock: Clock,
     log: Logger,
     memory: Mutex<History>,
-    /// Turns that this host wrote, with the time until which they have to be kept.
-    written: Mutex<Vec<(Time, CompactString)>>,
+    /// Turns that this host wrote, in the order of their writing.
+    written: Mutex<VecDeque<Row>>,
+    lives: Mutex<Lives>,
+}
+
+/// A turn that this host wrote.
+struct Row {
+    id: CompactString,
+    place: TurnKey,
+    /// The version of its rows; another host may write them again.
+    version: u64,
+    /// Until when they have to stay.
+    until: Time,
 }
 
 impl Histories {
@@ -40,6 +51,7 @@
             log,
             memory: Mutex::new(History::new(MEMORY_MAX_BYTES, MEMORY_KEEP)),
             written: Mutex::default(),
+            lives: Mutex::default(),
         }
     }
 
@@ -90,6 +102,11 @@
                 "error" => %error);
             Refusal::Away
         })?;
+        let version = page.rows.iter().map(|row| row.version).min();
+        let since = version.and_then(|version| self.rows.ages().not_before(version));
+        if let Some(since) = since {
+            self.lives().note(id, since);
+        }
         Turn::read(&page.rows).map_err(|error| {
             warn!(self.log, "turn cannot be read"; "turn" => %id, "error" => %error,
                 "store_version" => page.version);
@@ -97,16 +114,39 @@
         })
     }
 
-    /// Commits a turn: returns once it is durable, however long that takes.
+    /// Commits a turn, with the turns before it whose rows would not stay as long: returns once all
+    /// are durable, however long that takes.
     ///
     /// # Errors
-    /// If the turn cannot be encoded.
+    /// If a turn cannot be encoded.
     pub(crate) async fn commit(
         &self,
         id: &CompactString,
         turn: Turn,
         retain: Span,
     ) -> Result<(), Refusal> {
+        for before in self.aging(&turn.line) {
+            let old = self.memory().get(&before).cloned();
+            let Some(old) = old else {
+                // It was read when the turn began and has left the memory since.
+                warn!(self.log, "turn not prolonged"; "turn" => %before, "for" => %id);
+                continue;
+            };
+            info!(self.log, "turn prolonged"; "turn" => %before, "for" => %id);
+            self.write(&before, &old, retain).await?;
+        }
+        self.write(id, &turn, retain).await?;
+        self.memory().insert(id, turn, self.clock.now());
+        Ok(())
+    }
+
+    fn aging(&self, line: &[CompactString]) -> Vec<CompactString> {
+        let now = self.clock.now();
+        self.lives().aging(line, now).into_iter().cloned().collect()
+    }
+
+    /// Writes a turn's rows; returns once they are durable.
+    async fn write(&self, id: &CompactString, turn: &Turn, retain: Span) -> Result<(), Refusal> {
         let keys = TurnKey::all(id);
         // One place is enough; the second serves while the first is away.
         for key in keys.iter().cycle() {
@@ -114,50 +154,68 @@
                 warn!(self.log, "turn cannot be encoded"; "turn" => %id, "error" => %error);
                 Refusal::Broken
             })?;
-            let Err(error) = self.rows.write(&key.place, &transaction).await else {
-                break;
-            };
-            info!(self.log, "turn not written yet"; "turn" => %id, "part" => %key.place.part,
-                "error" => %error);
+            match self.rows.write(&key.place, &transaction).await {
+                Ok(Written::Committed(version)) => {
+                    self.note_written(id, key, version, retain);
+                    break;
+                }
+                // There is no condition that could fail.
+                Ok(Written::Conflict(_)) => {}
+                Err(error) => {
+                    info!(self.log, "turn not written yet"; "turn" => %id,
+                        "part" => %key.place.part, "error" => %error);
+                }
+            }
             if keys.iter().all(|key| self.rows.is_away(&key.place)) {
                 pause().await;
             }
         }
-        let now = self.clock.now();
-        self.memory().insert(id, turn, now);
-        let until = now.after(Span(retain.0 + RETAIN_SLACK.0));
-        self.written().push((until, id.clone()));
         Ok(())
     }
 
-    /// Drops the rows of some turns whose time is over. Those of a host that is gone stay.
+    fn note_written(&self, id: &CompactString, key: &TurnKey, version: u64, retain: Span) {
+        let now = self.clock.now();
+        self.lives().note(id, now);
+        let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
+        written.push_back(Row {
+            id: id.clone(),
+            place: key.clone(),
+            version,
+            until: now.after(Span(retain.0 + CHAIN_SLACK.0)),
+        });
+    }
+
+    /// Drops the rows of some turns whose time is over; those of hosts that are gone are swept.
     pub(crate) async fn drop_expired(&self) {
         let now = self.clock.now();
-        let expired: Vec<CompactString> = {
-            let mut written = self.written();
-            let split = written.partition_point(|(until, _)| *until <= now);
-            let expired = written.drain(..split.min(DROPS_MAX));
-            expired.map(|(_, id)| id).collect()
+        self.lives().forget(now);
+        let expired: Vec<Row> = {
+            let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
+            let count = written.iter().take(DROPS_MAX);
+            let count = count.take_while(|row| row.until <= now).count();
+            written.drain(..count).collect()
         };
-        for id in expired {
-            for key in TurnKey::all(&id) {
-                if let Err(error) = self.drop_at(&key).await {
-                    info!(self.log, "rows of a turn stay"; "turn" => %id, "error" => %error);
-                }
+        for row in expired {
+            if let Err(error) = self.drop_rows(&row).await {
+                info!(self.log, "rows of a turn stay"; "turn" => %row.id, "error" => %error);
             }
         }
     }
 
-    async fn drop_at(&self, key: &TurnKey) -> store::Result<()> {
-        let page = self.rows.read(&key.place, &key.first, &key.end).await?;
-        if page.rows.is_empty() {
+    /// Drops the rows of a turn, unless they were written again. A copy that a lost write has left at
+    /// the turn's other place is swept.
+    async fn drop_rows(&self, row: &Row) -> store::Result<()> {
+        let TurnKey { place, first, end } = &row.place;
+        let page = self.rows.read(place, first, end).await?;
+        let is_own = page.rows.iter().all(|found| found.version <= row.version);
+        if page.rows.is_empty() || !is_own {
             return Ok(());
         }
         let rows = page.rows.iter();
         let drop = rows.fold(Transaction::default(), |drop, row| {
-            drop.with_delete(&row.key)
+            drop.with_check(&row.key, row.version).with_delete(&row.key)
         });
-        self.rows.write(&key.place, &drop).await.map(|_| ())
+        self.rows.write(place, &drop).await.map(|_| ())
     }
 
     /// Bytes of text in memory.
@@ -169,7 +227,7 @@
         self.memory.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn written(&self) -> MutexGuard<'_, Vec<(Time, CompactString)>> {
-        self.written.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lives(&self) -> MutexGuard<'_, Lives> {
+        self.lives.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -1,6 +1,5 @@
 //! The calls of the store, over whichever way reaches it.
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use event_listener::Event;
@@ -8,6 +7,7 @@
 use smol::future::FutureExt;
 use store::api::Transaction;
 use store::{Error, Feed, Page, Place, Result, Table, Written, after};
+use turns::Ages;
 use units::{Clock, Span, Time};
 use wire::{Relay, Relayed};
 
@@ -33,8 +33,8 @@
     relayed: Way,
     /// Tells those who wait that a part is back.
     back: Event,
-    /// The highest version of the store that was heard of.
-    version: AtomicU64,
+    /// The versions of the store that were heard of.
+    ages: Mutex<Ages>,
     clock: Clock,
 }
 
@@ -91,7 +91,7 @@
             own: Way::new("own", now, log),
             relayed: Way::new("peers", now, log),
             back: Event::new(),
-            version: AtomicU64::new(0),
+            ages: Mutex::default(),
             clock,
         }
     }
@@ -122,13 +122,13 @@
         self.own.reach().is_all_away() && self.relayed.reach().is_all_away()
     }
 
-    /// The highest version of the store that was heard of; 0 before the first.
-    pub(crate) fn version(&self) -> u64 {
-        self.version.load(Ordering::Relaxed)
+    /// How old rows are by their versions.
+    pub(crate) fn ages(&self) -> MutexGuard<'_, Ages> {
+        self.ages.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn heard(&self, version: u64) {
-        self.version.fetch_max(version, Ordering::Relaxed);
+        self.ages().note(version, self.clock.now());
     }
 
     pub(crate) async fn write(&self, place: &Place, tx: &Transaction) -> Result<Written> {
--- a/crates/gateway/src/sweep.rs
+++ b/crates/gateway/src/sweep.rs
@@ -15,7 +15,7 @@
 use slog::info;
 use store::api::{Row, Transaction};
 use store::{Place, Written, after};
-use turns::{ACCOUNTS, Account, Ages};
+use turns::{ACCOUNTS, Account, CHAIN_SLACK, TURNS};
 use units::{Incarnation, Span, Time};
 
 use crate::peers::{self, Peer};
@@ -42,7 +42,6 @@
     places.push(Place::new(peers::TABLE, ""));
     // Hosts begin at places of their own, so that they do not read the same ones together.
     let mut next = own.incarnation.0 as usize % places.len();
-    let mut ages = Ages::default();
     let mut retain = AGE_MIN;
     let mut written = shared.clock.now();
     loop {
@@ -53,14 +52,13 @@
             return;
         }
         let now = shared.clock.now();
-        ages.note(shared.rows.version(), now);
         if now.since(written) >= ENTRY_INTERVAL {
             peers::register(&shared.rows, &own, &shared.log).await;
             written = now;
         }
         retain = retain.max(longest_retained(&shared));
         let place = &places[next];
-        if let Some(before) = limit(&ages, place, retain, now) {
+        if let Some(before) = limit(&shared, place, retain, now) {
             sweep(&shared, &own, place, before).await;
         }
         next = (next + 1) % places.len();
@@ -77,12 +75,13 @@
 }
 
 /// The version up to which rows of a place are old; `None` if none are known to be.
-fn limit(ages: &Ages, place: &Place, retain: Span, now: Time) -> Option<u64> {
+fn limit(shared: &Shared, place: &Place, retain: Span, now: Time) -> Option<u64> {
     let age = match place.table.as_str() {
         peers::TABLE => ENTRY_AGE,
+        TURNS => Span(retain.0 + CHAIN_SLACK.0 + AGE_SLACK.0),
         _ => Span(retain.0 + AGE_SLACK.0),
     };
-    ages.written_before(age, now)
+    shared.rows.ages().written_before(age, now)
 }
 
 /// Drops the rows of a place that are left behind.
--- a/crates/turns/src/age.rs
+++ b/crates/turns/src/age.rs
@@ -20,11 +20,13 @@
 }
 
 impl Ages {
-    /// Takes in that the store has reached `version`.
+    /// Takes in that the newest version of the store is `version`; news that were overtaken by later
+    /// ones are left out.
     pub fn note(&mut self, version: u64, now: Time) {
         let last = self.marks.back();
         let is_due = last.is_none_or(|(at, _)| now.since(*at) >= MARK_INTERVAL);
-        if version == 0 || !is_due {
+        let is_old = last.is_some_and(|(_, newest)| version < *newest);
+        if version == 0 || is_old || !is_due {
             return;
         }
         self.marks.push_back((now, version));
@@ -40,4 +42,12 @@
         let marks = marks.take_while(|(at, _)| old(at));
         marks.last().map(|(_, version)| *version)
     }
+
+    /// A moment before which `version` was surely not written, as near to its writing as is known;
+    /// `None` for versions from before the first mark.
+    pub fn not_before(&self, version: u64) -> Option<Time> {
+        let earlier = self.marks.iter().rev();
+        let mut earlier = earlier.skip_while(|(_, reached)| *reached >= version);
+        earlier.next().map(|(at, _)| *at)
+    }
 }
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -8,7 +8,7 @@
 //! - A write of an account whose answer was lost is repeated under the same condition, so it
 //!   happens once.
 //! - A turn is found by every host once its rows are committed, and only committed turns have
-//!   successors.
+//!   successors. It is found, with all turns before it, for as long as it is retained.
 //!
 //! Nothing here reads a clock or a socket.
 
@@ -19,6 +19,7 @@
 mod events;
 mod key;
 mod ledger;
+mod lives;
 
 pub use account::{Account, Grant};
 pub use age::Ages;
@@ -27,3 +28,4 @@
 pub use events::{Events, Piece};
 pub use key::{ACCOUNTS, AccountKey, TURNS, TurnKey, places};
 pub use ledger::{Admission, Ledger, Plan};
+pub use lives::{CHAIN_SLACK, Lives};
--- a/crates/turns/tests/age.rs
+++ b/crates/turns/tests/age.rs
@@ -46,3 +46,24 @@
         "{old:?}"
     );
 }
+
+#[test]
+fn a_row_is_never_told_younger_than_it_is() {
+    let mut ages = Ages::default();
+    ages.note(100, at(100));
+    // Whoever has just started knows nothing of what was written before.
+    assert_eq!(ages.not_before(100), None);
+    assert_eq!(ages.not_before(101), Some(at(100)));
+    for second in 101..400 {
+        ages.note(second, at(second));
+    }
+    for version in 101..400 {
+        let since = ages
+            .not_before(version)
+            .expect("written after the first mark");
+        assert!(since <= at(version) && at(version).since(since) <= Span::from_ms(6_000));
+    }
+    // News that come late say nothing of now.
+    ages.note(150, at(500));
+    assert_eq!(ages.not_before(399), Some(at(395)));
+}
--- a/tests/all/gateway/outage.rs
+++ b/tests/all/gateway/outage.rs
@@ -11,10 +11,19 @@
 /// Bound for a host to notice that the store is away, or back: several waits for an answer.
 const NOTICE_MAX: Duration = Duration::from_secs(10);
 
-/// The lines of a log.
-fn lines(log: &str) -> impl Iterator<Item = Value> {
-    log.lines()
-        .filter_map(|line| serde_json::from_str(line).ok())
+/// The log line of a refused request, which a thread of its own writes.
+fn refusal(cluster: &Cluster, id: &str) -> Value {
+    let mut found = None;
+    eventually(NOTICE_MAX, "the refusal is logged", || {
+        let log = cluster.log(0);
+        let lines = log
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        let mut refused = lines.filter(|line: &Value| line["msg"] == "request refused");
+        found = refused.find(|line| line["request"] == id);
+        found.is_some()
+    });
+    found.unwrap()
 }
 
 #[test]
@@ -60,9 +69,7 @@
         let answer = turn(PLAIN_TURN, &id, &id, 900).send(cluster.callers(0));
         assert_eq!(answer.status, 503, "{answer:?}");
         assert!(cluster.runs(&id).is_empty());
-        let log = cluster.log(0);
-        let refused = lines(&log).filter(|line| line["msg"] == "request refused");
-        let refused = refused.last().unwrap();
+        let refused = refusal(&cluster, &id);
         let ms = |field: &str| refused[field].as_u64().unwrap();
         let delay: f64 = answer.header("retry-after").unwrap().parse().unwrap();
         assert!(
