gateway, policy: clearer names

Fault::Minor for errors and refusals of endpoints, as reach::Turned is something else; history::Own for turns that a host wrote. No change of behaviour.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -48,10 +48,9 @@
             let program = call.program.clone();
             let result = accept(shared.clone(), head, call, body, &seen, started).await;
             result.unwrap_or_else(|refusal| {
-                let left = patience
-                    .0
-                    .saturating_sub(shared.clock.now().since(started).0);
-                let delay = refusal.delay(Span(left), &mut rand::rng());
+                let waited = shared.clock.now().since(started);
+                let left = Span(patience.0.saturating_sub(waited.0));
+                let delay = refusal.delay(left, &mut rand::rng());
                 tell_refusal(&shared, &id, program.as_ref(), &refusal, delay, started);
                 refuse(&*shared.adapter.dialect, &id, &refusal, delay)
             })
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -194,7 +194,7 @@
             return Attempt::Unknown(Refusal::Broken);
         }
         if receipt.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-            arrived.visit.fault = Fault::Turned;
+            arrived.visit.fault = Fault::Minor;
             self.tell_attempt(&arrived.visit, "not run", status.as_str());
             self.recycle(arrived).await;
             return Attempt::NotRun;
@@ -207,7 +207,7 @@
             return Attempt::Unknown(Refusal::Broken);
         }
         if status.is_server_error() {
-            arrived.visit.fault = Fault::Turned;
+            arrived.visit.fault = Fault::Minor;
         }
         Attempt::Answered(Box::new(arrived))
     }
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -29,14 +29,14 @@
     log: Logger,
     memory: Mutex<History>,
     /// Turns that this host wrote, in the order of their writing.
-    written: Mutex<VecDeque<Row>>,
+    written: Mutex<VecDeque<Own>>,
     lives: Mutex<Lives>,
 }
 
 /// A turn that this host wrote.
-struct Row {
+struct Own {
     id: CompactString,
-    place: TurnKey,
+    key: TurnKey,
     /// The version of its rows; another host may write them again.
     version: u64,
     /// Until when they have to stay.
@@ -177,9 +177,9 @@
         let now = self.clock.now();
         self.lives().note(id, now);
         let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
-        written.push_back(Row {
+        written.push_back(Own {
             id: id.clone(),
-            place: key.clone(),
+            key: key.clone(),
             version,
             until: now.after(Span(retain.0 + CHAIN_SLACK.0)),
         });
@@ -189,25 +189,25 @@
     pub(crate) async fn drop_expired(&self) {
         let now = self.clock.now();
         self.lives().forget(now);
-        let expired: Vec<Row> = {
+        let expired: Vec<Own> = {
             let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
             let count = written.iter().take(DROPS_MAX);
-            let count = count.take_while(|row| row.until <= now).count();
+            let count = count.take_while(|turn| turn.until <= now).count();
             written.drain(..count).collect()
         };
-        for row in expired {
-            if let Err(error) = self.drop_rows(&row).await {
-                info!(self.log, "rows of a turn stay"; "turn" => %row.id, "error" => %error);
+        for turn in expired {
+            if let Err(error) = self.drop_rows(&turn).await {
+                info!(self.log, "rows of a turn stay"; "turn" => %turn.id, "error" => %error);
             }
         }
     }
 
     /// Drops the rows of a turn, unless they were written again. A copy that a lost write has left at
     /// the turn's other place is swept.
-    async fn drop_rows(&self, row: &Row) -> store::Result<()> {
-        let TurnKey { place, first, end } = &row.place;
+    async fn drop_rows(&self, turn: &Own) -> store::Result<()> {
+        let TurnKey { place, first, end } = &turn.key;
         let page = self.rows.read(place, first, end).await?;
-        let is_own = page.rows.iter().all(|found| found.version <= row.version);
+        let is_own = page.rows.iter().all(|row| row.version <= turn.version);
         if page.rows.is_empty() || !is_own {
             return Ok(());
         }
--- a/crates/gateway/src/sweep.rs
+++ b/crates/gateway/src/sweep.rs
@@ -58,7 +58,7 @@
         }
         retain = retain.max(longest_retained(&shared));
         let place = &places[next];
-        if let Some(before) = limit(&shared, place, retain, now) {
+        if let Some(before) = old_version(&shared, place, retain, now) {
             sweep(&shared, &own, place, before).await;
         }
         next = (next + 1) % places.len();
@@ -75,7 +75,7 @@
 }
 
 /// The version up to which rows of a place are old; `None` if none are known to be.
-fn limit(shared: &Shared, place: &Place, retain: Span, now: Time) -> Option<u64> {
+fn old_version(shared: &Shared, place: &Place, retain: Span, now: Time) -> Option<u64> {
     let age = match place.table.as_str() {
         peers::TABLE => ENTRY_AGE,
         TURNS => Span(retain.0 + CHAIN_SLACK.0 + AGE_SLACK.0),
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -34,7 +34,7 @@
 const FAULT_DELAY: f64 = 400_000.0;
 /// How much of a fault an error of the endpoint's own counts, or a request that it did not take on:
 /// services have some of them on good days.
-const TURNED_SHARE: f64 = 0.5;
+const MINOR_SHARE: f64 = 0.5;
 /// Half-life of a fault.
 const FAULT_HALF_LIFE_SECONDS: f64 = 2.0;
 /// How much better the endpoint is rated that all hosts prefer for an unknown program, so that they
@@ -102,7 +102,7 @@
     #[default]
     None,
     /// It answered with an error of its own, or did not take the request on.
-    Turned,
+    Minor,
     /// It could not be reached, broke off, or answered with what is no answer.
     Failed,
 }
@@ -111,7 +111,7 @@
     fn weight(self) -> f64 {
         match self {
             Fault::None => 0.0,
-            Fault::Turned => TURNED_SHARE,
+            Fault::Minor => MINOR_SHARE,
             Fault::Failed => 1.0,
         }
     }
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -151,7 +151,7 @@
         let prompt = [chunk(number, 1_000)];
         let choice = run(&mut places, &demand(&prompt, "", number), now);
         let fails = choice.id == "endpoint-0" && number % 2 == 0;
-        let fault = if fails { Fault::Turned } else { Fault::None };
+        let fault = if fails { Fault::Minor } else { Fault::None };
         errors += u32::from(fails);
         places.finish(&choice, true, fault, now.after(Span::from_ms(20)));
     }
@@ -172,7 +172,7 @@
             let ends = *end <= now;
             if ends {
                 let errs = number % 100 == 0;
-                let fault = if errs { Fault::Turned } else { Fault::None };
+                let fault = if errs { Fault::Minor } else { Fault::None };
                 places.finish(choice, true, fault, now);
             }
             !ends
@@ -186,7 +186,7 @@
 }
 
 fn fault() -> impl Strategy<Value = Fault> {
-    prop_oneof![Just(Fault::None), Just(Fault::Turned), Just(Fault::Failed)]
+    prop_oneof![Just(Fault::None), Just(Fault::Minor), Just(Fault::Failed)]
 }
 
 #[test]
