gateway: log failed feeds with the length of the attempt

A feed that fails was logged at debug level only, so that the logs of a late environment showed nothing between the last change and 'store lost'. The line 'feed failed' has the table, the error, the length of the attempt and the time without a response, which distinguishes a silent connection, a peer that does not respond and a task that is not scheduled.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 use rand::Rng;
-use slog::{debug, info, warn};
+use slog::{info, warn};
 use store::api::Row;
 use store::{Change, Feed, Page, Partition, Result};
 use units::Span;
@@ -37,6 +37,7 @@
     let mut version = None;
     let mut last_response = shared.clock.now();
     loop {
+        let started = shared.clock.now();
         let result = match version {
             None => read_table(&shared, &table).await,
             Some(version) => shared
@@ -54,7 +55,10 @@
                 smol::Timer::after(FEED_PAUSE).await;
             }
             Err(error) => {
-                debug!(shared.log, "feed failed"; "table" => %table, "error" => %error);
+                shared.metrics.count("feeds-failed");
+                info!(shared.log, "feed failed"; "table" => %table, "error" => %error,
+                    "took_ms" => now.since(started).as_ms(),
+                    "silent_ms" => now.since(last_response).as_ms());
                 retry_pause().await;
             }
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -104,6 +104,8 @@
         info!(self.log, "environment in force"; "version" => environment.version,
             "before" => previous, "row_version" => row_version,
             "routes" => environment.routes.len());
+        self.metrics
+            .set_gauge("environment-version", environment.version as i64);
         self.environment.store(Some(Arc::new(environment)));
         self.sync_balancer();
     }
