store client: after a silent connection, use none that was idle meanwhile

Callers saw routes refused with 404 though the operator's change had been acknowledged more than ConfigApplyMs (4 s) before (CONFIG).

Cause: if open connections fall silent without a reset, the long poll of a feed waits for its whole timeout (1.7 to 3.1 s), and the next attempt took the next idle connection of the pool, which was just as old and as silent. A host with little traffic has several, left over from a burst, and no other calls that empty the pool.

Fix: a request on a reused connection that ends without a response, also by cancellation, closes the connections that were idle all the while. Those that became idle later have answered since, and stay.

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -121,9 +121,11 @@
         }
     }
 
-    /// Closes all idle connections.
-    pub fn clear(&self) {
-        self.lock().clear();
+    /// Closes the connections that have been idle since before `time`. To be called if a request
+    /// that was sent at `time` got no response: what silenced its connection, without closing it,
+    /// has probably silenced these as well.
+    pub fn close_idle_before(&self, time: Time) {
+        self.lock().retain(|conn| conn.since >= time);
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
