gateway: a peer that hangs does not delay a feed's return to the store

A host that does not reach the store followed its tables through peers, one after the other, each for up to 2.4 s, and did not look at the direct path in the meantime. Failed peers were called first again after 3 s, before most of the others had their turn. Callers at such a host were served by an old version for seconds after the store was back.

The new test peers_that_hang_do_not_keep_the_others_from_their_turn failed before: 4 of 7 peers were called.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,7 +26,7 @@
 
 /// Name of the table with a row for each gateway.
 pub(crate) const TABLE: &str = "gateways";
-/// How long after a failure a peer is called last.
+/// Time after the last failure of any peer until failed peers are called like the others again.
 const FAILED_PEER_BACKOFF: Span = Span::from_ms(3_000);
 /// Most peers that are called for one request.
 const PEERS_PER_REQUEST_MAX: usize = 2;
@@ -65,15 +65,17 @@
     }
 }
 
-/// The known gateways, and when each of them failed last.
+/// The known gateways and their recent failures.
 #[derive(Debug, Default)]
 pub struct Roster {
     peers: HashMap<CompactString, Peer>,
+    /// When each peer failed last, unless a call through it has succeeded since.
     failures: HashMap<Host, Time>,
+    last_failure: Time,
 }
 
 impl Roster {
-    /// Inserts or replaces the gateway of a row, and clears the failure of its host.
+    /// Inserts or replaces the gateway of a row, and clears the failures of its host.
     pub fn insert(&mut self, key: &CompactString, peer: Peer) {
         self.failures.remove(&peer.host);
         self.peers.insert(key.clone(), peer);
@@ -87,21 +89,29 @@
     /// Records that a call through a peer failed.
     pub fn record_failure(&mut self, host: &Host, now: Time) {
         self.failures.insert(host.clone(), now);
+        self.last_failure = now;
+    }
+
+    /// Records that a call through a peer succeeded.
+    pub fn record_success(&mut self, host: &Host) {
+        self.failures.remove(host);
     }
 
     /// Returns the peers of `own` in the order in which they are to be called: first those without a
-    /// recent failure, among these first those of the same availability zone. `spread` orders equal
-    /// peers differently on each host.
+    /// failure, among these first those of the same availability zone, then the failed ones, the
+    /// latest failure last. Each peer thus has its turn while calls keep failing. Failures are
+    /// forgotten some time after the last one. `spread` orders equal peers differently on each host.
     pub fn call_order(&self, own: &Peer, spread: u64, now: Time) -> Vec<Peer> {
-        let has_failed = |peer: &Peer| {
-            let failure = self.failures.get(&peer.host);
-            failure.is_some_and(|at| now.since(*at) < FAILED_PEER_BACKOFF)
+        let is_backing_off = now.since(self.last_failure) < FAILED_PEER_BACKOFF;
+        let failed_at = |peer: &Peer| {
+            let failure = self.failures.get(&peer.host).copied();
+            failure.filter(|_| is_backing_off)
         };
         let mut peers: Vec<&Peer> = self.peers.values().collect();
         peers.retain(|peer| peer.host != own.host);
         peers.sort_by_key(|peer| {
             let tie_break = spread.wrapping_mul(peer.incarnation.0 | 1);
-            (has_failed(peer), peer.zone != own.zone, tie_break)
+            (failed_at(peer), peer.zone != own.zone, tie_break)
         });
         peers.into_iter().cloned().collect()
     }
@@ -278,7 +288,10 @@
             match result {
                 Ok(Frame::Relayed(Relayed::Unavailable)) => {}
                 Ok(Frame::Relayed(Relayed::Uncertain)) => uncertain = true,
-                Ok(Frame::Relayed(relayed)) => return Ok(relayed),
+                Ok(Frame::Relayed(relayed)) => {
+                    self.peers.roster().record_success(&peer.host);
+                    return Ok(relayed);
+                }
                 Ok(_) => {}
                 Err(error) => {
                     uncertain |= !error.is_unserved();
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -20,6 +20,11 @@
 /// Time after which a request that waits for the store tries again without a notification: nothing
 /// reports that a partition is available again until some request calls it.
 const RECHECK_INTERVAL: Span = Span::from_ms(250);
+/// How long a feed through a peer waits for changes: short, as a peer that hangs is detected only
+/// after this time.
+const RELAYED_FEED_WAIT: Span = Span::from_ms(500);
+/// Time between tests of the direct path while a peer makes a call.
+const DIRECT_TEST_INTERVAL: Span = Span::from_ms(500);
 /// Timeout of a call that tests whether an unavailable store is available again.
 const PROBE_TIMEOUT: Span = Span::from_ms(300);
 
@@ -220,17 +225,41 @@
         if result.is_ok() || !self.direct.availability().is_unavailable(&partition) {
             return result;
         }
+        // A peer that hangs must not delay the return to the direct path.
+        self.feed_through_peer(&partition, version, wait.min(RELAYED_FEED_WAIT))
+            .or(self.await_direct_feed(&partition, version))
+            .await
+    }
+
+    async fn feed_through_peer(
+        &self,
+        partition: &Partition,
+        version: u64,
+        wait: Span,
+    ) -> Result<Feed> {
         let relay = Relay::Feed {
-            table: table.into(),
+            table: partition.table.clone(),
             version,
             wait,
         };
-        match self.call_peer(&partition, relay, wait).await? {
+        match self.call_peer(partition, relay, wait).await? {
             Relayed::Feed(feed) => Ok(feed),
             _ => Err(unexpected_response()),
         }
     }
 
+    /// Tests the direct path at intervals until it returns the changes after `version`.
+    async fn await_direct_feed(&self, partition: &Partition, version: u64) -> Result<Feed> {
+        loop {
+            smol::Timer::after(DIRECT_TEST_INTERVAL.into()).await;
+            let feed = self.table.feed(&partition.table, version, Span(0));
+            let result = self.with_timeout(partition, feed, PROBE_TIMEOUT, true);
+            if let Ok(feed) = result.await {
+                return Ok(feed);
+            }
+        }
+    }
+
     /// Makes a call for a peer; never forwards it to another peer.
     pub(crate) async fn serve_peer(&self, relay: Relay) -> Relayed {
         let result = match relay {
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -54,3 +54,33 @@
     roster.remove(&key);
     assert_eq!(call_order(&roster, now).len(), 2);
 }
+
+#[test]
+fn peers_that_hang_do_not_keep_the_others_from_their_turn() {
+    let mut roster = Roster::default();
+    let zones = ["a", "a", "a", "a", "b", "b", "b", "b"];
+    for (number, zone) in (1..).zip(zones) {
+        let peer = peer(number, zone);
+        roster.insert(&peer.host.to_string().into(), peer);
+    }
+    // Two peers at a time are called, each for a time that is close to the first backoff.
+    let mut now = Time(0).after(Span::from_ms(10_000));
+    let mut called = std::collections::HashSet::new();
+    for _ in 0..7 {
+        for number in call_order(&roster, now).into_iter().take(2) {
+            now = now.after(Span::from_ms(2_400));
+            called.insert(number);
+            roster.record_failure(&peer(number, "a").host, now);
+        }
+    }
+    assert_eq!(called.len(), zones.len() - 1);
+}
+
+#[test]
+fn success_ends_the_backoff_of_a_peer() {
+    let mut roster = roster();
+    let now = Time(0).after(Span::from_ms(10_000));
+    roster.record_failure(&peer(2, "a").host, now);
+    roster.record_success(&peer(2, "a").host);
+    assert_eq!(call_order(&roster, now)[0], 2);
+}
