gateway: a full read of the list of gateways removes those that are gone

A gateway that had lost the history of its feed read the table again, but only inserted rows: peers whose rows had been deleted meanwhile stayed in its roster for as long as it ran. It went on calling them while the store was unavailable. Found while the list became an input of the limits of endpoints.

The rows of a full read now replace the roster, as they do for endpoints. The new test in crates/gateway/tests/roster.rs covers the roster; the old code had no way to remove a peer on a full read.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -202,9 +202,13 @@
 pub(crate) fn apply_peer_event(shared: &Shared, event: TableEvent<'_>) {
     match event {
         TableEvent::Gap => {}
-        TableEvent::Snapshot(rows, _) => rows
-            .iter()
-            .for_each(|row| peers::apply_row(&shared.peers, row, &shared.log)),
+        TableEvent::Snapshot(rows, _) => {
+            let listed: Vec<CompactString> = rows.iter().map(|row| row.key.clone()).collect();
+            shared.peers.roster().reconcile(&listed);
+            for row in rows {
+                peers::apply_row(&shared.peers, row, &shared.log);
+            }
+        }
         TableEvent::Change(change, _) if change.is_deleted => {
             shared.peers.roster().remove(&change.row.key);
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -86,6 +86,11 @@
         self.peers.remove(key);
     }
 
+    /// Removes the gateways whose rows are not among `listed`, the keys of all rows.
+    pub fn reconcile(&mut self, listed: &[CompactString]) {
+        self.peers.retain(|key, _| listed.contains(key));
+    }
+
     /// Records that a call through a peer failed.
     pub fn record_failure(&mut self, host: &Host, now: Time) {
         self.failures.insert(host.clone(), now);
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -84,3 +84,14 @@
     roster.record_success(&peer(2, "a").host);
     assert_eq!(call_order(&roster, now)[0], 2);
 }
+
+#[test]
+fn peer_whose_row_was_deleted_while_the_history_was_lost_is_removed() {
+    let mut roster = roster();
+    let listed: Vec<_> = [1, 3, 4]
+        .map(|number| peer(number, "a").host.to_string().into())
+        .into();
+    roster.reconcile(&listed);
+    assert_eq!(call_order(&roster, Time(0)).len(), 2);
+    assert!(!roster.contains(Incarnation(2)));
+}
