gateway: hosts together keep to the limit that an endpoint names

Cause: nothing read the header.

Fix: each host computes its share from the limit and the list of gateways (policy::limit, docs/design/limits.md): some hosts hold a seat with a part of the limit, the others send single requests in turn. The choice of an endpoint takes the share into account; a request that no endpoint may take waits for a quarter of its time at most, else it is refused at once with the time until one may be sent.

Tests: crates/policy/tests/limit.rs drives the decision without a network (hosts join, leave and restart, stale lists, limits that change, near zero, malformed); tests/all/gateway/limit.rs runs three hosts.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,13 +7,13 @@
 use http_io::{BufferedRequest, Lease, Pool, SendError};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use policy::{Choice, Fault};
-use slog::info;
+use policy::{Choice, Fault, LimitChange};
+use slog::{info, warn};
 use smol::future::FutureExt;
 use units::{Span, Time};
 
 use crate::accept::expire;
-use crate::call::{Directives, ResponseMeta};
+use crate::call::{Directives, NamedLimit, ResponseMeta};
 use crate::exchange::{BUFFERED_MAX_BYTES, DEADLINE_SLACK, Exchange};
 use crate::prompt::{chunks, queue_urgency};
 use crate::relay::collect;
@@ -88,12 +88,21 @@
         mut placement: Placement,
         deadline: Time,
     ) -> AttemptOutcome {
+        let now = self.shared.clock.now();
+        let limit_wait = placement.choice.allowed_at.since(now);
+        if limit_wait > Span(0) {
+            self.shared.metrics.count("limit-waits");
+            smol::Timer::after(limit_wait.into()).await;
+        }
         placement.sent_at = self.shared.clock.now();
-        self.shared.balancer().record_sent(
-            &placement.choice,
+        let is_allowed = self.shared.balancer().try_send(
+            &mut placement.choice,
             &chunks(&self.call),
             placement.sent_at,
         );
+        if !is_allowed {
+            return AttemptOutcome::NotSent;
+        }
         let pool = {
             let endpoints = self.shared.endpoints();
             endpoints
@@ -134,6 +143,9 @@
             .dialect
             .parse_response(&head, &self.call.id);
         let response = Response::from_parts(head, incoming);
+        if meta.matches_request && response.status() != StatusCode::MISDIRECTED_REQUEST {
+            self.record_limit(&placement, meta.limit);
+        }
         self.classify(EndpointResponse {
             response,
             meta,
@@ -202,6 +214,40 @@
         request
     }
 
+    /// Records the limit that the endpoint of `placement` named in its answer.
+    fn record_limit(&self, placement: &Placement, limit: NamedLimit) {
+        let shared = &self.shared;
+        let endpoint = &placement.choice.id;
+        let rate = match limit {
+            NamedLimit::Absent => None,
+            NamedLimit::Rate(rate) => Some(rate),
+            NamedLimit::Malformed => {
+                warn!(shared.log, "endpoint's limit cannot be read, the previous one stays";
+                    "request" => %self.call.id, "endpoint" => %endpoint);
+                return;
+            }
+        };
+        let now = shared.clock.now();
+        let change =
+            shared
+                .balancer()
+                .record_limit(&placement.choice, rate, placement.sent_at, now);
+        match change {
+            None => {}
+            Some(LimitChange::Set(rate, share)) => {
+                shared.metrics.count("limit-changes");
+                info!(shared.log, "endpoint limited"; "request" => %self.call.id,
+                    "endpoint" => %endpoint, "limit" => %rate, "share" => %share,
+                    "hosts" => shared.peers.roster().count());
+            }
+            Some(LimitChange::Lifted(rate)) => {
+                shared.metrics.count("limit-changes");
+                info!(shared.log, "endpoint no longer limited"; "request" => %self.call.id,
+                    "endpoint" => %endpoint, "limit" => %rate);
+            }
+        }
+    }
+
     /// Determines the outcome from the head of the response.
     async fn classify(&self, mut received: EndpointResponse) -> AttemptOutcome {
         let status = received.response.status();
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use compact_str::CompactString;
-use units::{Span, Tokens};
+use units::{Rate, Span, Tokens};
 
 /// Part of a prompt that other prompts may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,8 +82,20 @@
     pub pin: Option<Span>,
 }
 
+/// The limit that an endpoint's response names for the rate of requests from all hosts together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum NamedLimit {
+    /// The response names no limit.
+    #[default]
+    Absent,
+    /// The limit in requests per second.
+    Rate(Rate),
+    /// The limit cannot be read.
+    Malformed,
+}
+
 /// Decoded head of an endpoint's response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseMeta {
     /// The response names this request.
     pub matches_request: bool,
@@ -91,6 +103,8 @@
     pub sealed: bool,
     /// The endpoint states that it did not run the request.
     pub not_run: bool,
+    /// The limit that the response names.
+    pub limit: NamedLimit,
     /// How long the endpoint keeps the connection open while idle; `None` if it does not say.
     pub keep_alive: Option<Span>,
     /// The connection ends with this response.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -201,7 +201,7 @@
 /// Applies an event of the table of gateways.
 pub(crate) fn apply_peer_event(shared: &Shared, event: TableEvent<'_>) {
     match event {
-        TableEvent::Gap => {}
+        TableEvent::Gap => return,
         TableEvent::Snapshot(rows, _) => {
             let listed: Vec<CompactString> = rows.iter().map(|row| row.key.clone()).collect();
             shared.peers.roster().reconcile(&listed);
@@ -214,4 +214,5 @@
         }
         TableEvent::Change(change, _) => peers::apply_row(&shared.peers, &change.row, &shared.log),
     }
+    shared.sync_senders();
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,6 +28,8 @@
 /// How long an attempt waits beyond the deadline: the endpoint receives the deadline and may send
 /// its own answer when the deadline passes.
 pub(crate) const DEADLINE_SLACK: Span = Span::from_ms(40);
+/// Share of the time of a request that it waits for an endpoint whose limit is used up, as a divisor.
+const LIMIT_WAIT_DIVISOR: u64 = 4;
 /// Longest answer of a plain service. Such an answer is buffered until it is complete, so that a
 /// truncated one can still become an error or another attempt.
 pub(crate) const BUFFERED_MAX_BYTES: usize = 1 << 20;
@@ -101,9 +103,7 @@
         );
         let (body, opened) = opened.await?;
         let last_endpoint = || opened.as_ref().map(OpenTurn::last_endpoint);
-        let mut first = self
-            .choose(&body, last_endpoint(), &[])
-            .ok_or(Refusal::NoEndpoint)?;
+        let mut first = self.choose(&body, last_endpoint(), &[])?;
         let endpoint_before_reserve = last_endpoint();
         let turn = match &opened {
             None => None,
@@ -114,9 +114,7 @@
             && last_endpoint() != Some(first.choice.id.clone())
         {
             drop(first);
-            first = self
-                .choose(&body, last_endpoint(), &[])
-                .ok_or(Refusal::NoEndpoint)?;
+            first = self.choose(&body, last_endpoint(), &[])?;
         }
         let last_endpoint = last_endpoint();
         Ok(Prepared {
@@ -146,9 +144,12 @@
             if now >= self.deadline {
                 return Err(last_refusal.unwrap_or(Refusal::DeadlinePassed));
             }
-            let next = || self.choose(body, last_endpoint.clone(), &tried);
-            let Some(placement) = first.take().or_else(next) else {
-                break;
+            let placement = match first.take() {
+                Some(placement) => placement,
+                None => match self.choose(body, last_endpoint.clone(), &tried) {
+                    Ok(placement) => placement,
+                    Err(refusal) => return Err(last_refusal.unwrap_or(refusal)),
+                },
             };
             tried.push(placement.choice.id.clone());
             let deadline = self.attempt_deadline(sent_attempts, now);
@@ -177,7 +178,7 @@
         body: &Bytes,
         last_endpoint: Option<CompactString>,
         tried: &[CompactString],
-    ) -> Option<Placement> {
+    ) -> Result<Placement, Refusal> {
         let now = self.shared.clock.now();
         let chunks = chunks(&self.call);
         let object = self.call.object.as_ref().filter(|_| self.route.sticky);
@@ -188,9 +189,15 @@
             bytes: body.len() as u64,
             last_endpoint: last_endpoint.as_deref().unwrap_or(""),
             hash_key: stable_hash(key.unwrap_or(&self.call.id)),
+            max_wait: limit_wait_deadline(self.started, self.deadline).since(now),
         };
-        let choice = self.shared.balancer().choose(&demand, tried, now)?;
-        Some(Placement {
+        let mut balancer = self.shared.balancer();
+        let Some(choice) = balancer.choose(&demand, tried, now) else {
+            let wait = balancer.limit_wait(&self.service, tried, now);
+            return Err(wait.map_or(Refusal::NoEndpoint, Refusal::EndpointsLimited));
+        };
+        drop(balancer);
+        Ok(Placement {
             shared: self.shared.clone(),
             choice,
             sent_at: now,
@@ -282,6 +289,11 @@
     }
 }
 
+/// Returns the end of a request's wait for an endpoint whose limit is used up.
+fn limit_wait_deadline(started: Time, deadline: Time) -> Time {
+    started.after(Span(deadline.since(started).0 / LIMIT_WAIT_DIVISOR))
+}
+
 /// A request that is ready to be sent.
 struct Prepared {
     /// Body for the endpoint; for a turn with previous turns, their text comes first.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,7 +41,7 @@
 pub use availability::{
     Availability, AvailabilityChange, store_call_deadline, store_wait_deadline,
 };
-pub use call::{Call, Directives, Malformed, PromptPart, ResponseMeta};
+pub use call::{Call, Directives, Malformed, NamedLimit, PromptPart, ResponseMeta};
 pub use dialect::{Adapter, Dialect, Directory};
 pub use endpoints::{Endpoint, EndpointChange, Endpoints};
 pub use environment::{Engine, Environment, Limits, Repeat, Route, Service, Share};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -127,6 +127,11 @@
         peers.any(|peer| peer.incarnation == incarnation)
     }
 
+    /// Returns the listed gateways, including this one.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
     /// Returns the number of listed gateways, including this one.
     pub fn count(&self) -> usize {
         self.peers.len()
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -56,6 +56,9 @@
     StreamNotKept,
     /// Did not run: there is no endpoint, or all endpoints that were tried are full or unreachable.
     NoEndpoint,
+    /// Did not run: the endpoints limit the rate of requests, and this host's share is used up. Holds
+    /// the time until a request may be sent.
+    EndpointsLimited(Span),
     /// Did not run: the deadline has passed.
     DeadlinePassed,
     /// May have run: the connection to the endpoint was lost, or its response was unusable.
@@ -82,6 +85,7 @@
             | Refusal::BudgetHeld
             | Refusal::StreamNotKept
             | Refusal::NoEndpoint
+            | Refusal::EndpointsLimited(_)
             | Refusal::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -102,6 +106,7 @@
             Refusal::BudgetHeld => "budget-held",
             Refusal::StreamNotKept => "no-beginning",
             Refusal::NoEndpoint => "no-endpoint",
+            Refusal::EndpointsLimited(_) => "endpoints-limited",
             Refusal::DeadlinePassed => "no-time-left",
             Refusal::EndpointFailed => "endpoint-broke-off",
             Refusal::EndpointTimedOut => "endpoint-timed-out",
@@ -117,6 +122,7 @@
             Refusal::StoreUnavailable => STORE_UNAVAILABLE_DELAY,
             Refusal::Starting => STARTING_DELAY,
             Refusal::BudgetHeld => BUDGET_HELD_DELAY,
+            Refusal::EndpointsLimited(delay) => *delay,
             _ => return None,
         };
         // The delay does not exceed what the caller honours. Callers arrive at different times, so
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use compact_str::CompactString;
-use policy::{Balancer, Candidate, IdleLimit, TransferCost};
+use policy::{Balancer, Candidate, IdleLimit, Sender, TransferCost};
 use slog::{Logger, info};
 use telemetry::Metrics;
 use units::{Clock, Incarnation, Span, Zone};
@@ -164,6 +164,22 @@
         self.balancer().sync(candidates);
     }
 
+    /// Updates the load balancer with the listed gateways, which share the limits of endpoints.
+    pub(crate) fn sync_senders(&self) {
+        let senders: Vec<Sender> = self
+            .peers
+            .roster()
+            .peers()
+            .map(|peer| Sender {
+                host: peer.host.clone(),
+                zone: peer.zone.clone(),
+            })
+            .collect();
+        let now = self.clock.now();
+        let own = &self.settings().host;
+        self.balancer().set_senders(own, senders, now);
+    }
+
     fn candidate(&self, member: &Member, environment: Option<&Environment>) -> Candidate {
         let endpoint = &member.endpoint;
         let service =
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -9,9 +9,10 @@
 use std::collections::HashMap;
 
 use compact_str::CompactString;
-use units::{Span, Time, Tokens, Zone};
+use units::{Host, Rate, Span, Time, Tokens, Zone};
 
 use crate::estimate::Mean;
+use crate::limit::{Limit, LimitChange, Sender, Share, Target};
 
 /// Prefill time of a token in microseconds: about 30 tokens a millisecond, the rate of the slower
 /// engines.
@@ -92,6 +93,8 @@
     pub last_endpoint: &'a str,
     /// Hash of the program or object, for which all hosts prefer the same endpoint.
     pub hash_key: u64,
+    /// Longest time that the request may wait until the limit of an endpoint allows it.
+    pub max_wait: Span,
 }
 
 /// How an endpoint failed a request, if it did.
@@ -127,7 +130,10 @@
     pub expected: Span,
     /// Number of endpoints that were compared.
     pub compared: usize,
+    /// When the limit of the endpoint allows the request.
+    pub allowed_at: Time,
     start_id: u64,
+    is_sent: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -135,6 +141,9 @@
     info: Candidate,
     is_present: bool,
     outstanding: u32,
+    /// Outstanding requests that were not sent yet.
+    unsent: u32,
+    limit: Option<Limit>,
     backlog_tokens: f64,
     delay_us: f64,
     delay_at: Time,
@@ -147,6 +156,8 @@
 /// The endpoints that one host can choose from, with the load it has observed at each.
 #[derive(Clone, Debug, Default)]
 pub struct Balancer {
+    own_host: Option<Host>,
+    senders: Vec<Sender>,
     endpoints: HashMap<CompactString, Endpoint>,
     service_time_us: HashMap<CompactString, Mean>,
 }
@@ -174,8 +185,71 @@
             .retain(|_, endpoint| endpoint.is_present || endpoint.outstanding > 0);
     }
 
-    /// Chooses the endpoint of the lowest cost that is not in `except`, and counts the request as
-    /// outstanding there. Returns `None` if no endpoint is eligible.
+    /// Replaces the list of hosts that share the limits of endpoints; `own` is this host.
+    pub fn set_senders(&mut self, own: &Host, senders: Vec<Sender>, now: Time) {
+        self.own_host = Some(own.clone());
+        self.senders = senders;
+        for endpoint in self.endpoints.values_mut() {
+            if let Some(limit) = &mut endpoint.limit {
+                let share = endpoint.info.share(limit.rate(), Some(own), &self.senders);
+                limit.update(limit.rate(), share, now);
+            }
+        }
+    }
+
+    /// Records the limit that an endpoint named in an answer, or that it named none. An answer
+    /// without a limit ends one only if its request was sent after the limit was learned.
+    pub fn record_limit(
+        &mut self,
+        choice: &Choice,
+        rate: Option<Rate>,
+        sent_at: Time,
+        now: Time,
+    ) -> Option<LimitChange> {
+        let endpoint = self.endpoints.get_mut(&choice.id)?;
+        if endpoint.info.start_id != choice.start_id {
+            return None;
+        }
+        let Some(rate) = rate else {
+            let ended = endpoint
+                .limit
+                .take_if(|limit| sent_at >= limit.learned_at())?;
+            return Some(LimitChange::Lifted(ended.rate()));
+        };
+        let share = endpoint
+            .info
+            .share(rate, self.own_host.as_ref(), &self.senders);
+        match &mut endpoint.limit {
+            Some(limit) if limit.rate() == rate => return None,
+            Some(limit) => limit.update(rate, share, now),
+            None => endpoint.limit = Some(Limit::new(rate, share, now)),
+        }
+        Some(LimitChange::Set(rate, share))
+    }
+
+    /// Returns how long it takes until the limit of some endpoint of `service` that is not in `except`
+    /// allows a request; `None` if there is no such endpoint.
+    pub fn limit_wait(&self, service: &str, except: &[CompactString], now: Time) -> Option<Span> {
+        self.candidates(service, except)
+            .map(|endpoint| endpoint.limit_wait(now))
+            .min()
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        service: &'a str,
+        except: &'a [CompactString],
+    ) -> impl Iterator<Item = &'a Endpoint> + Clone {
+        self.endpoints.values().filter(move |endpoint| {
+            endpoint.is_present
+                && endpoint.info.service == service
+                && !except.contains(&endpoint.info.id)
+        })
+    }
+
+    /// Chooses the endpoint of the lowest cost that is not in `except` and whose limit allows the
+    /// request now, or in time if there is none, and counts the request as outstanding there. Returns
+    /// `None` if no endpoint is eligible.
     pub fn choose(
         &mut self,
         demand: &Demand<'_>,
@@ -186,11 +260,14 @@
             .service_time_us
             .get(demand.service)
             .map_or(INITIAL_SERVICE_TIME_US, Mean::value);
-        let candidates = self.endpoints.values().filter(|endpoint| {
-            endpoint.is_present
-                && endpoint.info.service == demand.service
-                && !except.contains(&endpoint.info.id)
-        });
+        let candidates = self.candidates(demand.service, except);
+        let is_allowed_now = |endpoint: &Endpoint| endpoint.limit_wait(now) == Span(0);
+        let max_wait = if candidates.clone().any(is_allowed_now) {
+            Span(0)
+        } else {
+            demand.max_wait
+        };
+        let candidates = candidates.filter(|endpoint| endpoint.limit_wait(now) <= max_wait);
         let preferred = candidates
             .clone()
             .max_by_key(|endpoint| rendezvous_weight(demand.hash_key, &endpoint.info.id))
@@ -212,23 +289,38 @@
         let (cost, endpoint) = best?;
         let missing = endpoint.uncached_tokens(demand, now);
         let id = endpoint.info.id.clone();
+        let allowed_at = now.after(endpoint.limit_wait(now));
         let endpoint = self.endpoints.get_mut(&id)?;
         endpoint.outstanding += 1;
+        endpoint.unsent += 1;
         endpoint.backlog_tokens += missing.0 as f64;
         Some(Choice {
             id,
             missing,
             expected: Span(cost.max(0.0) as u64),
             compared,
+            allowed_at,
             start_id: endpoint.info.start_id,
+            is_sent: false,
         })
     }
 
-    /// Records that the request was sent, after which its prompt counts as cached at the endpoint.
-    pub fn record_sent(&mut self, choice: &Choice, chunks: &[Chunk], now: Time) {
-        if let Some(endpoint) = self.endpoint(choice) {
-            endpoint.record_use(chunks, now);
+    /// Records that the request is sent, after which its prompt counts as cached at the endpoint.
+    /// Returns false, and records nothing, if the endpoint's limit does not allow it any more.
+    pub fn try_send(&mut self, choice: &mut Choice, chunks: &[Chunk], now: Time) -> bool {
+        let Some(endpoint) = self.endpoint(choice) else {
+            return true;
+        };
+        if let Some(limit) = &mut endpoint.limit
+            && !limit.try_send(now)
+        {
+            return false;
+        }
+        endpoint.record_use(chunks, now);
+        if !std::mem::replace(&mut choice.is_sent, true) {
+            endpoint.unsent = endpoint.unsent.saturating_sub(1);
         }
+        true
     }
 
     /// Records that the first token, or the answer of a plain service, arrived after `span`.
@@ -259,6 +351,9 @@
             return;
         };
         endpoint.outstanding = endpoint.outstanding.saturating_sub(1);
+        if !choice.is_sent {
+            endpoint.unsent = endpoint.unsent.saturating_sub(1);
+        }
         if !got_first_token {
             endpoint.backlog_tokens = (endpoint.backlog_tokens - choice.missing.0 as f64).max(0.0);
         }
@@ -282,12 +377,27 @@
     }
 }
 
+impl Candidate {
+    /// Returns the share of the host `own` in a limit of this endpoint.
+    fn share(&self, limit: Rate, own: Option<&Host>, senders: &[Sender]) -> Share {
+        let target = Target {
+            id: &self.id,
+            zone: &self.zone,
+        };
+        own.map_or(Share::Unlisted, |own| {
+            Share::new(limit, target, own, senders)
+        })
+    }
+}
+
 impl Endpoint {
     fn new(info: Candidate) -> Self {
         Endpoint {
             info,
             is_present: true,
             outstanding: 0,
+            unsent: 0,
+            limit: None,
             backlog_tokens: 0.0,
             delay_us: 0.0,
             delay_at: Time(0),
@@ -297,6 +407,14 @@
         }
     }
 
+    /// Returns how long it takes until the limit allows another request; zero if there is none.
+    fn limit_wait(&self, now: Time) -> Span {
+        let Some(limit) = &self.limit else {
+            return Span(0);
+        };
+        limit.allowed_at(self.unsent, now).since(now)
+    }
+
     /// Cost of sending a request to this endpoint: its expected time to the first token with
     /// weights, in microseconds.
     fn cost(&self, demand: &Demand<'_>, service_time_us: f64, now: Time) -> f64 {
@@ -311,7 +429,8 @@
         } else {
             f64::from(self.outstanding) * service_time_us
         };
-        path + faults + work + self.slot_wait(service_time_us)
+        let limit_wait = self.limit_wait(now).0 as f64;
+        path + faults + work + self.slot_wait(service_time_us) + limit_wait
     }
 
     /// Expected wait for a slot in microseconds; zero while the endpoint has a free one.
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -32,6 +32,7 @@
         bytes: 4_000,
         last_endpoint,
         hash_key,
+        max_wait: Span(0),
     }
 }
 
@@ -48,8 +49,8 @@
 
 /// Chooses an endpoint, sends the request, and records its first token at the expected time.
 fn run(balancer: &mut Balancer, demand: &Demand<'_>, now: Time) -> Choice {
-    let choice = balancer.choose(demand, &[], now).expect("an endpoint");
-    balancer.record_sent(&choice, demand.chunks, now);
+    let mut choice = balancer.choose(demand, &[], now).expect("an endpoint");
+    assert!(balancer.try_send(&mut choice, demand.chunks, now));
     balancer.record_first_token(&choice, choice.expected, now);
     choice
 }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -42,6 +42,12 @@
     Truncated,
     /// Executes the request and answers without a length; the answer ends with the connection.
     CloseDelimited,
+    /// Executes the request and sends header fields until the connection is closed.
+    EndlessHead,
+    /// Executes the request and sends a body until the connection is closed.
+    EndlessBody,
+    /// Executes the request and sends events until the connection is closed.
+    EndlessEvents,
 }
 
 /// A request that was executed.
@@ -80,6 +86,12 @@
     pub event_count: u64,
     /// Time before each event, or before a plain answer, in milliseconds.
     pub pause_ms: u64,
+    /// Value of `Server-Limit` in answers; empty for none.
+    pub limit: String,
+    /// Number of endless answers that are being sent.
+    pub endless_answers: u64,
+    /// Bytes of endless answers that were sent.
+    pub endless_bytes: u64,
 }
 
 /// Handle of a running worker, which stops when the handle is dropped.
@@ -174,13 +186,22 @@
     id: &str,
     fault: Fault,
 ) -> Option<()> {
-    let (event_count, pause) = {
+    let (event_count, pause, limit) = {
         let state = lock(state);
-        (state.event_count, Duration::from_millis(state.pause_ms))
+        let limit = match state.limit.as_str() {
+            "" => String::new(),
+            limit => format!("Server-Limit: {limit}\r\n"),
+        };
+        (
+            state.event_count,
+            Duration::from_millis(state.pause_ms),
+            limit,
+        )
     };
     match fault {
         Fault::Refused => {
-            let text = head(503, id, "Not-Executed: 1\r\nContent-Length: 0\r\n");
+            let headers = format!("{limit}Not-Executed: 1\r\nContent-Length: 0\r\n");
+            let text = head(503, id, &headers);
             return write(stream, &text).await;
         }
         Fault::Misdirected => {
@@ -194,17 +215,44 @@
             return None;
         }
         Fault::Garbage => return write(stream, "no answer at all\r\n\r\n").await,
+        Fault::EndlessHead | Fault::EndlessBody | Fault::EndlessEvents => {
+            lock(state).endless_answers += 1;
+            answer_endlessly(stream, state, id, fault).await;
+            lock(state).endless_answers -= 1;
+            return None;
+        }
         _ => {}
     }
     if event_count > 0 {
-        return answer_events(stream, state, id, fault, event_count, pause).await;
+        return answer_events(stream, state, id, fault, &limit, event_count, pause).await;
     }
     wait(stream, state, id, pause).await?;
-    answer_plain(stream, id, fault).await
+    answer_plain(stream, id, fault, &limit).await
+}
+
+/// Sends an answer without an end; returns when the connection is closed.
+async fn answer_endlessly(
+    stream: &mut TcpStream,
+    state: &Mutex<State>,
+    id: &str,
+    fault: Fault,
+) -> Option<()> {
+    let begin = head(200, id, "Response-Seal: sealed\r\nConnection: close\r\n");
+    let (begin, piece) = match fault {
+        Fault::EndlessHead => ("HTTP/1.1 200 Status\r\n", "X-Filler: x\r\n"),
+        Fault::EndlessBody => (begin.as_str(), "no answer at all "),
+        _ => (begin.as_str(), "data: no answer at all\n\n"),
+    };
+    write(stream, begin).await?;
+    let pieces = piece.repeat(1_000);
+    loop {
+        write(stream, &pieces).await?;
+        lock(state).endless_bytes += pieces.len() as u64;
+    }
 }
 
-async fn answer_plain(stream: &mut TcpStream, id: &str, fault: Fault) -> Option<()> {
-    let seal = "Response-Seal: sealed\r\n";
+async fn answer_plain(stream: &mut TcpStream, id: &str, fault: Fault, limit: &str) -> Option<()> {
+    let seal = format!("{limit}Response-Seal: sealed\r\n");
     let body = format!("answer to {id}");
     let length = body.len();
     let text = match fault {
@@ -233,6 +281,7 @@
     state: &Mutex<State>,
     id: &str,
     fault: Fault,
+    limit: &str,
     event_count: u64,
     pause: Duration,
 ) -> Option<()> {
@@ -241,11 +290,11 @@
     } else {
         id
     };
-    let text = head(
-        200,
-        answered_id,
-        "Response-Seal: sealed\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+    let headers = format!(
+        "{limit}Response-Seal: sealed\r\nContent-Type: text/event-stream\r\n\
+         Transfer-Encoding: chunked\r\n"
     );
+    let text = head(200, answered_id, &headers);
     write(stream, &text).await?;
     for number in 1..=event_count {
         wait(stream, state, id, pause).await?;
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod bad_input;
 mod budgets;
 mod faults;
+mod limit;
 mod outage;
 mod routes;
 mod sweep;
