gateway: cut a stream of endless events

Bytes that are no answer may come without end, in a head or a body, until the caller closes. An endless head, an endless plain body and an endless event were bounded already. Endless events were relayed until the deadline of the request (110 MB in 4 s in the test), and those of a kept turn were collected in memory.

A stream of more than twice the events that the request may generate is cut, and the collected data of a kept turn is bounded to 1 MiB. The tests endless_events_of_a_kept_turn_are_cut and endless_events_of_another_turn_are_cut failed before with 113 and 104 MB; the other four cases passed before.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -55,6 +55,10 @@
         .await
 }
 
+/// A stream of more events than this many times those of the most tokens that the request may
+/// generate is no answer to it.
+const EVENTS_FACTOR: u64 = 2;
+
 /// A stream that is being relayed.
 pub(crate) struct Relay {
     exchange: Exchange,
@@ -62,10 +66,16 @@
     placement: Placement,
     turn: Option<AdmittedTurn>,
     events: EventSplitter,
+    max_events: u64,
     connection: Option<(Lease, Pool, ResponseMeta)>,
     is_logged: bool,
 }
 
+/// Reasons why a stream is cut that are the fault of its endpoint.
+const BROKE_OFF: &str = "endpoint broke off";
+const NO_EVENTS: &str = "endpoint sent no events";
+const TOO_MANY_EVENTS: &str = "endpoint sent too many events";
+
 /// How a stream ends.
 enum StreamEnd {
     Complete,
@@ -85,12 +95,18 @@
         } else {
             EventSplitter::new()
         };
+        let event_tokens = turn.as_ref().map_or(1, |turn| turn.event_tokens).max(1);
+        let max_events = match exchange.call.max_output_tokens.0 {
+            0 => u64::MAX,
+            tokens => tokens.div_ceil(event_tokens).saturating_mul(EVENTS_FACTOR),
+        };
         Relay {
             exchange,
             incoming,
             placement,
             turn,
             events,
+            max_events,
             connection: None,
             is_logged: false,
         }
@@ -113,7 +129,7 @@
                     None
                 }
                 Err(StreamEnd::Truncated(reason)) => {
-                    if reason == "endpoint broke off" {
+                    if matches!(reason, BROKE_OFF | NO_EVENTS | TOO_MANY_EVENTS) {
                         relay.placement.fault = Fault::Failed;
                     }
                     relay.log_end(reason);
@@ -136,13 +152,16 @@
             let data = match frame {
                 Err(_) => return Err(StreamEnd::Truncated("time is up")),
                 Ok(None) => return Err(self.finish(&shared, deadline).await),
-                Ok(Some(Err(_))) => return Err(StreamEnd::Truncated("endpoint broke off")),
+                Ok(Some(Err(_))) => return Err(StreamEnd::Truncated(BROKE_OFF)),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             self.placement.record_first_token();
             let Some(batch) = self.events.push(&data) else {
-                return Err(StreamEnd::Truncated("endpoint sent no events"));
+                return Err(StreamEnd::Truncated(NO_EVENTS));
             };
+            if self.events.event_count() > self.max_events {
+                return Err(StreamEnd::Truncated(TOO_MANY_EVENTS));
+            }
             if let Some(turn) = &mut self.turn {
                 turn.reservation.used.0 += batch.event_count * turn.event_tokens;
             }
@@ -155,7 +174,7 @@
     /// Finishes the stream after its last byte: keeps the connection and commits the turn.
     async fn finish(&mut self, shared: &Arc<Shared>, deadline: Time) -> StreamEnd {
         if self.events.has_partial_event() {
-            return StreamEnd::Truncated("endpoint broke off");
+            return StreamEnd::Truncated(BROKE_OFF);
         }
         if let Some((lease, pool, meta)) = self.connection.take() {
             self.exchange.keep_connection(lease, &pool, meta);
--- a/crates/turns/src/events.rs
+++ b/crates/turns/src/events.rs
@@ -4,6 +4,8 @@
 
 /// Maximum size of one event; an endpoint that exceeds it does not send an event stream.
 const EVENT_MAX_BYTES: usize = 1 << 20;
+/// Maximum size of the collected data of all events.
+const DATA_MAX_BYTES: usize = 1 << 20;
 
 /// Complete events, unchanged from how they were received.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -35,7 +37,8 @@
         self
     }
 
-    /// Adds bytes and returns the events that they complete; `None` if an event is too long.
+    /// Adds bytes and returns the events that they complete; `None` if an event, or the collected data
+    /// of all events, is too long.
     pub fn push(&mut self, bytes: &[u8]) -> Option<EventBatch> {
         self.partial.extend_from_slice(bytes);
         let mut end = 0;
@@ -44,7 +47,8 @@
             event_count += u64::from(self.collect_data(end, next));
             end = next;
         }
-        if self.partial.len() - end > EVENT_MAX_BYTES {
+        let data_bytes = self.data.as_ref().map_or(0, Vec::len);
+        if self.partial.len() - end > EVENT_MAX_BYTES || data_bytes > DATA_MAX_BYTES {
             return None;
         }
         self.event_count += event_count;
--- a/crates/turns/tests/events.rs
+++ b/crates/turns/tests/events.rs
@@ -63,3 +63,11 @@
         prop_assert_eq!(&splitter.into_data()[..], b"one\ntwo\nlines\nx\n");
     }
 }
+
+#[test]
+fn collected_data_of_endless_events_is_bounded() {
+    let mut splitter = EventSplitter::new().with_data();
+    let events = "data: no end\n\n".repeat(1_000);
+    let pushes = (0..1_000).take_while(|_| splitter.push(events.as_bytes()).is_some());
+    assert!(pushes.count() < 1_000);
+}
--- a/tests/all/gateway/faults.rs
+++ b/tests/all/gateway/faults.rs
@@ -4,7 +4,7 @@
 
 use crate::cases;
 use crate::cluster::{START_TIMEOUT, eventually};
-use crate::gateway::cluster::{Cluster, ORDER, PLAIN_TURN, SAFE, turn};
+use crate::gateway::cluster::{Cluster, KEPT_TURN, ORDER, PLAIN_TURN, SAFE, turn};
 use crate::gateway::http::{Connection, Request};
 
 /// A request to two workers, each of which causes `fault` in its first request.
@@ -126,6 +126,39 @@
     assert_eq!(cluster.runs("r1").len(), 1);
 }
 
+/// Most bytes of an endless answer that a worker gets rid of: those that the gateway reads, and those
+/// in the buffers of the connection.
+const ENDLESS_BYTES_MAX: u64 = 32 << 20;
+
+/// An endless answer to a request; holds the path, the fault and the refusal that the caller receives,
+/// or `None` if its answer has begun already and is cut.
+fn check_endless_answer((path, fault, refusal): (&str, Fault, Option<u16>)) {
+    let cluster = Cluster::start(1, 1);
+    cluster.set_faults(&[fault]);
+    let request = turn(path, "r1", "p", 900).with_body("body");
+    let answer = request.send(cluster.caller_address(0));
+    match refusal {
+        Some(status) => assert_eq!((answer.status, answer.is_complete), (status, true)),
+        None => assert!(!answer.is_complete, "{} bytes", answer.body.len()),
+    }
+    let workers = || cluster.models.iter().chain(&cluster.desks);
+    eventually(START_TIMEOUT, "the connection is closed", || {
+        workers().all(|worker| worker.state().endless_answers == 0)
+    });
+    let bytes: u64 = workers().map(|worker| worker.state().endless_bytes).sum();
+    assert!(bytes <= ENDLESS_BYTES_MAX, "{bytes}");
+    assert_eq!(cluster.runs("r1").len(), 1);
+}
+
+cases!(check_endless_answer;
+    endless_head_of_an_order_is_cut: (ORDER, Fault::EndlessHead, Some(502)),
+    endless_body_of_an_order_is_cut: (ORDER, Fault::EndlessBody, Some(502)),
+    endless_head_of_a_stream_is_cut: (PLAIN_TURN, Fault::EndlessHead, Some(502)),
+    endless_event_of_a_stream_is_cut: (PLAIN_TURN, Fault::EndlessBody, None),
+    endless_events_of_a_kept_turn_are_cut: (KEPT_TURN, Fault::EndlessEvents, None),
+    endless_events_of_another_turn_are_cut: (PLAIN_TURN, Fault::EndlessEvents, None),
+);
+
 #[test]
 fn run_ends_when_its_caller_disconnects() {
     let cluster = Cluster::start(1, 1);
