gateway: after a request without an answer, use no connection that was idle meanwhile

An attempt that gets no head of an answer in time closes the connections to its endpoint that were idle all the while. The new test silent_connections_to_a_worker_fail_one_request_only failed before: the second request got 504 as well.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -132,6 +132,8 @@
                 if self.route.is_idempotent() {
                     placement.fault = Fault::Failed;
                 }
+                // The connection may have fallen silent, and the idle ones with it.
+                pool.close_idle_before(placement.sent_at);
                 self.log_failed_attempt(&placement, "no answer in time", refusal.code());
                 return AttemptOutcome::Unknown(refusal);
             }
--- a/tests/all/gateway/faults.rs
+++ b/tests/all/gateway/faults.rs
@@ -1,5 +1,6 @@
 //! Faults of workers: how often requests run, and which response callers receive.
 
+use standins::link::{self, Direction};
 use standins::worker::Fault;
 
 use crate::cases;
@@ -159,6 +160,40 @@
     endless_events_of_another_turn_are_cut: (PLAIN_TURN, Fault::EndlessEvents, None),
 );
 
+#[test]
+fn silent_connections_to_a_worker_fail_one_request_only() {
+    let cluster = Cluster::start(1, 1);
+    let desk = &cluster.desks[0];
+    let any_port = "127.0.0.1:0".parse().unwrap();
+    let link = link::start(any_port, desk.address).unwrap();
+    let entry = desk.registry_entry("desk", "z0", "ready");
+    let entry = entry.replace(&desk.address.to_string(), &link.address.to_string());
+    cluster
+        .store
+        .state()
+        .put("servers", &desk.id, entry.as_bytes());
+    eventually(START_TIMEOUT, "the gateway uses the link", || {
+        Request::new("GET", SAFE, "warm").send(cluster.caller_address(0));
+        link.accepted() > 0
+    });
+    desk.state().pause_ms = 100;
+    std::thread::scope(|scope| {
+        for number in 0..4 {
+            let request = Request::new("GET", SAFE, &format!("idle-{number}"));
+            let address = cluster.caller_address(0);
+            scope.spawn(move || assert_eq!(request.send(address).status, 200));
+        }
+    });
+    desk.state().pause_ms = 0;
+    link.silence(Direction::Both);
+    let send = |id| {
+        let request = Request::new("GET", SAFE, id).with_header("Deadline-Ms", "800");
+        request.send(cluster.caller_address(0)).status
+    };
+    assert_eq!(send("lost"), 504);
+    assert_eq!(send("next"), 200);
+}
+
 #[test]
 fn run_ends_when_its_caller_disconnects() {
     let cluster = Cluster::start(1, 1);
