policy: the time until a limit allows a request counts like a queue

Endpoints that allow a request at once went first, however long their queues, and a program left its endpoint although it could have gone on there after a short wait.

--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -3,8 +3,9 @@
 //! Two situations matter. At low load, most of a prompt is cached at some endpoint, and any other
 //! endpoint has to read it again. At peak load, the queue dominates. Each endpoint is therefore
 //! rated by the expected time to the first token: the queued work, the part of the prompt that is
-//! probably not cached, and the network path. A host counts only its own requests; the work of
-//! other hosts shows in the observed time to the first token.
+//! probably not cached, the network path, and the time until the endpoint's limit allows a request.
+//! A host counts only its own requests; the work of other hosts shows in the observed time to the
+//! first token.
 
 use std::collections::HashMap;
 
@@ -248,8 +249,8 @@
     }
 
     /// Chooses the endpoint of the lowest cost that is not in `except` and whose limit allows the
-    /// request now, or in time if there is none, and counts the request as outstanding there. Returns
-    /// `None` if no endpoint is eligible.
+    /// request in time, and counts the request as outstanding there. Returns `None` if no endpoint is
+    /// eligible.
     pub fn choose(
         &mut self,
         demand: &Demand<'_>,
@@ -260,14 +261,9 @@
             .service_time_us
             .get(demand.service)
             .map_or(INITIAL_SERVICE_TIME_US, Mean::value);
-        let candidates = self.candidates(demand.service, except);
-        let is_allowed_now = |endpoint: &Endpoint| endpoint.limit_wait(now) == Span(0);
-        let max_wait = if candidates.clone().any(is_allowed_now) {
-            Span(0)
-        } else {
-            demand.max_wait
-        };
-        let candidates = candidates.filter(|endpoint| endpoint.limit_wait(now) <= max_wait);
+        let candidates = self
+            .candidates(demand.service, except)
+            .filter(|endpoint| endpoint.limit_wait(now) <= demand.max_wait);
         let preferred = candidates
             .clone()
             .max_by_key(|endpoint| rendezvous_weight(demand.hash_key, &endpoint.info.id))
