--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -55,9 +55,9 @@
         .await
 }
 
-/// A stream of more events than this many times those of the most tokens that the request may
-/// generate is no answer to it.
-const EVENTS_FACTOR: u64 = 2;
+/// Events of a stream beyond twice those of the most tokens that the request may generate. A stream
+/// with more is no answer to it.
+const EXTRA_EVENTS: u64 = 16;
 
 /// A stream that is being relayed.
 pub(crate) struct Relay {
@@ -98,7 +98,10 @@
         let event_tokens = turn.as_ref().map_or(1, |turn| turn.event_tokens).max(1);
         let max_events = match exchange.call.max_output_tokens.0 {
             0 => u64::MAX,
-            tokens => tokens.div_ceil(event_tokens).saturating_mul(EVENTS_FACTOR),
+            tokens => tokens
+                .div_ceil(event_tokens)
+                .saturating_mul(2)
+                .saturating_add(EXTRA_EVENTS),
         };
         Relay {
             exchange,
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -6,13 +6,12 @@
 //! time. With fewer seats, a host that wrongly believes that it holds one would weigh too much.
 //!
 //! A host without a seat does not send to the endpoint, so no answer tells it when the limit ends.
-//! These hosts therefore send single requests in turn. A host that is not on the list, for example
-//! because it has not read it yet, sends nothing.
+//! These hosts therefore send single requests in turn, by their clocks. A host that is not on the
+//! list, for example because it has not read it yet, sends nothing.
 //!
 //! Hosts that agree on the limit and on the list send at most `5 * limit + 4` requests in any 4 s.
 
 use std::fmt;
-use std::hash::Hasher;
 
 use units::{Host, Rate, Span, Time, Zone};
 
@@ -25,12 +24,12 @@
 /// Time for which a host with a seat may save up its share.
 const BURST_SECONDS: f64 = 0.5;
 /// Length of the turn in which a host without a seat may send a request, if the limit is at least one
-/// request per second. It is longer for lower limits, but not below [`TURN_LIMIT_MIN`].
+/// request per second. It grows as the limit falls, down to [`TURN_LIMIT_MIN`].
 const TURN: Span = Span::from_ms(2_000);
-/// Limit in requests per second below which turns get no longer.
+/// Limit in requests per second below which turns grow no longer.
 const TURN_LIMIT_MIN: f64 = 0.25;
-/// Time after which a host without a share asks again.
-const UNKNOWN_SHARE_DELAY: Span = Span::from_ms(1_000);
+/// Delay after which a host that is not on the list checks again whether it may send.
+const UNLISTED_DELAY: Span = Span::from_ms(1_000);
 
 /// A host that sends requests to endpoints.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -125,31 +124,17 @@
     locals.chain(remote.into_iter().take(seats - local_seats))
 }
 
-/// Returns the rank of a host at an endpoint: the same at each host, and unrelated between endpoints.
+/// Returns the rank of a host at an endpoint: the same at each host and in each release, and unrelated
+/// between endpoints.
 fn weight(endpoint: &str, host: &Host) -> u64 {
-    let mut hasher = Fnv(0xcbf2_9ce4_8422_2325);
-    hasher.write(endpoint.as_bytes());
-    hasher.write_u8(0);
-    hasher.write(host.as_str().as_bytes());
-    hasher.finish()
-}
-
-/// FNV-1a with a final mix; the result does not depend on the release, as that of the standard
-/// library's hasher may.
-struct Fnv(u64);
-
-impl Hasher for Fnv {
-    fn write(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
-        }
-    }
-
-    fn finish(&self) -> u64 {
-        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^ (mixed >> 31)
-    }
+    let bytes = endpoint.bytes().chain([0]).chain(host.as_str().bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    // Names differ in their last characters, which FNV-1a leaves in a part of the bits.
+    let mixed = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
 }
 
 /// The limit that one endpoint has named, and how much of this host's share is used.
@@ -227,7 +212,7 @@
                     begin.after(period)
                 }
             }
-            Share::Unlisted => now.after(UNKNOWN_SHARE_DELAY),
+            Share::Unlisted => now.after(UNLISTED_DELAY),
         }
     }
 
@@ -257,7 +242,7 @@
     Time(now.0 - elapsed)
 }
 
-/// Change of what a host knows of an endpoint's limit, for the log.
+/// Change of an endpoint's limit as this host knows it, for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LimitChange {
     /// The endpoint has named a limit, or another one.
