--- a/tests/all/gateway/outage.rs
+++ b/tests/all/gateway/outage.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 
 use crate::cluster::{START_TIMEOUT, eventually};
-use crate::gateway::cluster::{Cluster, KEPT_TURN, PLAIN_TURN, SAFE, turn};
+use crate::gateway::cluster::{Cluster, KEPT_TURN, PLAIN_TURN, SAFE, document, turn};
 use crate::gateway::http::Request;
 
 /// Bound for a host to detect that the store is unavailable or available again: several response
@@ -140,6 +140,25 @@
     assert_eq!((answer.status, answer.is_complete), (200, true));
 }
 
+#[test]
+fn slow_store_does_not_keep_an_environment_from_its_hosts() {
+    let cluster = Cluster::start(1, 1);
+    cluster.store.state().knobs.slow_ms = 700;
+    eventually(DETECTION_MAX, "the feed of the environment fails", || {
+        let log = cluster.log(0);
+        let failed = log.lines().filter(|line| line.contains("feed failed"));
+        failed.filter(|line| line.contains("\"op\"")).count() >= 2
+    });
+    let document = document(2, 3_000);
+    cluster
+        .store
+        .state()
+        .put("op", "config", document.as_bytes());
+    eventually(START_TIMEOUT, "the environment is in force", || {
+        cluster.log(0).matches("environment in force").count() == 2
+    });
+}
+
 #[test]
 fn silent_store_does_not_block_callers() {
     let cluster = Cluster::start(1, 1);
