--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -6,8 +6,8 @@
 //! time. With fewer seats, a host that wrongly believes that it holds one would weigh too much.
 //!
 //! A host without a seat does not send to the endpoint, so no answer tells it when the limit ends.
-//! These hosts therefore send single requests in turn, by their clocks. A host that is not on the
-//! list, for example because it has not read it yet, sends nothing.
+//! These hosts therefore send single requests as probes, each in its own window of time. A host that
+//! is not on the list, for example because it has not read it yet, sends nothing.
 //!
 //! Hosts that agree on the limit and on the list send at most `5 * limit + 4` requests in any 4 s.
 
@@ -23,11 +23,11 @@
 const LIMIT_MIN: f64 = 0.2;
 /// Time for which a host with a seat may save up its share.
 const BURST_SECONDS: f64 = 0.5;
-/// Length of the turn in which a host without a seat may send a request, if the limit is at least one
-/// request per second. It grows as the limit falls, down to [`TURN_LIMIT_MIN`].
-const TURN: Span = Span::from_ms(2_000);
-/// Limit in requests per second below which turns grow no longer.
-const TURN_LIMIT_MIN: f64 = 0.25;
+/// Length of the window in which a host without a seat may send a probe, if the limit is at least one
+/// request per second. It grows as the limit falls, down to [`PROBE_LIMIT_MIN`].
+const PROBE_WINDOW: Span = Span::from_ms(2_000);
+/// Limit in requests per second below which the windows of probes grow no longer.
+const PROBE_LIMIT_MIN: f64 = 0.25;
 /// Delay after which a host that is not on the list checks again whether it may send.
 const UNLISTED_DELAY: Span = Span::from_ms(1_000);
 
@@ -54,13 +54,13 @@
 pub enum Share {
     /// The host holds a seat and may send at this rate, in requests per second.
     Seat(Rate),
-    /// The host may send one request in its turn, to learn whether the limit still holds.
-    Turn {
-        /// Length of a turn.
-        length: Span,
-        /// Time between the beginnings of two turns of one host.
+    /// The host may send one request in each of its windows, to learn whether the limit still holds.
+    Probe {
+        /// Length of a window.
+        window: Span,
+        /// Time between the beginnings of two windows of one host.
         period: Span,
-        /// Begin of the host's turns within the period, counted from the Unix epoch.
+        /// Begin of the host's windows within the period, counted from the Unix epoch.
         offset: Span,
     },
     /// The host is not on the list of hosts and sends nothing.
@@ -71,7 +71,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Share::Seat(rate) => write!(f, "{:.3}/s", rate.0),
-            Share::Turn { period, .. } => write!(f, "1 in {period}"),
+            Share::Probe { period, .. } => write!(f, "1 in {period}"),
             Share::Unlisted => f.write_str("none"),
         }
     }
@@ -88,11 +88,12 @@
             return Share::Seat(Rate(limit.0.max(LIMIT_MIN) / seats as f64));
         }
         let rank = senders.iter().filter(|sender| sender.host < *own).count();
-        let length = Span((TURN.0 as f64 / limit.0.clamp(TURN_LIMIT_MIN, 1.0)) as u64);
-        Share::Turn {
-            length,
-            period: Span(length.0 * senders.len() as u64),
-            offset: Span(length.0 * rank as u64),
+        let window = PROBE_WINDOW.0 as f64 / limit.0.clamp(PROBE_LIMIT_MIN, 1.0);
+        let window = Span(window as u64);
+        Share::Probe {
+            window,
+            period: Span(window.0 * senders.len() as u64),
+            offset: Span(window.0 * rank as u64),
         }
     }
 }
@@ -199,14 +200,14 @@
                 // Rounded up, so that the request is allowed at that time; the cast saturates.
                 now.after(Span((missing / rate.0 * 1e6).ceil() as u64 + 1))
             }
-            Share::Turn {
-                length,
+            Share::Probe {
+                window,
                 period,
                 offset,
             } => {
-                let begin = turn_begin(now, period, offset);
+                let begin = window_begin(now, period, offset);
                 let is_free = self.last_sent_at < begin && pending == 0;
-                if is_free && now.since(begin) < length {
+                if is_free && now.since(begin) < window {
                     now
                 } else {
                     begin.after(period)
@@ -236,8 +237,8 @@
     }
 }
 
-/// Returns the begin of a host's turn before `now`.
-fn turn_begin(now: Time, period: Span, offset: Span) -> Time {
+/// Returns the begin of a host's latest window for probes.
+fn window_begin(now: Time, period: Span, offset: Span) -> Time {
     let elapsed = now.0.saturating_sub(offset.0) % period.0.max(1);
     Time(now.0 - elapsed)
 }
