gateway: of a request with losses, one attempt runs at a time on all hosts

Cause: losses are counted after the fact by each host, so hosts that act together act on the same old count.

An attempt of a request whose content was lost before is now reserved by a row of the table of losses that must not exist. The row counts as a loss on all hosts and is deleted unless the endpoint crashed, so a host that is killed leaves its attempt behind as a loss.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -119,6 +119,7 @@
         environment,
         suspect: suspect(&head, &call, &body),
         is_trial: false,
+        reservation: None,
         call,
         head,
         started,
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -133,6 +133,23 @@
     Some(decided)
 }
 
+/// Waits until the investigations of a request's losses are decided.
+pub(crate) async fn wait_decided(shared: &Shared, suspect: Suspect) {
+    let open = {
+        let inquiries = shared.crashes.inquiries();
+        let of_suspect = inquiries
+            .values()
+            .filter(|inquiry| inquiry.suspects.contains(&suspect));
+        of_suspect
+            .map(|inquiry| inquiry.decided.clone())
+            .collect::<Vec<_>>()
+    };
+    for decided in open {
+        // Nothing is ever sent: the channel closes when the question is decided.
+        let _ = decided.recv().await;
+    }
+}
+
 /// Decides whether an endpoint crashed, and records the losses if it did.
 async fn inquire(shared: Arc<Shared>, key: (EndpointStart, LossKind), at_loss: Listing) {
     let (start, kind) = &key;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -22,6 +22,7 @@
 use crate::prompt::{chunks, stable_hash};
 use crate::relay::{Relay, collect};
 use crate::reply::{Body, Refusal, full_body};
+use crate::reservation::{Reservation, reserved_endpoint};
 use crate::state::Shared;
 use crate::turn::{self, AdmittedTurn, OpenTurn};
 
@@ -45,6 +46,8 @@
     pub(crate) suspect: Suspect,
     /// Whether the request is in quarantine, and sent once to learn whether it still has to be.
     pub(crate) is_trial: bool,
+    /// Set while the only attempt of a suspect request that may run at a time is this one.
+    pub(crate) reservation: Option<Reservation>,
     pub(crate) head: Parts,
     /// When the head of the request arrived.
     pub(crate) started: Time,
@@ -69,6 +72,9 @@
             return Err(Refusal::Quarantined);
         }
         self.is_trial = admission == Admission::Trial;
+        if admission == Admission::Suspect {
+            self.reserve().await?;
+        }
         let prepared = self.prepare(&body).await?;
         match self
             .send(&prepared.body, prepared.first, &prepared.preference)
@@ -87,10 +93,36 @@
             "admission" => ?admission);
     }
 
+    /// Reserves the attempt if the request may be one crash away from its quarantine: the hosts that
+    /// recorded other crashes may have failed before they wrote them.
+    async fn reserve(&mut self) -> Result<(), Refusal> {
+        let losses = self.shared.crashes.quarantine().losses(self.suspect.whole);
+        if losses == 0 {
+            return Ok(());
+        }
+        let reserve = Reservation::new(&self.shared, self.suspect, &self.call.id);
+        let deadline = store_call_deadline(self.started, self.deadline);
+        let expire = expire(&self.shared, deadline, Refusal::StoreUnavailable);
+        match reserve.or(expire).await {
+            Ok(reservation) => {
+                self.reservation = Some(reservation);
+                Ok(())
+            }
+            // Without the store, hosts count their own losses until a request is nearly quarantined.
+            Err(Refusal::StoreUnavailable) if losses + 1 < LOSSES_MAX => Ok(()),
+            Err(refusal) => Err(refusal),
+        }
+    }
+
     /// Whether no further attempt may be sent, as earlier ones crashed their endpoints.
     fn is_quarantined(&self, sent_attempts: u32) -> bool {
-        let losses = self.shared.crashes.quarantine().losses_of(self.suspect);
-        losses >= LOSSES_MAX && !(self.is_trial && sent_attempts == 0)
+        let quarantine = self.shared.crashes.quarantine();
+        // The own reservation counts as a loss for other attempts only.
+        let is_lost = match self.reservation {
+            Some(_) => quarantine.is_lost_without(self.suspect, reserved_endpoint()),
+            None => quarantine.losses_of(self.suspect) >= LOSSES_MAX,
+        };
+        is_lost && !(self.is_trial && sent_attempts == 0)
     }
 
     /// Prepares the request; if the store is unavailable, waits for it until
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod prompt;
 mod relay;
 mod reply;
+mod reservation;
 mod resume;
 mod rows;
 mod server;
--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -80,7 +80,7 @@
 
 /// Writes to the table of losses; repeats the write until it succeeds or [`WRITE_TIMEOUT`] has
 /// passed.
-async fn write(shared: Arc<Shared>, transaction: Transaction) {
+pub(crate) async fn write(shared: Arc<Shared>, transaction: Transaction) {
     let partition = Partition::new(TABLE, "");
     let began = shared.clock.now();
     while let Err(error) = shared.rows.write(&partition, &transaction).await {
@@ -94,7 +94,7 @@
     }
 }
 
-fn row_key(loss: Loss) -> CompactString {
+pub(crate) fn row_key(loss: Loss) -> CompactString {
     format_compact!("{}/{}", loss.request, loss.endpoint)
 }
 
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -26,6 +26,8 @@
 const STARTING_DELAY: Span = Span::from_ms(150);
 /// Retry delay if another host holds tokens: it releases them when the program is idle there.
 const BUDGET_HELD_DELAY: Span = Span::from_ms(700);
+/// Retry delay while another attempt of a suspect request runs: about the duration of a turn.
+const SUSPECT_RESERVED_DELAY: Span = Span::from_ms(700);
 
 /// Why the gateway answers a request itself, without an endpoint's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -63,6 +65,9 @@
     EndpointsLimited(Span),
     /// Did not run: earlier attempts of the request crashed the endpoints that ran them.
     Quarantined,
+    /// Did not run: earlier attempts of the request crashed the endpoints that ran them, and another
+    /// attempt has not ended yet.
+    SuspectReserved,
     /// Did not run: the deadline has passed.
     DeadlinePassed,
     /// May have run: the connection to the endpoint was lost, or its response was unusable.
@@ -92,6 +97,7 @@
             | Refusal::NoEndpoint
             | Refusal::EndpointsLimited(_)
             | Refusal::Quarantined
+            | Refusal::SuspectReserved
             | Refusal::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -115,6 +121,7 @@
             Refusal::NoEndpoint => "no-endpoint",
             Refusal::EndpointsLimited(_) => "endpoints-limited",
             Refusal::Quarantined => "quarantined",
+            Refusal::SuspectReserved => "suspect-reserved",
             Refusal::DeadlinePassed => "no-time-left",
             Refusal::EndpointFailed => "endpoint-broke-off",
             Refusal::EndpointTimedOut => "endpoint-timed-out",
@@ -130,6 +137,7 @@
             Refusal::StoreUnavailable => STORE_UNAVAILABLE_DELAY,
             Refusal::Starting => STARTING_DELAY,
             Refusal::BudgetHeld => BUDGET_HELD_DELAY,
+            Refusal::SuspectReserved => SUSPECT_RESERVED_DELAY,
             Refusal::EndpointsLimited(delay) => *delay,
             _ => return None,
         };
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -113,6 +113,16 @@
         losses.max().unwrap_or(0)
     }
 
+    /// Whether a request is in quarantine even without its loss at `endpoint`.
+    pub fn is_lost_without(&self, suspect: Suspect, endpoint: Fingerprint) -> bool {
+        let records = suspect.fingerprints();
+        let mut records = records.filter_map(|print| self.records.get(&print));
+        records.any(|record| {
+            let others = record.endpoints.iter().filter(|other| **other != endpoint);
+            others.count() >= LOSSES_MAX
+        })
+    }
+
     /// Decides whether a request may be sent. `may_try` says whether this host may try requests in
     /// quarantine again: one host for each request, so that trials do not add up.
     pub fn admit(&mut self, suspect: Suspect, may_try: bool, now: Time) -> Admission {
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -55,6 +55,25 @@
     assert_eq!(admit(&mut quarantine, request), Admission::Quarantined);
 }
 
+#[test]
+fn own_reservation_keeps_no_request_in_quarantine() {
+    let reserved = Fingerprint::new(&[b"reserved"]);
+    let request = suspect(1, 1);
+    let mut quarantine = Quarantine::default();
+    for endpoint in 1..LOSSES_MAX as u64 {
+        lose(&mut quarantine, request, endpoint, NOW);
+    }
+    let reservation = Loss {
+        request: request.whole,
+        endpoint: reserved,
+    };
+    quarantine.insert(reservation, NOW);
+    assert_eq!(admit(&mut quarantine, request), Admission::Quarantined);
+    assert!(!quarantine.is_lost_without(request, reserved));
+    lose(&mut quarantine, request, 0, NOW);
+    assert!(quarantine.is_lost_without(request, reserved));
+}
+
 #[test]
 fn attempts_lost_at_one_endpoint_count_once() {
     let mut quarantine = Quarantine::default();
--- a/tests/all/gateway/crash.rs
+++ b/tests/all/gateway/crash.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use crate::gateway::cluster::{Cluster, PLAIN_TURN, SAFE, turn};
+use crate::cluster::{START_TIMEOUT, eventually};
+use crate::gateway::cluster::{Cluster, ORDER, PLAIN_TURN, SAFE, turn};
 use crate::gateway::http::{Answer, Request};
 
 /// Beginning of the bodies that crash their worker.
@@ -31,7 +32,7 @@
 }
 
 fn send(cluster: &Cluster, gateway: u16, path: &str, id: &str, body: &str) -> Answer {
-    let request = if path == SAFE {
+    let request = if path == SAFE || path == ORDER {
         Request::new("POST", path, id).with_header("Deadline-Ms", "4000")
     } else {
         turn(path, id, &format!("program-{id}"), 900)
@@ -113,3 +114,22 @@
     let late = crash_count(&cluster) - before;
     assert!(late <= LATE_ATTEMPTS_MAX, "{late} attempts too late");
 }
+
+#[test]
+fn hosts_that_send_a_suspect_together_let_it_crash_one_endpoint() {
+    let cluster = start(4, 9);
+    let body = format!("{CRASH_PREFIX} this endpoint");
+    send(&cluster, 0, ORDER, "first", &body);
+    eventually(START_TIMEOUT, "each host has the loss", || {
+        (1..4).all(|gateway| cluster.log(gateway).contains("loss received"))
+    });
+    let before = crash_count(&cluster);
+    std::thread::scope(|scope| {
+        for gateway in 0..4 {
+            let (cluster, body) = (&cluster, &body);
+            scope.spawn(move || send(cluster, gateway, ORDER, &format!("r{gateway}"), body));
+        }
+    });
+    let crashes = crash_count(&cluster) - before;
+    assert!(crashes <= 1, "{crashes} endpoints crashed together");
+}
