gateway: log the bytes and the time of the first byte of calls of the store that fail

Nothing in the log could say whether a call of the store that timed out met a silent store, a slow one, or was cut off while its response arrived. Calls now count what arrives of their response; the line of a failed call has its bytes, the time of its head and its time limit, and that of an environment its size. No behaviour changes.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -139,7 +139,7 @@
 
 fn apply_environment_row(shared: &Shared, row: &Row) {
     match shared.adapter.directory.environment(row) {
-        Ok(Some(environment)) => shared.install_environment(environment, row.version),
+        Ok(Some(environment)) => shared.install_environment(environment, row),
         Ok(None) => {}
         Err(error) => warn!(shared.log, "environment cannot be read"; "row" => %row.key,
             "row_version" => row.version, "why" => error),
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -6,7 +6,7 @@
 use slog::{Logger, info, warn};
 use smol::future::FutureExt;
 use store::api::Transaction;
-use store::{Error, Feed, Outcome, Page, Partition, Result, Table, key_after};
+use store::{Error, Feed, Outcome, Page, Partition, Progress, Result, Table, key_after};
 use turns::VersionAges;
 use units::{Clock, Span, Time};
 use wire::{Relay, Relayed};
@@ -150,7 +150,8 @@
     }
 
     pub(crate) async fn write(&self, partition: &Partition, tx: &Transaction) -> Result<Outcome> {
-        let direct = self.table.write(partition, tx);
+        let progress = self.progress();
+        let direct = (self.table.write(partition, tx), &progress);
         let relay = || Relay::Write {
             partition: partition.clone(),
             transaction: tx.clone(),
@@ -182,7 +183,11 @@
         from: &str,
         to: &str,
     ) -> Result<Page> {
-        let direct = self.table.read(partition, from, to, PAGE_ROWS_MAX);
+        let progress = self.progress();
+        let read = self
+            .table
+            .read(partition, from, to, PAGE_ROWS_MAX, &progress);
+        let direct = (read, &progress);
         let relay = || Relay::Read {
             partition: partition.clone(),
             from: from.into(),
@@ -215,9 +220,10 @@
         } else {
             (wait, Span(wait.0 + response_timeout.0))
         };
-        let feed = self.table.feed(table, version, feed_wait);
+        let progress = self.progress();
+        let feed = self.table.feed(table, version, feed_wait, &progress);
         let result = self
-            .with_timeout(&partition, feed, timeout, is_unavailable)
+            .with_timeout(&partition, (feed, &progress), timeout, is_unavailable)
             .await;
         if let Ok(Feed::Changes(_, version)) = &result {
             self.record_version(*version);
@@ -252,8 +258,11 @@
     async fn await_direct_feed(&self, partition: &Partition, version: u64) -> Result<Feed> {
         loop {
             smol::Timer::after(DIRECT_TEST_INTERVAL.into()).await;
-            let feed = self.table.feed(&partition.table, version, Span(0));
-            let result = self.with_timeout(partition, feed, PROBE_TIMEOUT, true);
+            let progress = self.progress();
+            let feed = self
+                .table
+                .feed(&partition.table, version, Span(0), &progress);
+            let result = self.with_timeout(partition, (feed, &progress), PROBE_TIMEOUT, true);
             if let Ok(feed) = result.await {
                 return Ok(feed);
             }
@@ -267,8 +276,9 @@
                 partition,
                 transaction,
             } => {
+                let progress = self.progress();
                 let call = self.table.write(&partition, &transaction);
-                self.call_direct(&partition, call)
+                self.call_direct(&partition, (call, &progress))
                     .await
                     .map(Relayed::Written)
             }
@@ -279,8 +289,10 @@
                 limit,
             } => {
                 let limit = (limit as usize).min(PAGE_ROWS_MAX);
-                let call = self.table.read(&partition, &from, &to, limit);
-                self.call_direct(&partition, call).await.map(Relayed::Page)
+                let progress = self.progress();
+                let call = self.table.read(&partition, &from, &to, limit, &progress);
+                let page = self.call_direct(&partition, (call, &progress)).await;
+                page.map(Relayed::Page)
             }
             Relay::Feed {
                 table,
@@ -307,7 +319,9 @@
             return Err(unavailable());
         }
         let timeout = Span(wait.0 + self.direct.availability().response_timeout(&partition).0);
-        let call = self.table.feed(table, version, wait);
+        let progress = self.progress();
+        let call = self.table.feed(table, version, wait, &progress);
+        let call = (call, &progress);
         let feed = self.with_timeout(&partition, call, timeout, false).await?;
         Ok(Relayed::Feed(feed))
     }
@@ -316,7 +330,7 @@
     async fn call<T>(
         &self,
         partition: &Partition,
-        direct: impl Future<Output = Result<T>>,
+        direct: (impl Future<Output = Result<T>>, &Progress),
         relay: impl Fn() -> Relay,
     ) -> Result<Via<T>> {
         let result = self.call_direct(partition, direct).await;
@@ -335,7 +349,7 @@
     async fn call_direct<T>(
         &self,
         partition: &Partition,
-        call: impl Future<Output = Result<T>>,
+        call: (impl Future<Output = Result<T>>, &Progress),
     ) -> Result<T> {
         if !self
             .direct
@@ -362,10 +376,14 @@
         result
     }
 
+    fn progress(&self) -> Progress {
+        Progress::new(self.clock)
+    }
+
     async fn with_timeout<T>(
         &self,
         partition: &Partition,
-        call: impl Future<Output = Result<T>>,
+        (call, progress): (impl Future<Output = Result<T>>, &Progress),
         timeout: Span,
         sample_latency: bool,
     ) -> Result<T> {
@@ -377,6 +395,13 @@
         let result = call.or(expire).await;
         let now = self.clock.now();
         let latency = sample_latency.then(|| now.since(started));
+        if let Err(error) = &result {
+            let first_ms = progress.first().map(|first| first.since(started).as_ms());
+            info!(self.direct.log, "call of the store failed"; "table" => %partition.table,
+                "part" => %partition.name, "error" => %error,
+                "took_ms" => now.since(started).as_ms(), "limit_ms" => timeout.as_ms(),
+                "head_ms" => first_ms, "bytes" => progress.bytes());
+        }
         if self.direct.record_result(partition, &result, latency, now) {
             self.available.notify(usize::MAX);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use policy::{Balancer, Candidate, IdleLimit, Sender, TransferCost};
 use slog::{Logger, info};
+use store::api::Row;
 use telemetry::Metrics;
 use units::{Clock, Incarnation, Span, Zone};
 
@@ -102,14 +103,14 @@
     }
 
     /// Puts an environment in force, unless the current one has the same or a higher version.
-    pub(crate) fn install_environment(&self, environment: Environment, row_version: u64) {
+    pub(crate) fn install_environment(&self, environment: Environment, source: &Row) {
         let previous = self.environment().map_or(0, |old| old.version);
         if environment.version <= previous {
             return;
         }
         info!(self.log, "environment in force"; "version" => environment.version,
-            "before" => previous, "row_version" => row_version,
-            "routes" => environment.routes.len());
+            "before" => previous, "row_version" => source.version,
+            "routes" => environment.routes.len(), "bytes" => source.value.0.len());
         self.metrics
             .set_gauge("environment-version", environment.version as i64);
         self.environment.store(Some(Arc::new(environment)));
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -5,11 +5,11 @@
 
 use compact_str::CompactString;
 use smol::future::FutureExt;
-use units::Span;
+use units::{Clock, Span};
 
 use crate::api::{HostInfo, Row, Transaction};
 use crate::error::{Error, Result};
-use crate::table::{Objects, Outcome, Partition, Table};
+use crate::table::{Objects, Outcome, Partition, Progress, Table};
 
 /// Table of the product's own rows. All are in one partition, as a transaction may access any row.
 const TABLE: &str = "balsamhold";
@@ -57,7 +57,8 @@
     /// Reads a row; `None` if it does not exist.
     pub async fn row(&self, key: &str) -> Result<Option<Row>> {
         let end = key_after(key);
-        let page = self.table.read(&self.partition, key, &end, 1);
+        let progress = Progress::new(Clock::new());
+        let page = self.table.read(&self.partition, key, &end, 1, &progress);
         Ok(self.with_timeout(page).await?.rows.pop())
     }
 
@@ -106,7 +107,10 @@
         let mut rows: Vec<Row> = Vec::new();
         loop {
             let remaining = limit - rows.len();
-            let page = self.table.read(partition, &start, end, remaining);
+            let progress = Progress::new(Clock::new());
+            let page = self
+                .table
+                .read(partition, &start, end, remaining, &progress);
             let page = self.with_timeout(page).await?;
             let has_more = page.has_more;
             rows.extend(page.rows);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,4 +12,4 @@
 
 pub use client::{Client, key_after};
 pub use error::{Error, Result};
-pub use table::{Change, Feed, Objects, Outcome, Page, Partition, Table};
+pub use table::{Change, Feed, Objects, Outcome, Page, Partition, Progress, Table};
