--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -37,6 +37,35 @@
     silenced: [AtomicBool; 2],
 }
 
+/// Capacity that the connections of several links share, towards their clients.
+#[derive(Debug)]
+pub struct Capacity {
+    bytes_per_s: u64,
+    /// When the bytes accepted so far have been forwarded.
+    free_at: Mutex<Instant>,
+}
+
+impl Capacity {
+    /// Returns an unused capacity.
+    pub fn new(bytes_per_s: u64) -> Arc<Self> {
+        Arc::new(Capacity {
+            bytes_per_s,
+            free_at: Mutex::new(Instant::now()),
+        })
+    }
+
+    /// Waits for its turn and for as long as forwarding `length` bytes takes.
+    async fn forward(&self, length: usize) {
+        let due = {
+            let mut free_at = lock(&self.free_at);
+            let micros = length as u64 * 1_000_000 / self.bytes_per_s;
+            *free_at = (*free_at).max(Instant::now()) + Duration::from_micros(micros);
+            *free_at
+        };
+        smol::Timer::at(due).await;
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     connections: Mutex<Vec<Arc<Connection>>>,
@@ -44,6 +73,8 @@
     relayed_bytes: AtomicU64,
     delay_us: AtomicU64,
     is_refusing: AtomicBool,
+    capacity: Option<Arc<Capacity>>,
+    forwarded_bytes: AtomicU64,
 }
 
 /// Handle of a running relay, which stops when the handle is dropped.
@@ -57,10 +88,22 @@
 
 /// Starts a relay that listens on `address` (port 0 for any free port) and connects to `target`.
 pub fn start(address: SocketAddr, target: SocketAddr) -> std::io::Result<Link> {
+    start_with_capacity(address, target, None)
+}
+
+/// Like [`start`], with a capacity that may be shared with other links.
+pub fn start_with_capacity(
+    address: SocketAddr,
+    target: SocketAddr,
+    capacity: Option<Arc<Capacity>>,
+) -> std::io::Result<Link> {
     let listener = std::net::TcpListener::bind(address)?;
     let address = listener.local_addr()?;
     let listener = TcpListener::from(smol::Async::new(listener)?);
-    let state = Arc::new(State::default());
+    let state = Arc::new(State {
+        capacity,
+        ..State::default()
+    });
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let shared = state.clone();
     let run = move || {
@@ -116,6 +159,11 @@
         self.state.relayed_bytes.load(Ordering::Relaxed)
     }
 
+    /// Returns the bytes forwarded to clients so far.
+    pub fn forwarded_bytes(&self) -> u64 {
+        self.state.forwarded_bytes.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of connections accepted so far, refused ones included.
     pub fn accepted(&self) -> u64 {
         self.state.accepted.load(Ordering::Relaxed)
@@ -156,7 +204,12 @@
                 ))
                 .detach();
             executor
-                .spawn(write_chunks(connection.clone(), source, receiver))
+                .spawn(write_chunks(
+                    state.clone(),
+                    connection.clone(),
+                    source,
+                    receiver,
+                ))
                 .detach();
         }
     }
@@ -187,6 +240,7 @@
 
 /// Writes the queued chunks to the end opposite to `source`, or drops them if `source` is silenced.
 async fn write_chunks(
+    state: Arc<State>,
     connection: Arc<Connection>,
     source: usize,
     chunks: Receiver<(Instant, Vec<u8>)>,
@@ -197,6 +251,14 @@
         if connection.silenced[source].load(Ordering::Relaxed) {
             continue;
         }
+        if source == 1 {
+            if let Some(capacity) = &state.capacity {
+                capacity.forward(chunk.len()).await;
+            }
+            state
+                .forwarded_bytes
+                .fetch_add(chunk.len() as u64, Ordering::Relaxed);
+        }
         if chunk.is_empty() || stream.write_all(&chunk).await.is_err() {
             // Fails if the connection is already closed.
             let _ = stream.shutdown(Shutdown::Write);
--- a/tests/all/gateway/cluster.rs
+++ b/tests/all/gateway/cluster.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
 
 use nix::sys::signal::{Signal, kill};
@@ -61,6 +62,29 @@
     store_link: link::Link,
 }
 
+/// Numbers and places of the processes of a cluster.
+pub struct Layout {
+    /// Gateways in the region of the store.
+    pub near: u16,
+    /// Gateways in the other region.
+    pub far: u16,
+    /// Workers of each service.
+    pub workers: u16,
+    /// Capacity from the store to the other region, for all of its gateways together.
+    pub capacity: Option<Arc<link::Capacity>>,
+}
+
+impl Layout {
+    /// Returns the region and the availability zone of a gateway.
+    fn place(&self, index: u16) -> (&'static str, String) {
+        if index < self.near {
+            ("north", format!("z{index}"))
+        } else {
+            ("south", format!("s{index}"))
+        }
+    }
+}
+
 /// Running gateways, store and workers.
 pub struct Cluster {
     /// Stand-in of the store.
@@ -76,6 +100,18 @@
     /// Starts `gateways` gateways and `workers` workers of each service, and waits until every
     /// gateway is ready. Answers of the service `models` are streams of four events.
     pub fn start(gateways: u16, workers: u16) -> Self {
+        Cluster::start_with(Layout {
+            near: gateways,
+            far: 0,
+            workers,
+            capacity: None,
+        })
+    }
+
+    /// Like [`Cluster::start`], with gateways in two regions.
+    pub fn start_with(layout: Layout) -> Self {
+        let workers = layout.workers;
+        let gateways = layout.near + layout.far;
         let number = CLUSTER_COUNT.fetch_add(1, Ordering::Relaxed);
         let [low, high, ..] = std::process::id().to_le_bytes();
         let address = Ipv4Addr::new(127, 1 + high % 250, low, 251 - (number % 100) as u8);
@@ -93,18 +129,25 @@
             gateways: Vec::new(),
         };
         cluster.register_workers();
+        let zones: String = (0..gateways.max(2))
+            .map(|index| layout.place(index))
+            .map(|(region, zone)| format!("{zone} = {region}\n"))
+            .collect();
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         for index in 0..gateways {
-            let link = link::start(any_port, cluster.store.address).unwrap();
+            let capacity = layout.capacity.clone().filter(|_| index >= layout.near);
+            let link = link::start_with_capacity(any_port, cluster.store.address, capacity);
+            let link = link.unwrap();
+            let (region, zone) = layout.place(index);
             let settings_file =
                 directory.join(format!("gateway-{number}-{index}-{low}-{high}.ini"));
             let [caller_port, status_port, peer_port] =
                 [7_500, 7_600, 7_700].map(|port| port + index);
             let text = format!(
-                "[process]\nhost = gateway-{index}\nregion = north\nzone = z{index}\n[gateway]\n\
+                "[process]\nhost = gateway-{index}\nregion = {region}\nzone = {zone}\n[gateway]\n\
                  caller-address = {address}:{caller_port}\nstatus-address = {address}:{status_port}\n\
                  peer-address = {address}:{peer_port}\npeer-key = {PEER_KEY}\nstop-within-seconds = 6\n\
-                 [zones]\nz0 = north\nz1 = north\n[platform]\naddress = {}\n",
+                 [zones]\n{zones}[platform]\naddress = {}\n",
                 link.address
             );
             std::fs::write(&settings_file, text).unwrap();
@@ -196,6 +239,16 @@
         std::fs::read_to_string(self.settings_file(index).with_extension("log")).unwrap()
     }
 
+    /// Returns the version of the environment in force at a gateway.
+    pub fn environment_version(&self, index: u16) -> Option<u64> {
+        let text = self.status(index, "/metrics")?.text();
+        let mut lines = text.lines();
+        lines.find_map(|line| {
+            let version = line.strip_prefix("balsamhold_gateway_environment_version ")?;
+            version.parse().ok()
+        })
+    }
+
     /// Sends a signal to a gateway.
     pub fn signal(&self, index: u16, signal: Signal) {
         let child = self.gateways[usize::from(index)].child.as_ref().unwrap();
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod budgets;
 mod crash;
 mod faults;
+mod large_documents;
 mod limit;
 mod outage;
 mod resume;
--- a/tests/all/gateway/soak.rs
+++ b/tests/all/gateway/soak.rs
@@ -140,15 +140,6 @@
     }
 }
 
-fn environment_version(cluster: &Cluster, gateway: u16) -> Option<u64> {
-    let text = cluster.status(gateway, "/metrics")?.text();
-    let mut lines = text.lines();
-    lines.find_map(|line| {
-        let version = line.strip_prefix("balsamhold_gateway_environment_version ")?;
-        version.parse().ok()
-    })
-}
-
 fn run_seed(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut cluster = Cluster::start(GATEWAYS, WORKERS);
@@ -184,7 +175,7 @@
         eventually(
             bound,
             &format!("seed {seed}: last version, {steps:?}"),
-            || (0..GATEWAYS).all(|gateway| environment_version(&cluster, gateway) == Some(version)),
+            || (0..GATEWAYS).all(|gateway| cluster.environment_version(gateway) == Some(version)),
         );
         is_over.store(true, Ordering::Relaxed);
         callers
