gateway: a response of the store that keeps arriving is not given up

Callers got 404 for routes that had been added many seconds before: on hosts away from the store, calls that read the environment were cut off while it arrived, and began again.

Nothing arrived late at the store's own region, and the head came in time: it is neither the processor nor the store.

The limit now applies to the head; a body may take as long as its pieces follow each other within a second. The latency that limits derive from is that of the head, and a connection whose head arrived is not taken for a silent one.

--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -11,7 +11,7 @@
 use units::{Clock, Span, Time};
 use wire::{Relay, Relayed};
 
-use crate::availability::{Availability, AvailabilityChange};
+use crate::availability::{Availability, AvailabilityChange, response_deadline};
 use crate::control::FEED_WAIT;
 use crate::peers::Peers;
 
@@ -389,12 +389,19 @@
     ) -> Result<T> {
         let started = self.clock.now();
         let expire = async {
-            smol::Timer::after(timeout.into()).await;
-            Err(Error::Uncertain(http_io::Error::Timeout))
+            loop {
+                let deadline = response_deadline(started, timeout, progress.last());
+                let remaining = deadline.since(self.clock.now());
+                if remaining == Span(0) {
+                    return Err(Error::Uncertain(http_io::Error::Timeout));
+                }
+                smol::Timer::after(remaining.into()).await;
+            }
         };
         let result = call.or(expire).await;
         let now = self.clock.now();
-        let latency = sample_latency.then(|| now.since(started));
+        let head_at = progress.first().unwrap_or(now);
+        let latency = sample_latency.then(|| head_at.since(started));
         if let Err(error) = &result {
             let first_ms = progress.first().map(|first| first.since(started).as_ms());
             info!(self.direct.log, "call of the store failed"; "table" => %partition.table,
