gateway: one host of a region reads the environment from the store

Callers got 404 for routes, or were sent to services, of a version that had been replaced many seconds before, and were refused or kept waiting as all calls of the store timed out beside it.

Cause: each host read each version of the whole document from the store, over a link that all hosts of a region and their requests share. 17 copies of 0.9 MB take such a link of 60 Mbit/s over 2 s; a second version within that time, or any transfer that is cut off, adds to it.

All hosts now rank the hosts of a region in the same way, and a host follows one that is ranked before it, its own availability zone first. The first one reads from the store and the others get each new version from it, compressed, within the region. Reports every 0.3 s say how long ago a copy was current; a host whose copy gets too old, or that can follow no other, calls the store, and a host that cannot reach the store follows any other. No agreement is needed: hosts that follow each other by mistake see their copies age.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -18,7 +18,7 @@
 /// this time plus the response timeout.
 pub(crate) const FEED_WAIT: Span = Span::from_ms(1_500);
 /// Pause between two waits of a feed, so that changes of about the same time arrive in one response.
-const FEED_PAUSE: Duration = Duration::from_millis(300);
+pub(crate) const FEED_PAUSE: Duration = Duration::from_millis(300);
 /// Shortest pause before a failed call of the store is repeated; jitter adds up to as much again.
 const RETRY_PAUSE: Span = Span::from_ms(150);
 /// If the time since the last response of a feed exceeds its wait by more than this, the store may
@@ -123,29 +123,6 @@
     smol::Timer::after(Duration::from_micros(pause)).await;
 }
 
-/// Applies an event of the table with the environment.
-pub(crate) fn apply_environment_event(shared: &Shared, event: TableEvent<'_>) {
-    match event {
-        TableEvent::Gap => {}
-        TableEvent::Snapshot(rows, _) => rows
-            .iter()
-            .for_each(|row| apply_environment_row(shared, row)),
-        TableEvent::Change(change, _) if !change.is_deleted => {
-            apply_environment_row(shared, &change.row)
-        }
-        TableEvent::Change(..) => {}
-    }
-}
-
-fn apply_environment_row(shared: &Shared, row: &Row) {
-    match shared.adapter.directory.environment(row) {
-        Ok(Some(environment)) => shared.install_environment(environment, row),
-        Ok(None) => {}
-        Err(error) => warn!(shared.log, "environment cannot be read"; "row" => %row.key,
-            "row_version" => row.version, "why" => error),
-    }
-}
-
 /// Applies an event of the table of endpoints.
 pub(crate) fn apply_endpoint_event(shared: &Shared, event: TableEvent<'_>) {
     let now = shared.clock.now();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,11 +17,12 @@
 use smol::LocalExecutor;
 use smol::future::FutureExt;
 use smol::net::TcpListener;
-use store::api::{Row, Transaction};
-use store::{Error, Partition, Result};
+use store::api::{Row, Transaction, Value};
+use store::{Error, Partition, Progress, Result};
 use units::{Clock, Host, Incarnation, Span, Time, Zone};
-use wire::{Frame, Identity, Key, Link, Relay, Relayed, Stream};
+use wire::{Frame, Identity, Key, Link, PackedRow, Relay, Relayed, Stream};
 
+use crate::replica::{self, REPORT_INTERVAL, Replica};
 use crate::rows::Rows;
 
 /// Name of the table with a row for each gateway.
@@ -35,6 +36,12 @@
 const RESPONSE_SLACK: Span = Span::from_ms(900);
 /// Most requests that wait to be relayed.
 const QUEUED_REQUESTS_MAX: usize = 1_024;
+/// Most updates of a copy that wait to be applied.
+const QUEUED_UPDATES_MAX: usize = 4;
+/// Longest time without a report from a peer that is followed.
+const REPORT_TIMEOUT: Span = Span(REPORT_INTERVAL.0 + 400_000);
+/// Longest pause between two pieces of a row.
+const PIECE_TIMEOUT: Span = Span::from_ms(1_000);
 /// How long connections stay open after the last request.
 const LINK_IDLE_TIMEOUT: Span = Span::from_ms(4_000);
 
@@ -138,11 +145,32 @@
     }
 }
 
-/// A call that waits for a peer to make it.
-struct Request {
-    relay: Relay,
-    wait: Span,
-    reply: Sender<Result<Relayed>>,
+/// A request to the thread for peers.
+enum Request {
+    /// Has a peer make a call.
+    Relay {
+        relay: Relay,
+        wait: Span,
+        reply: Sender<Result<Relayed>>,
+    },
+    /// Follows the copy of the environment that a peer has.
+    Follow {
+        peer: Peer,
+        /// Version of the row that this host has.
+        version: u64,
+        progress: Arc<Progress>,
+        updates: Sender<wire::Result<Update>>,
+    },
+}
+
+/// A report of a peer on its copy of the environment.
+pub(crate) struct Update {
+    /// Version of the store at which the copy was current.
+    pub(crate) position: u64,
+    /// When it was current.
+    pub(crate) current_at: Time,
+    /// A row newer than those before.
+    pub(crate) row: Option<Row>,
 }
 
 /// Handle that passes calls of the store to the thread for peers.
@@ -170,7 +198,7 @@
     /// Has a peer make a call; `wait` is the time for which the call itself waits for changes.
     pub(crate) async fn relay(&self, relay: Relay, wait: Span) -> Result<Relayed> {
         let (reply, reply_rx) = async_channel::bounded(1);
-        let request = Request { relay, wait, reply };
+        let request = Request::Relay { relay, wait, reply };
         if self.requests_tx.try_send(request).is_err() {
             return Err(no_peer_reachable());
         }
@@ -179,6 +207,26 @@
             .await
             .unwrap_or_else(|_| Err(no_peer_reachable()))
     }
+
+    /// Follows a peer's copy of the environment until the receiver is dropped; an error is the last
+    /// update. `version` is the version of the row that this host has.
+    pub(crate) fn follow(
+        &self,
+        peer: Peer,
+        version: u64,
+        progress: Arc<Progress>,
+    ) -> Receiver<wire::Result<Update>> {
+        let (updates, updates_rx) = async_channel::bounded(QUEUED_UPDATES_MAX);
+        let request = Request::Follow {
+            peer,
+            version,
+            progress,
+            updates,
+        };
+        // If the queue is full, the channel of updates is closed, which ends the exchange.
+        drop(self.requests_tx.try_send(request));
+        updates_rx
+    }
 }
 
 /// Error if no peer could be reached: the call was not made.
@@ -193,6 +241,7 @@
     pub(crate) identity: Identity,
     pub(crate) key: Key,
     pub(crate) rows: Arc<Rows>,
+    pub(crate) replica: Arc<Replica>,
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
 }
@@ -234,11 +283,16 @@
     smol::block_on(executor.run(client.run()));
 }
 
-/// Makes the call that a peer requests.
+/// Makes the call that a peer requests, or sends it the copy of the environment.
 async fn serve_peer(ctx: Rc<Context>, mut stream: Stream) {
     let Ok(Frame::Relay(relay)) = stream.expect().await else {
         return;
     };
+    if let Relay::Environment { version } = relay {
+        // The follower notices the end itself.
+        let _ = ctx.replica.serve(stream, version).await;
+        return;
+    }
     let relayed = ctx.rows.serve_peer(relay).await;
     // A peer that has disconnected repeats its request.
     let _ = stream.send(&Frame::Relayed(relayed)).await;
@@ -267,11 +321,7 @@
             match request.or(idle).await {
                 Some(request) => {
                     let client = self.clone();
-                    let task = async move {
-                        let result = client.relay(&request.relay, request.wait).await;
-                        // The requesting task may have been cancelled.
-                        drop(request.reply.try_send(result));
-                    };
+                    let task = async move { client.run_request(request).await };
                     self.executor.spawn(task).detach();
                 }
                 None => {
@@ -282,6 +332,74 @@
         }
     }
 
+    async fn run_request(&self, request: Request) {
+        match request {
+            Request::Relay { relay, wait, reply } => {
+                let result = self.relay(&relay, wait).await;
+                // The requesting task may have been cancelled.
+                drop(reply.try_send(result));
+            }
+            Request::Follow {
+                peer,
+                version,
+                progress,
+                updates,
+            } => {
+                if let Err(error) = self.follow(&peer, version, &progress, &updates).await {
+                    // The receiver may have been dropped.
+                    drop(updates.send(Err(error)).await);
+                }
+            }
+        }
+    }
+
+    /// Passes on the reports of a peer on a connection of their own, until an error or until nobody
+    /// receives them.
+    async fn follow(
+        &self,
+        peer: &Peer,
+        version: u64,
+        progress: &Progress,
+        updates: &Sender<wire::Result<Update>>,
+    ) -> wire::Result<()> {
+        let Context { key, identity, .. } = &*self.ctx;
+        let link = Link::connect(&self.executor, peer.address, key, identity);
+        let link = within(REPORT_TIMEOUT, link).await?;
+        let result = self.follow_on(&link, version, progress, updates).await;
+        link.close();
+        result
+    }
+
+    async fn follow_on(
+        &self,
+        link: &Link,
+        version: u64,
+        progress: &Progress,
+        updates: &Sender<wire::Result<Update>>,
+    ) -> wire::Result<()> {
+        let request = Frame::Relay(Relay::Environment { version });
+        let mut stream = within(REPORT_TIMEOUT, link.open(&request)).await?;
+        loop {
+            let frame = within(REPORT_TIMEOUT, stream.expect()).await?;
+            let Frame::Relayed(Relayed::Replica(report)) = frame else {
+                return Err(wire::Error::Ended);
+            };
+            let received_at = self.ctx.clock.now();
+            let row = match report.row {
+                Some(row) => Some(receive_row(&mut stream, row, progress).await?),
+                None => None,
+            };
+            let update = Update {
+                position: report.position,
+                current_at: Time(received_at.0.saturating_sub(report.age.0)),
+                row,
+            };
+            if updates.send(Ok(update)).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+
     /// Calls the peers one after the other until one makes the call.
     async fn relay(&self, relay: &Relay, wait: Span) -> Result<Relayed> {
         let now = self.ctx.clock.now();
@@ -343,6 +461,37 @@
     }
 }
 
+/// Receives the value of a row.
+async fn receive_row(
+    stream: &mut Stream,
+    row: PackedRow,
+    progress: &Progress,
+) -> wire::Result<Row> {
+    let mut packed = Vec::new();
+    while packed.len() < row.packed_bytes as usize {
+        let Frame::Body(body) = within(PIECE_TIMEOUT, stream.expect()).await? else {
+            return Err(wire::Error::Ended);
+        };
+        progress.record(body.bytes.len());
+        packed.extend_from_slice(&body.bytes);
+    }
+    let value = replica::unpack(&packed).ok_or(wire::Error::Ended)?;
+    Ok(Row {
+        key: row.key,
+        version: row.version,
+        value: Value(value),
+    })
+}
+
+/// Awaits a result for at most `limit`.
+async fn within<T>(limit: Span, result: impl Future<Output = wire::Result<T>>) -> wire::Result<T> {
+    let expire = async {
+        smol::Timer::after(limit.into()).await;
+        Err(wire::Error::Timeout)
+    };
+    result.or(expire).await
+}
+
 /// Writes this gateway's row; repeats the write until it succeeds.
 pub(crate) async fn register(rows: &Rows, own: &Peer, log: &Logger) {
     let partition = Partition::new(TABLE, "");
--- /dev/null
+++ b/crates/gateway/src/propagation.rs
@@ -0,0 +1,202 @@
+//! Keeps the environment current: reads it from the store, or follows a host that does.
+//!
+//! A document may be large, and the hosts of a region share the way to the store. [`Sources`] decides
+//! who reads there.
+
+use std::sync::Arc;
+
+use slog::{info, warn};
+use store::api::Row;
+use store::{Feed, Partition, Progress, Result};
+use units::Span;
+
+use crate::control::{FEED_PAUSE, retry_pause};
+use crate::peers::{Peer, Update};
+use crate::replica::REPORT_INTERVAL;
+use crate::sources::{Source, Sources};
+use crate::state::Shared;
+
+/// Keeps the environment current for as long as the process runs.
+pub(crate) async fn run(shared: Arc<Shared>, own: Peer) {
+    let mut follower = Follower {
+        partition: Partition::new(shared.adapter.directory.environment_table(), ""),
+        shared,
+        own,
+        sources: Sources::default(),
+        latest: None,
+        is_history_lost: false,
+    };
+    loop {
+        let source = follower.choose();
+        follower.log_change(&source);
+        match source {
+            Source::Store => follower.call_store().await,
+            Source::Peer(peer) => follower.follow(peer).await,
+        }
+    }
+}
+
+struct Follower {
+    shared: Arc<Shared>,
+    own: Peer,
+    partition: Partition,
+    sources: Sources,
+    /// The source used last.
+    latest: Option<Source>,
+    /// Whether the store no longer has the changes after the position of the copy.
+    is_history_lost: bool,
+}
+
+impl Follower {
+    fn choose(&self) -> Source {
+        let (peers, zones) = (self.peers(), &self.shared.settings().zones);
+        let (age, now) = (self.shared.replica.age(), self.shared.clock.now());
+        self.sources.choose(&self.own, &peers, zones, age, now)
+    }
+
+    fn peers(&self) -> Vec<Peer> {
+        self.shared.peers.roster().peers().cloned().collect()
+    }
+
+    fn log_change(&mut self, source: &Source) {
+        if self.latest.as_ref() == Some(source) {
+            return;
+        }
+        let name = match source {
+            Source::Store => "store",
+            Source::Peer(peer) => peer.host.as_str(),
+        };
+        info!(self.shared.log, "environment source"; "source" => name,
+            "age_ms" => age_ms(self.shared.replica.age()),
+            "row_version" => self.shared.replica.versions().0,
+            "hosts" => self.shared.peers.roster().count());
+        self.latest = Some(source.clone());
+    }
+
+    /// Reads changes, or the whole row, from the store once.
+    async fn call_store(&mut self) {
+        let shared = self.shared.clone();
+        let progress = shared.replica.begin_arrival();
+        let started = shared.clock.now();
+        let result = self.read_store(&progress).await;
+        let now = shared.clock.now();
+        self.sources.record_store(result.is_ok(), now);
+        match result {
+            Ok(true) => {
+                // Leaves others the way to the store for as long as this document took it.
+                let arrival = match (progress.first(), progress.last()) {
+                    (Some(first), Some(last)) => last.since(first),
+                    _ => Span(0),
+                };
+                smol::Timer::after(FEED_PAUSE.max(arrival.into())).await;
+            }
+            Ok(false) => {}
+            Err(error) => {
+                shared.metrics.count("feeds-failed");
+                info!(shared.log, "feed failed"; "table" => %self.partition.table,
+                    "error" => %error, "took_ms" => now.since(started).as_ms(),
+                    "age_ms" => age_ms(shared.replica.age()));
+                retry_pause().await;
+            }
+        }
+    }
+
+    /// Returns whether a row was read.
+    async fn read_store(&mut self, progress: &Progress) -> Result<bool> {
+        let shared = self.shared.clone();
+        let position = shared.replica.versions().1;
+        if position == 0 || self.is_history_lost {
+            let page = shared.rows.read_direct(&self.partition, progress).await?;
+            self.is_history_lost = false;
+            for row in &page.rows {
+                apply(&shared, row, "store");
+            }
+            self.record_current(page.version);
+            return Ok(true);
+        }
+        let feed = shared
+            .rows
+            .feed_direct(&self.partition, position, REPORT_INTERVAL, progress)
+            .await?;
+        let Feed::Changes(changes, version) = feed else {
+            info!(shared.log, "feed history lost, reading the table again";
+                "table" => %self.partition.table);
+            self.is_history_lost = true;
+            return Ok(false);
+        };
+        let rows = changes
+            .iter()
+            .filter(|change| change.partition.is_empty() && !change.is_deleted);
+        let has_rows = rows.clone().next().is_some();
+        // Only the latest version matters, unless it cannot be read.
+        rows.rev()
+            .any(|change| apply(&shared, &change.row, "store"));
+        self.record_current(version);
+        Ok(has_rows)
+    }
+
+    fn record_current(&self, position: u64) {
+        let now = self.shared.clock.now();
+        self.shared.replica.record_current(position, now);
+    }
+
+    /// Follows a peer until it fails or its copy is out of date.
+    async fn follow(&mut self, peer: Peer) {
+        let shared = self.shared.clone();
+        let version = shared.replica.versions().0;
+        let progress = shared.replica.begin_arrival();
+        let updates = shared.peers.follow(peer.clone(), version, progress);
+        let why = loop {
+            match updates.recv().await {
+                Ok(Ok(update)) => self.apply_update(&peer, update),
+                Ok(Err(error)) => break error.to_string(),
+                Err(_) => break "not followed".to_owned(),
+            }
+            let listed = self.peers();
+            if !listed.contains(&peer) {
+                break "no longer listed".to_owned();
+            }
+            let zones = &shared.settings().zones;
+            if shared.replica.age() > Sources::age_max(&self.own, &listed, zones) {
+                break "out of date".to_owned();
+            }
+            self.sources.record_success(&peer);
+        };
+        info!(shared.log, "environment source lost"; "source" => %peer.host, "why" => why,
+            "age_ms" => age_ms(shared.replica.age()));
+        self.sources.record_failure(&peer, shared.clock.now());
+    }
+
+    fn apply_update(&self, peer: &Peer, update: Update) {
+        if let Some(row) = &update.row {
+            apply(&self.shared, row, peer.host.as_str());
+        }
+        let replica = &self.shared.replica;
+        replica.record_current(update.position, update.current_at);
+    }
+}
+
+/// Puts the environment of a row in force, and keeps the row for hosts that follow this one. Returns
+/// whether the row has an environment.
+fn apply(shared: &Shared, row: &Row, source: &str) -> bool {
+    let environment = match shared.adapter.directory.environment(row) {
+        Ok(None) => return false,
+        Ok(Some(environment)) => Some(environment),
+        Err(error) => {
+            warn!(shared.log, "environment cannot be read"; "row" => %row.key,
+                "row_version" => row.version, "source" => source, "why" => error);
+            None
+        }
+    };
+    shared.replica.store(row);
+    let is_readable = environment.is_some();
+    if let Some(environment) = environment {
+        shared.install_environment(environment, row, source);
+    }
+    is_readable
+}
+
+/// Returns an age for the log, which has none of a copy that was never current.
+fn age_ms(age: Span) -> Option<u64> {
+    (age < Span(u64::MAX)).then(|| age.as_ms())
+}
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -207,11 +207,31 @@
     /// store answers again.
     pub(crate) async fn feed(&self, table: &str, version: u64, wait: Span) -> Result<Feed> {
         let partition = Partition::new(table, "");
+        let result = self
+            .feed_direct(&partition, version, wait, &self.progress())
+            .await;
+        if result.is_ok() || !self.direct.availability().is_unavailable(&partition) {
+            return result;
+        }
+        // A peer that hangs must not delay the return to the direct path.
+        self.feed_through_peer(&partition, version, wait.min(RELAYED_FEED_WAIT))
+            .or(self.await_direct_feed(&partition, version))
+            .await
+    }
+
+    /// Like [`Rows::feed`], without the help of peers.
+    pub(crate) async fn feed_direct(
+        &self,
+        partition: &Partition,
+        version: u64,
+        wait: Span,
+        progress: &Progress,
+    ) -> Result<Feed> {
         let (is_unavailable, response_timeout) = {
             let availability = self.direct.availability();
             (
-                availability.is_unavailable(&partition),
-                availability.response_timeout(&partition),
+                availability.is_unavailable(partition),
+                availability.response_timeout(partition),
             )
         };
         // A call that does not wait for changes is enough for the test.
@@ -220,21 +240,28 @@
         } else {
             (wait, Span(wait.0 + response_timeout.0))
         };
-        let progress = self.progress();
-        let feed = self.table.feed(table, version, feed_wait, &progress);
+        let feed = self
+            .table
+            .feed(&partition.table, version, feed_wait, progress);
         let result = self
-            .with_timeout(&partition, (feed, &progress), timeout, is_unavailable)
+            .with_timeout(partition, (feed, progress), timeout, is_unavailable)
             .await;
         if let Ok(Feed::Changes(_, version)) = &result {
             self.record_version(*version);
         }
-        if result.is_ok() || !self.direct.availability().is_unavailable(&partition) {
-            return result;
-        }
-        // A peer that hangs must not delay the return to the direct path.
-        self.feed_through_peer(&partition, version, wait.min(RELAYED_FEED_WAIT))
-            .or(self.await_direct_feed(&partition, version))
-            .await
+        result
+    }
+
+    /// Reads the first rows of a partition, without the help of peers.
+    pub(crate) async fn read_direct(
+        &self,
+        partition: &Partition,
+        progress: &Progress,
+    ) -> Result<Page> {
+        let read = self.table.read(partition, "", "", PAGE_ROWS_MAX, progress);
+        let page = self.call_direct(partition, (read, progress)).await?;
+        self.record_version(page.version);
+        Ok(page)
     }
 
     async fn feed_through_peer(
@@ -299,6 +326,8 @@
                 version,
                 wait,
             } => self.serve_feed(&table, version, wait.min(FEED_WAIT)).await,
+            // Copies of the environment are sent by `Replica::serve`.
+            Relay::Environment { .. } => Err(unavailable()),
         };
         result.unwrap_or_else(|error| {
             if error.is_uncertain() {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -20,14 +20,14 @@
 
 use crate::accept::serve;
 use crate::control::{
-    FEED_WAIT, apply_endpoint_event, apply_environment_event, apply_peer_event, follow_table,
-    log_endpoint_change,
+    FEED_WAIT, apply_endpoint_event, apply_peer_event, follow_table, log_endpoint_change,
 };
 use crate::dialect::Adapter;
 use crate::endpoints::EndpointChange;
 use crate::error::{Error, Result};
 use crate::losses;
 use crate::peers::{self, Context, Peer};
+use crate::propagation;
 use crate::reply::{Body, full_body};
 use crate::sniff::Sniffer;
 use crate::state::Shared;
@@ -97,7 +97,7 @@
     let accepting = smol::spawn(serve_callers(shared.clone(), callers, drained_rx));
     let tasks = [
         smol::spawn(serve_status(shared.clone(), status)),
-        smol::spawn(follow_environment(shared.clone())),
+        smol::spawn(propagation::run(shared.clone(), own.clone())),
         smol::spawn(follow_endpoints(shared.clone())),
         smol::spawn(follow_peers(shared.clone(), own.clone())),
         smol::spawn(follow_losses(shared.clone())),
@@ -221,6 +221,7 @@
         },
         key: Key::new(*settings.key.bytes()),
         rows: shared.rows.clone(),
+        replica: shared.replica.clone(),
         clock: shared.clock,
         log: shared.log.clone(),
     };
@@ -238,11 +239,6 @@
         .map_err(|error| Error::Listen(address, error))
 }
 
-async fn follow_environment(shared: Arc<Shared>) {
-    let table = shared.adapter.directory.environment_table().into();
-    follow_table(shared, table, FEED_WAIT, apply_environment_event).await;
-}
-
 async fn follow_endpoints(shared: Arc<Shared>) {
     let table = shared.adapter.directory.endpoint_table().into();
     follow_table(shared, table, FEED_WAIT, apply_endpoint_event).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use crate::history::Histories;
 use crate::peers::Peers;
 use crate::programs::Programs;
+use crate::replica::Replica;
 use crate::rows::Rows;
 use crate::streams::Streams;
 
@@ -40,6 +41,7 @@
     pub(crate) clock: Clock,
     pub(crate) rows: Arc<Rows>,
     pub(crate) peers: Peers,
+    pub(crate) replica: Arc<Replica>,
     pub(crate) programs: Programs,
     pub(crate) histories: Histories,
     pub(crate) crashes: Crashes,
@@ -77,6 +79,7 @@
             clock,
             rows,
             peers,
+            replica: Arc::new(Replica::new(clock)),
             draining: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
             environment: ArcSwapOption::empty(),
@@ -103,14 +106,15 @@
     }
 
     /// Puts an environment in force, unless the current one has the same or a higher version.
-    pub(crate) fn install_environment(&self, environment: Environment, source: &Row) {
+    /// `source` names where its `row` was read.
+    pub(crate) fn install_environment(&self, environment: Environment, row: &Row, source: &str) {
         let previous = self.environment().map_or(0, |old| old.version);
         if environment.version <= previous {
             return;
         }
         info!(self.log, "environment in force"; "version" => environment.version,
-            "before" => previous, "row_version" => source.version,
-            "routes" => environment.routes.len(), "bytes" => source.value.0.len());
+            "before" => previous, "row_version" => row.version, "source" => source,
+            "routes" => environment.routes.len(), "bytes" => row.value.0.len());
         self.metrics
             .set_gauge("environment-version", environment.version as i64);
         self.environment.store(Some(Arc::new(environment)));
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -35,6 +35,6 @@
 pub use link::Link;
 pub use list::LIST_MAX_ITEMS;
 pub use order::{Action, Fence, Order, Ordered};
-pub use relay::{Relay, Relayed};
+pub use relay::{PackedRow, Relay, Relayed, Replica};
 pub use server::{Drain, serve};
 pub use stream::Stream;
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -36,6 +36,34 @@
         /// Maximum time to wait for a change.
         wait: Span,
     },
+    /// Follows the peer's copy of the environment; answered by `Replica` at regular intervals and
+    /// with each new row, until the exchange ends. A row is followed by its value in `Body` frames.
+    Environment {
+        /// The version of the row that the sender has; 0 for none.
+        version: u64,
+    },
+}
+
+/// A peer's copy of the row with the environment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replica {
+    /// Version of the store at which the copy was current.
+    pub position: u64,
+    /// Time since then, or since any byte of a newer row arrived.
+    pub age: Span,
+    /// A row newer than those sent before.
+    pub row: Option<PackedRow>,
+}
+
+/// A row whose value is sent separately in compressed form.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedRow {
+    /// Key of the row.
+    pub key: CompactString,
+    /// Version of the row's last write.
+    pub version: u64,
+    /// Length of the compressed value in bytes.
+    pub packed_bytes: u32,
 }
 
 /// Outcome of a relayed call.
@@ -51,4 +79,6 @@
     Unavailable,
     /// The store's response was lost; the call may have taken effect.
     Uncertain,
+    /// The copy of the environment.
+    Replica(Replica),
 }
