gateway: tests of an unavailable store have the time limit of other calls

Cause: once two calls of a feed had failed, it tested the store with a limit of 0.3 s for ever; only longer calls of other tables could show that the store was slow, not away.

A test now has the limit of other calls, which grows with each failure. So that a longer test does not delay the way through a peer, both run at the same time from 0.3 s on.

--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -1,5 +1,6 @@
 //! Calls to the store, made directly or through a peer.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use event_listener::Event;
@@ -25,8 +26,8 @@
 const RELAYED_FEED_WAIT: Span = Span::from_ms(500);
 /// Time between tests of the direct path while a peer makes a call.
 const DIRECT_TEST_INTERVAL: Span = Span::from_ms(500);
-/// Timeout of a call that tests whether an unavailable store is available again.
-const PROBE_TIMEOUT: Span = Span::from_ms(300);
+/// How long a feed waits for an unavailable store before a peer is called as well.
+const PEER_DELAY: Span = Span::from_ms(300);
 
 /// Client of the store.
 ///
@@ -207,16 +208,39 @@
     /// store answers again.
     pub(crate) async fn feed(&self, table: &str, version: u64, wait: Span) -> Result<Feed> {
         let partition = Partition::new(table, "");
-        let result = self
-            .feed_direct(&partition, version, wait, &self.progress())
-            .await;
-        if result.is_ok() || !self.direct.availability().is_unavailable(&partition) {
-            return result;
+        if !self.direct.availability().is_unavailable(&partition) {
+            let progress = self.progress();
+            let feed = self.feed_direct(&partition, version, wait, &progress);
+            let result = feed.await;
+            if result.is_ok() || !self.direct.availability().is_unavailable(&partition) {
+                return result;
+            }
         }
-        // A peer that hangs must not delay the return to the direct path.
-        self.feed_through_peer(&partition, version, wait.min(RELAYED_FEED_WAIT))
-            .or(self.await_direct_feed(&partition, version))
-            .await
+        // Neither a peer that hangs nor a slow store delays the other path.
+        let has_peer_failed = AtomicBool::new(false);
+        let relayed = async {
+            smol::Timer::after(PEER_DELAY.into()).await;
+            let wait = wait.min(RELAYED_FEED_WAIT);
+            match self.feed_through_peer(&partition, version, wait).await {
+                Ok(feed) => Ok(feed),
+                Err(_) => {
+                    has_peer_failed.store(true, Ordering::Release);
+                    smol::future::pending().await
+                }
+            }
+        };
+        let direct = async {
+            loop {
+                let progress = self.progress();
+                let feed = self.feed_direct(&partition, version, wait, &progress);
+                let result = feed.await;
+                if result.is_ok() || has_peer_failed.load(Ordering::Acquire) {
+                    return result;
+                }
+                smol::Timer::after(DIRECT_TEST_INTERVAL.into()).await;
+            }
+        };
+        relayed.or(direct).await
     }
 
     /// Like [`Rows::feed`], without the help of peers.
@@ -235,11 +259,8 @@
             )
         };
         // A call that does not wait for changes is enough for the test.
-        let (feed_wait, timeout) = if is_unavailable {
-            (Span(0), PROBE_TIMEOUT)
-        } else {
-            (wait, Span(wait.0 + response_timeout.0))
-        };
+        let feed_wait = if is_unavailable { Span(0) } else { wait };
+        let timeout = Span(feed_wait.0 + response_timeout.0);
         let feed = self
             .table
             .feed(&partition.table, version, feed_wait, progress);
@@ -281,21 +302,6 @@
         }
     }
 
-    /// Tests the direct path at intervals until it returns the changes after `version`.
-    async fn await_direct_feed(&self, partition: &Partition, version: u64) -> Result<Feed> {
-        loop {
-            smol::Timer::after(DIRECT_TEST_INTERVAL.into()).await;
-            let progress = self.progress();
-            let feed = self
-                .table
-                .feed(&partition.table, version, Span(0), &progress);
-            let result = self.with_timeout(partition, (feed, &progress), PROBE_TIMEOUT, true);
-            if let Ok(feed) = result.await {
-                return Ok(feed);
-            }
-        }
-    }
-
     /// Makes a call for a peer; never forwards it to another peer.
     pub(crate) async fn serve_peer(&self, relay: Relay) -> Relayed {
         let result = match relay {
