gateway: a host that lost touch does not deny a route

A host whose environment was out of date answered 404 for routes that had been added, which callers do not repeat and which ends their programs. That a route does not exist is a statement on the newest environment.

A host now knows how old its copy is. Above 2 s, which a copy in use does not reach, an unknown route is refused with 503, environment-stale, and a time to return; known routes are served as before.

host_that_lost_touch_does_not_deny_a_route failed before (404).

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -26,6 +26,8 @@
 const HEADER_EXTRA_BYTES: usize = 4;
 /// Bytes of a body that count as its beginning: fewer than any prompt has that others continue.
 const BEGINNING_BYTES: usize = 256;
+/// Age above which an environment may lack routes; an environment that is followed is younger.
+const ENVIRONMENT_AGE_MAX: Span = Span::from_ms(2_000);
 /// Timeout of a caller that does not state one.
 const DEFAULT_CALLER_TIMEOUT: Span = Span::from_ms(30_000);
 
@@ -103,7 +105,7 @@
         return Err(Refusal::HeadTooLarge);
     }
     let route = environment.route(&call.host, &call.path);
-    let route = route.ok_or(Refusal::NoRoute)?.clone();
+    let route = route.ok_or_else(|| unknown_route(&shared))?.clone();
     let timeout = call.timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let deadline = started.after(timeout.min(route.timeout));
     let limit = environment.limits.max_body.0 as usize;
@@ -130,6 +132,16 @@
     exchange.run(body).await
 }
 
+/// Returns the refusal of a request without a route: whether a route is unknown is a statement on the
+/// newest environment, which a host that has lost touch may not have.
+fn unknown_route(shared: &Shared) -> Refusal {
+    if shared.replica.age() > ENVIRONMENT_AGE_MAX {
+        Refusal::StaleEnvironment
+    } else {
+        Refusal::NoRoute
+    }
+}
+
 /// Returns the fingerprints of a request: of what callers repeat in each attempt, without the headers.
 fn suspect(head: &Parts, call: &Call, body: &[u8]) -> Suspect {
     let target = head.uri.path_and_query();
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -22,6 +22,8 @@
 /// Retry delay if the store is unavailable: outages last several seconds, so a caller that retries
 /// early uses up its retries without success.
 const STORE_UNAVAILABLE_DELAY: Span = Span::from_ms(4_000);
+/// Retry delay if a route may be missing only on this host: callers retry at another one.
+const STALE_ENVIRONMENT_DELAY: Span = Span::from_ms(250);
 /// Retry delay while a gateway starts: reading the tables takes some tens of milliseconds.
 const STARTING_DELAY: Span = Span::from_ms(150);
 /// Retry delay if another host holds tokens: it releases them when the program is idle there.
@@ -44,6 +46,8 @@
     BodyIncomplete,
     /// No route matches host and path.
     NoRoute,
+    /// Did not run: no route matches host and path, in an environment that may be out of date.
+    StaleEnvironment,
     /// The request continues a turn that does not exist.
     UnknownTurn,
     /// The budget of the program is spent.
@@ -90,6 +94,7 @@
             Refusal::EndpointFailed => StatusCode::BAD_GATEWAY,
             Refusal::EndpointTimedOut => StatusCode::GATEWAY_TIMEOUT,
             Refusal::Starting
+            | Refusal::StaleEnvironment
             | Refusal::StoreUnavailable
             | Refusal::BudgetHeld
             | Refusal::StreamNotKept
@@ -111,6 +116,7 @@
             Refusal::TooLarge => "too-large",
             Refusal::BodyIncomplete => "body-cut",
             Refusal::NoRoute => "no-route",
+            Refusal::StaleEnvironment => "environment-stale",
             Refusal::UnknownTurn => "no-turn",
             Refusal::BudgetSpent => "budget-spent",
             Refusal::Starting => "starting",
@@ -134,6 +140,7 @@
     pub fn retry_delay(&self, remaining: Span, rng: &mut impl Rng) -> Option<Span> {
         let base = match self {
             Refusal::NoEndpoint => NO_ENDPOINT_DELAY,
+            Refusal::StaleEnvironment => STALE_ENVIRONMENT_DELAY,
             Refusal::StoreUnavailable => STORE_UNAVAILABLE_DELAY,
             Refusal::Starting => STARTING_DELAY,
             Refusal::BudgetHeld => BUDGET_HELD_DELAY,
--- a/tests/all/gateway/outage.rs
+++ b/tests/all/gateway/outage.rs
@@ -167,3 +167,21 @@
     assert_eq!(answer.status, 503, "{answer:?}");
     assert!(cluster.runs("t0").is_empty());
 }
+
+#[test]
+fn host_that_lost_touch_does_not_deny_a_route() {
+    let cluster = Cluster::start(1, 1);
+    cluster.set_cut_off(0, true);
+    let get = |path: &str| Request::new("GET", path, "r1").send(cluster.caller_address(0));
+    eventually(DETECTION_MAX, "the host has lost touch", || {
+        get("/added/a").text().contains("environment-stale")
+    });
+    let answer = get("/added/a");
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.header("retry-after").is_some(), "{answer:?}");
+    assert_eq!(get(SAFE).status, 200);
+    cluster.set_cut_off(0, false);
+    eventually(DETECTION_MAX, "the route does not exist", || {
+        get("/added/a").status == 404
+    });
+}
