gateway: a worker that says in its answers that it leaves gets no new requests

The statement holds for the start of the worker that made it, whatever its entry says, and across an entry that expires and returns.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -159,6 +159,9 @@
         let response = Response::from_parts(head, incoming);
         if meta.matches_request && response.status() != StatusCode::MISDIRECTED_REQUEST {
             self.record_limit(&placement, meta.limit);
+            if meta.leaving {
+                self.record_leaving(&placement);
+            }
         }
         self.classify(EndpointResponse {
             response,
@@ -245,6 +248,19 @@
         request
     }
 
+    /// Records that the endpoint of `placement` stated that it stops.
+    fn record_leaving(&self, placement: &Placement) {
+        let shared = &self.shared;
+        let (id, start_id) = (&placement.choice.id, placement.choice.start_id());
+        let change = shared.endpoints().record_leaving(id, start_id);
+        if let Some(change) = change {
+            shared.metrics.count("endpoint-changes");
+            info!(shared.log, "{}", change.as_str(); "endpoint" => %id, "start" => start_id,
+                "request" => %self.call.id);
+            shared.sync_balancer();
+        }
+    }
+
     /// Records the limit that the endpoint of `placement` named in its answer.
     fn record_limit(&self, placement: &Placement, limit: NamedLimit) {
         let shared = &self.shared;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -108,6 +108,8 @@
     pub sealed: bool,
     /// The endpoint states that it did not run the request.
     pub not_run: bool,
+    /// The endpoint states that it is about to stop and accepts no new requests.
+    pub leaving: bool,
     /// The limit that the response names.
     pub limit: NamedLimit,
     /// How long the endpoint keeps the connection open while idle; `None` if it does not say.
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -19,6 +19,8 @@
 /// How long after a store outage the entry of a running endpoint may be missing: the platform
 /// guarantees two seconds, the remainder is the delay of the feed.
 const ENTRY_OUTAGE_GRACE: Span = Span::from_ms(2_300);
+/// Number of starts that stated that they stop, above which those that are not listed are forgotten.
+const LEAVING_MAX: usize = 4_096;
 
 /// One start of a back end, as its entry describes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,6 +87,9 @@
     members: HashMap<CompactString, Member>,
     /// The suspect endpoints, with the time at which each is removed.
     suspects: HashMap<CompactString, Time>,
+    /// Starts of endpoints that stated themselves that they stop, by identifier; their entries may not
+    /// show it yet.
+    leaving: HashMap<CompactString, u64>,
     /// Until when a missing entry only makes its endpoint suspect.
     grace_until: Time,
 }
@@ -129,8 +134,9 @@
     }
 
     /// Inserts or updates an endpoint from its entry; `None` if nothing has changed.
-    pub fn upsert(&mut self, endpoint: Endpoint) -> Option<EndpointChange> {
+    pub fn upsert(&mut self, mut endpoint: Endpoint) -> Option<EndpointChange> {
         self.suspects.remove(&endpoint.id);
+        endpoint.draining |= self.leaving.get(&endpoint.id) == Some(&endpoint.start_id);
         let Some(member) = self.members.get_mut(&endpoint.id) else {
             self.insert(endpoint);
             return Some(EndpointChange::Added);
@@ -153,6 +159,26 @@
         Some(change)
     }
 
+    /// Records that one start of an endpoint stated that it stops; `None` if that is known. It holds
+    /// for this start, whatever its entry says.
+    pub fn record_leaving(&mut self, id: &str, start_id: u64) -> Option<EndpointChange> {
+        if self.leaving.len() >= LEAVING_MAX {
+            let members = &self.members;
+            self.leaving.retain(|id, _| members.contains_key(id));
+        }
+        self.leaving.insert(id.into(), start_id);
+        let member = self.members.get_mut(id)?;
+        let endpoint = &member.endpoint;
+        if endpoint.start_id != start_id || endpoint.draining {
+            return None;
+        }
+        member.endpoint = Arc::new(Endpoint {
+            draining: true,
+            ..(**endpoint).clone()
+        });
+        Some(EndpointChange::Draining)
+    }
+
     /// Records that an entry is missing: removes its endpoint, or makes it suspect for some time
     /// after a store outage. `None` if the endpoint is unknown or already suspect.
     pub fn mark_missing(&mut self, id: &str, now: Time) -> Option<EndpointChange> {
--- a/crates/gateway/tests/endpoints.rs
+++ b/crates/gateway/tests/endpoints.rs
@@ -88,3 +88,29 @@
     );
     assert_eq!(endpoints.upsert(draining), None);
 }
+
+#[test]
+fn endpoint_that_stated_to_stop_stays_draining_for_this_start() {
+    let mut endpoints = Endpoints::default();
+    endpoints.upsert(endpoint("a", 1));
+    assert_eq!(
+        endpoints.record_leaving("a", 1),
+        Some(EndpointChange::Draining)
+    );
+    assert_eq!(endpoints.record_leaving("a", 1), None);
+    // An entry written earlier still says ready, also after it was missing for some time.
+    assert_eq!(endpoints.upsert(endpoint("a", 1)), None);
+    endpoints.mark_missing("a", at(10_000));
+    endpoints.upsert(endpoint("a", 1));
+    assert_eq!(endpoints.record_leaving("a", 1), None);
+    // Another start under the identifier does not stop.
+    assert_eq!(
+        endpoints.upsert(endpoint("a", 2)),
+        Some(EndpointChange::Restarted)
+    );
+    assert_eq!(endpoints.record_leaving("a", 1), None);
+    assert_eq!(
+        endpoints.record_leaving("a", 2),
+        Some(EndpointChange::Draining)
+    );
+}
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -88,6 +88,8 @@
     pub pause_ms: u64,
     /// Value of `Server-Limit` in answers; empty for none.
     pub limit: String,
+    /// Whether answers say that the worker leaves.
+    pub is_leaving: bool,
     /// Number of endless answers that are being sent.
     pub endless_answers: u64,
     /// Bytes of endless answers that were sent.
@@ -219,10 +221,14 @@
             "" => String::new(),
             limit => format!("Server-Limit: {limit}\r\n"),
         };
+        let leaving = match state.is_leaving {
+            true => "Server-Leaving: 1\r\n",
+            false => "",
+        };
         (
             state.event_count,
             Duration::from_millis(state.pause_ms),
-            limit,
+            format!("{limit}{leaving}"),
         )
     };
     match fault {
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod crash;
 mod faults;
 mod large_documents;
+mod leaving;
 mod limit;
 mod outage;
 mod resume;
