--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -10,10 +10,13 @@
 use smol::LocalExecutor;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
+use socket2::SockRef;
 
 use crate::server::lock;
 
 const HEAD_MAX_BYTES: usize = 64 << 10;
+/// Time for the caller to read what was sent before a reset discards it.
+const RESET_DELAY: Duration = Duration::from_millis(50);
 /// Longer than the timeout of any caller.
 const NEVER: Duration = Duration::from_secs(3_600);
 
@@ -42,6 +45,11 @@
     Truncated,
     /// Executes the request and answers without a length; the answer ends with the connection.
     CloseDelimited,
+    /// Like `CloseDelimited`, but the connection ends in the middle of the answer.
+    CloseDelimitedCut,
+    /// Like `CloseDelimited`, but the connection is reset before the end, between two events if the
+    /// answer has any.
+    CloseDelimitedReset,
     /// Executes the request and sends header fields until the connection is closed.
     EndlessHead,
     /// Executes the request and sends a body until the connection is closed.
@@ -50,6 +58,16 @@
     EndlessEvents,
 }
 
+impl Fault {
+    /// Whether the answer has no length and ends with the connection.
+    fn is_close_delimited(self) -> bool {
+        matches!(
+            self,
+            Fault::CloseDelimited | Fault::CloseDelimitedCut | Fault::CloseDelimitedReset
+        )
+    }
+}
+
 /// A request that was executed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
@@ -294,19 +312,24 @@
             "another",
             &format!("{seal}Content-Length: {length}\r\n"),
         ),
-        Fault::CloseDelimited => head(200, id, &format!("{seal}Connection: close\r\n")),
+        fault if fault.is_close_delimited() => {
+            head(200, id, &format!("{seal}Connection: close\r\n"))
+        }
         _ => head(200, id, &format!("{seal}Content-Length: {length}\r\n")),
     };
-    let sent_length = if fault == Fault::Truncated {
-        length / 2
-    } else {
-        length
-    };
+    let is_cut = matches!(
+        fault,
+        Fault::Truncated | Fault::CloseDelimitedCut | Fault::CloseDelimitedReset
+    );
+    let sent_length = if is_cut { length / 2 } else { length };
     write(stream, &format!("{text}{}", &body[..sent_length])).await?;
     if fault == Fault::ExtraAnswer {
         write(stream, &format!("{text}{body}")).await?;
     }
-    (!matches!(fault, Fault::Truncated | Fault::CloseDelimited)).then_some(())
+    if fault == Fault::CloseDelimitedReset {
+        reset_on_close(stream).await;
+    }
+    (fault != Fault::Truncated && !fault.is_close_delimited()).then_some(())
 }
 
 async fn answer_events(
@@ -323,15 +346,29 @@
     } else {
         id
     };
-    let headers = format!(
-        "{limit}Response-Seal: sealed\r\nContent-Type: text/event-stream\r\n\
-         Transfer-Encoding: chunked\r\n"
-    );
+    let framing = if fault.is_close_delimited() {
+        "Connection: close"
+    } else {
+        "Transfer-Encoding: chunked"
+    };
+    let headers =
+        format!("{limit}Response-Seal: sealed\r\nContent-Type: text/event-stream\r\n{framing}\r\n");
     let text = head(200, answered_id, &headers);
     write(stream, &text).await?;
     for number in 1..=event_count {
         wait(stream, state, id, pause).await?;
         let event = format!("id: {number}\ndata: {id}.{number}\n\n");
+        if fault.is_close_delimited() {
+            let is_last = number == event_count;
+            if is_last && fault == Fault::CloseDelimitedReset {
+                reset_on_close(stream).await;
+                return None;
+            }
+            let is_cut = is_last && fault == Fault::CloseDelimitedCut;
+            let length = if is_cut { event.len() / 2 } else { event.len() };
+            write(stream, &event[..length]).await?;
+            continue;
+        }
         if fault == Fault::Truncated && number == event_count {
             let half = &event[..event.len() / 2];
             write(stream, &format!("{:x}\r\n{half}\r\n", half.len())).await?;
@@ -339,9 +376,19 @@
         }
         write(stream, &format!("{:x}\r\n{event}\r\n", event.len())).await?;
     }
+    if fault.is_close_delimited() {
+        return None;
+    }
     write(stream, "0\r\n\r\n").await
 }
 
+/// Makes the connection end with a reset when it is closed, after what was sent has been read.
+async fn reset_on_close(stream: &TcpStream) {
+    smol::Timer::after(RESET_DELAY).await;
+    // On failure the connection ends without a reset, which the tests report.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 fn head(status: u16, id: &str, headers: &str) -> String {
     format!(
         "HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\nKeep-Alive: timeout=5\r\n{headers}\r\n"
--- a/tests/all/gateway/faults.rs
+++ b/tests/all/gateway/faults.rs
@@ -52,6 +52,7 @@
     safe_false_refusal: Case { path: SAFE, fault: Fault::FalseRefusal, runs: 2, status: 502 },
     safe_truncated: Case { path: SAFE, fault: Fault::Truncated, runs: 2, status: 502 },
     safe_close_delimited: Case { path: SAFE, fault: Fault::CloseDelimited, runs: 1, status: 200 },
+    safe_close_delimited_reset: Case { path: SAFE, fault: Fault::CloseDelimitedReset, runs: 2, status: 502 },
     safe_extra_answer: Case { path: SAFE, fault: Fault::ExtraAnswer, runs: 1, status: 200 },
     order_refused: Case { path: ORDER, fault: Fault::Refused, runs: 0, status: 503 },
     order_reset: Case { path: ORDER, fault: Fault::Reset, runs: 1, status: 502 },
@@ -61,6 +62,7 @@
     order_false_refusal: Case { path: ORDER, fault: Fault::FalseRefusal, runs: 1, status: 502 },
     order_truncated: Case { path: ORDER, fault: Fault::Truncated, runs: 1, status: 502 },
     order_close_delimited: Case { path: ORDER, fault: Fault::CloseDelimited, runs: 1, status: 200 },
+    order_close_delimited_reset: Case { path: ORDER, fault: Fault::CloseDelimitedReset, runs: 1, status: 502 },
 );
 
 #[test]
@@ -127,6 +129,37 @@
     assert_eq!(cluster.runs("r1").len(), 1);
 }
 
+/// A stream without a length: the path, the fault, whether the caller's answer is complete, and the
+/// number of its events.
+fn check_stream_without_length((path, fault, is_complete, events): (&str, Fault, bool, usize)) {
+    let cluster = Cluster::start(1, 1);
+    cluster.set_faults(&[fault]);
+    let answer = turn(path, "r1", "p", 900).send(cluster.caller_address(0));
+    assert_eq!((answer.status, answer.is_complete), (200, is_complete));
+    assert_eq!(answer.text().matches("data:").count(), events);
+    assert!(answer.text().ends_with("\n\n"), "{answer:?}");
+    assert_eq!(cluster.runs("r1").len(), 1);
+    // A turn exists if its answer was complete.
+    let next = turn(KEPT_TURN, "r2", "p", 900).with_header("Previous-Turn", "r1");
+    if path == KEPT_TURN {
+        let status = if is_complete { 200 } else { 404 };
+        assert_eq!(next.send(cluster.caller_address(0)).status, status);
+    }
+}
+
+cases!(check_stream_without_length;
+    stream_without_length_is_complete: (PLAIN_TURN, Fault::CloseDelimited, true, 4),
+    stream_without_length_that_ends_in_an_event_is_cut:
+        (PLAIN_TURN, Fault::CloseDelimitedCut, false, 3),
+    stream_without_length_that_is_reset_is_cut:
+        (PLAIN_TURN, Fault::CloseDelimitedReset, false, 3),
+    turn_without_length_is_kept: (KEPT_TURN, Fault::CloseDelimited, true, 4),
+    turn_without_length_that_ends_in_an_event_is_not_kept:
+        (KEPT_TURN, Fault::CloseDelimitedCut, false, 3),
+    turn_without_length_that_is_reset_is_not_kept:
+        (KEPT_TURN, Fault::CloseDelimitedReset, false, 3),
+);
+
 /// Most bytes of an endless answer that a worker gets rid of: those that the gateway reads, and those
 /// in the buffers of the connection.
 const ENDLESS_BYTES_MAX: u64 = 32 << 20;
