--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod large_documents;
 mod leaving;
 mod limit;
+mod odd_entries;
 mod outage;
 mod resume;
 mod routes;
