--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -15,6 +15,8 @@
 use crate::server::lock;
 
 const HEAD_MAX_BYTES: usize = 64 << 10;
+/// Body of an answer with an error.
+pub const ERROR_TEXT: &str = "the worker failed";
 /// Time for the caller to read what was sent before a reset discards it.
 const RESET_DELAY: Duration = Duration::from_millis(50);
 /// Longer than the timeout of any caller.
@@ -27,6 +29,13 @@
     None,
     /// Answers 503 with `Not-Executed`; the request is not executed.
     Refused,
+    /// Like `Refused`, and sends the refusal once more at once.
+    RefusedTwice,
+    /// Like `Refused`, and sends the refusal once more when the next request on the connection has
+    /// arrived, before its answer.
+    RefusedAgainLater,
+    /// Executes the request and answers it with an error.
+    Failed,
     /// Answers 421, as a worker with another identifier does; the request is not executed.
     Misdirected,
     /// Executes the request and closes the connection.
@@ -59,6 +68,14 @@
 }
 
 impl Fault {
+    /// Whether the request is not executed.
+    fn is_refusal(self) -> bool {
+        matches!(
+            self,
+            Fault::Refused | Fault::RefusedTwice | Fault::RefusedAgainLater | Fault::Misdirected
+        )
+    }
+
     /// Whether the answer has no length and ends with the connection.
     fn is_close_delimited(self) -> bool {
         matches!(
@@ -196,6 +213,7 @@
     crash: Receiver<()>,
 ) {
     let mut buffer = Vec::new();
+    let mut repeated = String::new();
     while let Some(run) = read_request(&mut stream, &mut buffer).await {
         let fault = lock(&state).faults.pop_front().unwrap_or(Fault::None);
         let expected_id = run.header("expect-instance").unwrap_or(&own_id).to_owned();
@@ -205,7 +223,16 @@
             Fault::Misdirected
         };
         let id = run.id.clone();
-        if !matches!(fault, Fault::Refused | Fault::Misdirected) && record_run(&state, run) {
+        if write(&mut stream, &std::mem::take(&mut repeated))
+            .await
+            .is_none()
+        {
+            return;
+        }
+        if fault == Fault::RefusedAgainLater {
+            repeated = refusal(&id, "");
+        }
+        if !fault.is_refusal() && record_run(&state, run) {
             crash.close();
             return;
         }
@@ -250,9 +277,13 @@
         )
     };
     match fault {
-        Fault::Refused => {
-            let headers = format!("{limit}Not-Executed: 1\r\nContent-Length: 0\r\n");
-            let text = head(503, id, &headers);
+        Fault::Refused | Fault::RefusedAgainLater => {
+            return write(stream, &refusal(id, &limit)).await;
+        }
+        Fault::RefusedTwice => return write(stream, &refusal(id, &limit).repeat(2)).await,
+        Fault::Failed => {
+            let headers = format!("{limit}Content-Length: {}\r\n", ERROR_TEXT.len());
+            let text = format!("{}{ERROR_TEXT}", head(500, id, &headers));
             return write(stream, &text).await;
         }
         Fault::Misdirected => {
@@ -389,6 +420,12 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
+/// Returns a refusal that states that the request was not executed.
+fn refusal(id: &str, limit: &str) -> String {
+    let headers = format!("{limit}Not-Executed: 1\r\nContent-Length: 0\r\n");
+    head(503, id, &headers)
+}
+
 fn head(status: u16, id: &str, headers: &str) -> String {
     format!(
         "HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\nKeep-Alive: timeout=5\r\n{headers}\r\n"
--- a/tests/all/gateway/faults.rs
+++ b/tests/all/gateway/faults.rs
@@ -1,5 +1,7 @@
 //! Faults of workers: how often requests run, and which response callers receive.
 
+use std::time::Duration;
+
 use standins::link::{self, Direction};
 use standins::worker::Fault;
 
@@ -117,6 +119,42 @@
     }
 }
 
+/// A worker refuses a request and repeats the refusal on the kept connection; holds the path and the
+/// time until the next request.
+fn check_repeated_refusal((path, fault, pause_ms): (&str, Fault, u64)) {
+    let cluster = Cluster::start(1, 1);
+    let mut connection = Connection::open(cluster.caller_address(0));
+    for round in 0..4 {
+        cluster.set_faults(&[fault]);
+        let ids = [0, 1, 2].map(|number| format!("r{round}-{number}"));
+        for id in &ids {
+            let request = match path {
+                PLAIN_TURN => turn(path, id, &format!("program-{id}"), 900),
+                _ => Request::new("POST", path, id),
+            };
+            let answer = connection.send(&request.with_body("body").bytes());
+            let runs = cluster.runs(id).len();
+            assert!(runs <= 1 || path == SAFE, "{id} ran {runs} times");
+            match answer.status {
+                200 => assert_eq!(runs, 1, "{answer:?}"),
+                503 => assert_eq!(runs, 0, "{id}: {answer:?}"),
+                status => assert_eq!(status, 502, "{answer:?}"),
+            }
+            std::thread::sleep(Duration::from_millis(pause_ms));
+        }
+    }
+}
+
+cases!(check_repeated_refusal;
+    refusal_sent_twice_is_none_of_the_next_order: (ORDER, Fault::RefusedTwice, 0),
+    refusal_sent_twice_is_none_of_a_later_order: (ORDER, Fault::RefusedTwice, 30),
+    refusal_sent_again_is_none_of_the_next_order: (ORDER, Fault::RefusedAgainLater, 0),
+    refusal_sent_again_is_none_of_a_later_order: (ORDER, Fault::RefusedAgainLater, 30),
+    refusal_sent_again_is_none_of_the_next_safe_request: (SAFE, Fault::RefusedAgainLater, 0),
+    refusal_sent_twice_is_none_of_the_next_turn: (PLAIN_TURN, Fault::RefusedTwice, 0),
+    refusal_sent_again_is_none_of_the_next_turn: (PLAIN_TURN, Fault::RefusedAgainLater, 0),
+);
+
 #[test]
 fn truncated_stream_does_not_look_complete() {
     let cluster = Cluster::start(1, 1);
--- a/tests/all/gateway/resume.rs
+++ b/tests/all/gateway/resume.rs
@@ -2,7 +2,7 @@
 
 use nix::sys::signal::Signal;
 use standins::platform::Knobs;
-use standins::worker::Fault;
+use standins::worker::{ERROR_TEXT, Fault};
 
 use crate::cases;
 use crate::cluster::{START_TIMEOUT, eventually};
@@ -257,3 +257,21 @@
         assert!(worker.state().runs.is_empty());
     }
 }
+
+#[test]
+fn error_of_the_next_worker_is_no_part_of_a_stream() {
+    let cluster = start();
+    for number in 0..STREAMS {
+        let id = format!("stream-{number}");
+        let program = format!("program-{id}");
+        let begun = begin(&cluster, &id);
+        assert!(!begun.text().contains(ERROR_TEXT), "{begun:?}");
+        for worker in &cluster.models {
+            worker.state().faults = [Fault::Failed].into();
+        }
+        let resumed = resumption(&format!("{id}-again"), &program, &id);
+        let answer = resumed.send(cluster.caller_address(0));
+        assert_eq!((answer.status, answer.text().as_str()), (500, ERROR_TEXT));
+        assert_eq!(answer.header("response-seal"), None);
+    }
+}
