--- a/tests/all/gateway/large_documents.rs
+++ b/tests/all/gateway/large_documents.rs
@@ -15,7 +15,7 @@
 /// Bytes per second from the store to the region.
 const LINK_BYTES_PER_S: u64 = 1_000_000;
 /// Time within which a version has to be in force on all hosts.
-const APPLY_MAX: Duration = Duration::from_millis(4_000);
+pub const APPLY_MAX: Duration = Duration::from_millis(4_000);
 
 const LAST_VERSION: u64 = 6;
 /// Most times that one version may cross the link.
@@ -27,7 +27,7 @@
 }
 
 /// Returns a document with `routes` further routes, and one that names its version.
-fn large_document(version: u64, routes: u64) -> String {
+pub fn large_document(version: u64, routes: u64) -> String {
     let mut document: Value = serde_json::from_str(&document(version, 3_000)).unwrap();
     let list = document["Routes"].as_array_mut().unwrap();
     let look = list.iter().find(|route| route["Prefix"] == "/look/");
@@ -44,7 +44,8 @@
     document.to_string()
 }
 
-fn put(cluster: &Cluster, document: &str) {
+/// Writes a document in place of the operators.
+pub fn put(cluster: &Cluster, document: &str) {
     let mut store = cluster.store.state();
     store.put("op", "config", document.as_bytes());
 }
