store client: objects and rows that keep arriving are not given up

The same cause in the product's own client: its time limit covered the whole body, of objects of megabytes as well. The rule is now part of store::Progress, which both clients use.

--- a/crates/gateway/src/availability.rs
+++ b/crates/gateway/src/availability.rs
@@ -27,9 +27,6 @@
 /// Time between the probes of an unavailable partition.
 const PROBE_INTERVAL: Span = Span::from_ms(250);
 
-/// Longest pause between two pieces of a response: a network that is congested delays each of them.
-const RESPONSE_PAUSE_MAX: Span = Span::from_ms(1_000);
-
 /// Share of a caller's timeout that a request waits for an unavailable store, as a divisor: the
 /// remainder is enough to retry later and to run then.
 const STORE_WAIT_DIVISOR: u64 = 3;
@@ -194,16 +191,6 @@
     }
 }
 
-/// Returns when a call of the store that began at `started` is given up. Its time limit applies to the
-/// head of the response; a response that arrives may take any time, as its size is unknown.
-/// `last_piece` is the time of the latest piece, if the head has arrived.
-pub fn response_deadline(started: Time, limit: Span, last_piece: Option<Time>) -> Time {
-    let deadline = started.after(limit);
-    last_piece.map_or(deadline, |piece| {
-        deadline.max(piece.after(RESPONSE_PAUSE_MAX))
-    })
-}
-
 /// Returns the end of a request's wait for an unavailable store. During an outage of several
 /// seconds, a new program that waits starts as soon as the store is available again, while one that
 /// is refused retries too early, which costs one of its few retries, or too late.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,7 @@
 mod turn;
 
 pub use availability::{
-    Availability, AvailabilityChange, response_deadline, store_call_deadline, store_wait_deadline,
+    Availability, AvailabilityChange, store_call_deadline, store_wait_deadline,
 };
 pub use call::{Call, Directives, Malformed, NamedLimit, PromptPart, ResponseMeta};
 pub use dialect::{Adapter, Dialect, Directory};
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -12,7 +12,7 @@
 use units::{Clock, Span, Time};
 use wire::{Relay, Relayed};
 
-use crate::availability::{Availability, AvailabilityChange, response_deadline};
+use crate::availability::{Availability, AvailabilityChange};
 use crate::control::FEED_WAIT;
 use crate::peers::Peers;
 
@@ -423,17 +423,7 @@
         sample_latency: bool,
     ) -> Result<T> {
         let started = self.clock.now();
-        let expire = async {
-            loop {
-                let deadline = response_deadline(started, timeout, progress.last());
-                let remaining = deadline.since(self.clock.now());
-                if remaining == Span(0) {
-                    return Err(Error::Uncertain(http_io::Error::Timeout));
-                }
-                smol::Timer::after(remaining.into()).await;
-            }
-        };
-        let result = call.or(expire).await;
+        let result = progress.limit(timeout, call).await;
         let now = self.clock.now();
         let head_at = progress.first().unwrap_or(now);
         let latency = sample_latency.then(|| head_at.since(started));
--- a/crates/gateway/tests/availability.rs
+++ b/crates/gateway/tests/availability.rs
@@ -1,8 +1,6 @@
 //! When calls of an unavailable store fail at once, when it is probed, and how long requests wait.
 
-use gateway::{
-    Availability, AvailabilityChange, response_deadline, store_call_deadline, store_wait_deadline,
-};
+use gateway::{Availability, AvailabilityChange, store_call_deadline, store_wait_deadline};
 use store::Partition;
 use units::{Span, Time};
 
@@ -153,14 +151,3 @@
     }
     assert!(timed_out.iter().all(|name| *name < 3), "{timed_out:?}");
 }
-
-#[test]
-fn response_that_keeps_arriving_is_not_given_up() {
-    let limit = Span::from_ms(200);
-    assert_eq!(response_deadline(at(100), limit, None), at(300));
-    for ms in (150..20_000).step_by(500) {
-        let deadline = response_deadline(at(100), limit, Some(at(ms)));
-        assert!(deadline >= at(300) && deadline > at(ms), "{ms}");
-        assert!(deadline <= at(300).max(at(ms + 1_000)), "{ms}");
-    }
-}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -9,7 +9,8 @@
 
 use crate::api::{HostInfo, Row, Transaction};
 use crate::error::{Error, Result};
-use crate::table::{Objects, Outcome, Partition, Progress, Table};
+use crate::progress::Progress;
+use crate::table::{Objects, Outcome, Partition, Table};
 
 /// Table of the product's own rows. All are in one partition, as a transaction may access any row.
 const TABLE: &str = "balsamhold";
@@ -18,7 +19,8 @@
 /// Maximum number of hosts that are read.
 const HOSTS_MAX: usize = 10_000;
 
-/// Client of the store in the processes that have a log; each request has a timeout.
+/// Client of the store in the processes that have a log; each request has a timeout, which for reads
+/// applies to the head of the response.
 #[derive(Clone)]
 pub struct Client {
     table: Arc<dyn Table>,
@@ -59,7 +61,7 @@
         let end = key_after(key);
         let progress = Progress::new(Clock::new());
         let page = self.table.read(&self.partition, key, &end, 1, &progress);
-        Ok(self.with_timeout(page).await?.rows.pop())
+        Ok(progress.limit(self.timeout, page).await?.rows.pop())
     }
 
     /// Reads at most `limit` rows, ordered by key, whose keys begin with `prefix` and come after
@@ -82,7 +84,9 @@
 
     /// Reads an object; `None` if it does not exist.
     pub async fn object(&self, key: &str) -> Result<Option<Vec<u8>>> {
-        self.with_timeout(self.objects.get(key)).await
+        let progress = Progress::new(Clock::new());
+        let object = self.objects.get(key, &progress);
+        progress.limit(self.timeout, object).await
     }
 
     /// Reads the platform's list of hosts.
@@ -111,7 +115,7 @@
             let page = self
                 .table
                 .read(partition, &start, end, remaining, &progress);
-            let page = self.with_timeout(page).await?;
+            let page = progress.limit(self.timeout, page).await?;
             let has_more = page.has_more;
             rows.extend(page.rows);
             match rows.last() {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod api;
 mod client;
 mod error;
+mod progress;
 mod table;
 
 pub use client::{Client, key_after};
 pub use error::{Error, Result};
-pub use table::{Change, Feed, Objects, Outcome, Page, Partition, Progress, Table};
+pub use progress::Progress;
+pub use table::{Change, Feed, Objects, Outcome, Page, Partition, Table};
--- /dev/null
+++ b/crates/store/src/progress.rs
@@ -0,0 +1,86 @@
+//! How much of the response to a call has arrived, and how long the call may take.
+//!
+//! The time limit of a call applies to the head of its response. A response that arrives may take any
+//! time, as its size is unknown and other traffic may use the same network.
+
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use smol::future::FutureExt;
+use units::{Clock, Span, Time};
+
+use crate::error::{Error, Result};
+
+/// Longest pause between two pieces of a response: a network that is congested delays each of them.
+const PAUSE_MAX: Span = Span::from_ms(1_000);
+
+/// What has arrived of the response to a call.
+#[derive(Debug)]
+pub struct Progress {
+    clock: Clock,
+    bytes: AtomicU64,
+    first: OnceLock<Time>,
+    last: AtomicU64,
+}
+
+impl Progress {
+    /// Returns the state before the first byte.
+    pub fn new(clock: Clock) -> Self {
+        Progress {
+            clock,
+            bytes: AtomicU64::new(0),
+            first: OnceLock::new(),
+            last: AtomicU64::new(0),
+        }
+    }
+
+    /// Records the arrival of the head of the response, or of `bytes` bytes of its body.
+    pub fn record(&self, bytes: usize) {
+        let now = self.clock.now();
+        self.last.store(now.0, Ordering::Release);
+        self.first.get_or_init(|| now);
+        self.bytes.fetch_add(bytes as u64, Ordering::AcqRel);
+    }
+
+    /// Returns the bytes of the body that have arrived.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Acquire)
+    }
+
+    /// Returns when the head arrived, if it has.
+    pub fn first(&self) -> Option<Time> {
+        self.first.get().copied()
+    }
+
+    /// Returns when anything arrived last, if anything has.
+    pub fn last(&self) -> Option<Time> {
+        self.first()?;
+        Some(Time(self.last.load(Ordering::Acquire)))
+    }
+
+    /// Returns when a call that began at `started` is given up, as far as is known now. `limit` is the
+    /// time limit for the head.
+    pub fn deadline(&self, started: Time, limit: Span) -> Time {
+        let deadline = started.after(limit);
+        self.last()
+            .map_or(deadline, |piece| deadline.max(piece.after(PAUSE_MAX)))
+    }
+
+    /// Awaits a call that records its progress here; `limit` is the time limit for the head.
+    ///
+    /// # Errors
+    /// [`Error::Uncertain`] if the call is given up.
+    pub async fn limit<T>(&self, limit: Span, call: impl Future<Output = Result<T>>) -> Result<T> {
+        let started = self.clock.now();
+        let expire = async {
+            loop {
+                let remaining = self.deadline(started, limit).since(self.clock.now());
+                if remaining == Span(0) {
+                    return Err(Error::Uncertain(http_io::Error::Timeout));
+                }
+                smol::Timer::after(remaining.into()).await;
+            }
+        };
+        call.or(expire).await
+    }
+}
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -4,16 +4,14 @@
 //! table. If its response is lost, the transaction may or may not have taken effect;
 //! [`Error::is_uncertain`] reports this, and the writer has to read the rows back.
 
-use std::sync::OnceLock;
-use std::sync::atomic::{AtomicU64, Ordering};
-
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
-use units::{Clock, Span, Time};
+use units::Span;
 
 use crate::api::{Row, Transaction};
 use crate::error::Result;
+use crate::progress::Progress;
 
 /// A partition of a table.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -75,52 +73,6 @@
     Truncated,
 }
 
-/// What has arrived of the response to a call, by which the caller distinguishes a large response
-/// that is slow to arrive from a store that does not respond.
-#[derive(Debug)]
-pub struct Progress {
-    clock: Clock,
-    bytes: AtomicU64,
-    first: OnceLock<Time>,
-    last: AtomicU64,
-}
-
-impl Progress {
-    /// Returns the state before the first byte.
-    pub fn new(clock: Clock) -> Self {
-        Progress {
-            clock,
-            bytes: AtomicU64::new(0),
-            first: OnceLock::new(),
-            last: AtomicU64::new(0),
-        }
-    }
-
-    /// Records the arrival of the head of the response, or of `bytes` bytes of its body.
-    pub fn record(&self, bytes: usize) {
-        let now = self.clock.now();
-        self.first.get_or_init(|| now);
-        self.last.store(now.0, Ordering::Release);
-        self.bytes.fetch_add(bytes as u64, Ordering::AcqRel);
-    }
-
-    /// Returns the bytes of the body that have arrived.
-    pub fn bytes(&self) -> u64 {
-        self.bytes.load(Ordering::Acquire)
-    }
-
-    /// Returns when the head arrived, if it has.
-    pub fn first(&self) -> Option<Time> {
-        self.first.get().copied()
-    }
-
-    /// Returns when anything arrived last, if anything has.
-    pub fn last(&self) -> Option<Time> {
-        self.first()?;
-        Some(Time(self.last.load(Ordering::Acquire)))
-    }
-}
-
 /// A table service as the product uses it. Reads record the arrival of their response in `progress`.
 pub trait Table: Send + Sync {
     /// Runs a transaction on one partition.
@@ -157,5 +109,9 @@
     fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>) -> BoxFuture<'a, Result<()>>;
 
     /// Reads an object; `None` if it does not exist.
-    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Vec<u8>>>>;
+    fn get<'a>(
+        &'a self,
+        key: &'a str,
+        progress: &'a Progress,
+    ) -> BoxFuture<'a, Result<Option<Vec<u8>>>>;
 }
