gateway: a host that does not reach the store feeds no stale copies

Three causes. The bytes of a refusal counted as a copy that arrives, so the reader's copy looked current. The reader then followed hosts that followed it. And hosts whose copy was too old called the store at once, all of them.

A refusal no longer counts. A report names the host that read the copy from the store, so a host does not follow itself through others; the reader follows a host of another region first, until the store answers again. A host with an old copy tries the other hosts before the store, so only the next in rank calls it.

--- a/crates/gateway/src/propagation.rs
+++ b/crates/gateway/src/propagation.rs
@@ -16,6 +16,12 @@
 use crate::sources::{Source, Sources};
 use crate::state::Shared;
 
+/// Least time between two calls of the store by a host that follows another as it did not reach the
+/// store, if the calls of other tables reach it.
+const STORE_INTERVAL_MIN: Span = Span::from_ms(1_000);
+/// The same while no call reaches the store.
+const STORE_INTERVAL_MAX: Span = Span::from_ms(10_000);
+
 /// Keeps the environment current for as long as the process runs.
 pub(crate) async fn run(shared: Arc<Shared>, own: Peer) {
     let mut follower = Follower {
@@ -137,7 +143,8 @@
 
     fn record_current(&self, position: u64) {
         let now = self.shared.clock.now();
-        self.shared.replica.record_current(position, now);
+        let reader = Some(self.own.host.clone());
+        self.shared.replica.record_current(position, now, reader);
     }
 
     /// Follows a peer until it fails or its copy is out of date.
@@ -146,8 +153,12 @@
         let version = shared.replica.versions().0;
         let progress = shared.replica.begin_arrival();
         let updates = shared.peers.follow(peer.clone(), version, progress);
+        let began = shared.clock.now();
         let why = loop {
             match updates.recv().await {
+                Ok(Ok(update)) if update.reader.as_ref() == Some(&self.own.host) => {
+                    break "follows this host".to_owned();
+                }
                 Ok(Ok(update)) => self.apply_update(&peer, update),
                 Ok(Err(error)) => break error.to_string(),
                 Err(_) => break "not followed".to_owned(),
@@ -161,18 +172,30 @@
                 break "out of date".to_owned();
             }
             self.sources.record_success(&peer);
+            if !Sources::is_regular(&self.own, &peer, &listed, zones)
+                && self.is_store_due(shared.clock.now().since(began))
+            {
+                return;
+            }
         };
         info!(shared.log, "environment source lost"; "source" => %peer.host, "why" => why,
             "age_ms" => age_ms(shared.replica.age()));
         self.sources.record_failure(&peer, shared.clock.now());
     }
 
+    /// Whether the store is to be called again, after another host was followed for `followed`
+    /// because the store was not reached.
+    fn is_store_due(&self, followed: Span) -> bool {
+        let is_reached = !self.shared.rows.is_direct_unavailable(&self.partition);
+        followed >= STORE_INTERVAL_MAX || (is_reached && followed >= STORE_INTERVAL_MIN)
+    }
+
     fn apply_update(&self, peer: &Peer, update: Update) {
         if let Some(row) = &update.row {
             apply(&self.shared, row, peer.host.as_str());
         }
         let replica = &self.shared.replica;
-        replica.record_current(update.position, update.current_at);
+        replica.record_current(update.position, update.current_at, update.reader);
     }
 }
 
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -10,7 +10,7 @@
 use smol::future::FutureExt;
 use store::Progress;
 use store::api::Row;
-use units::{Clock, Span, Time};
+use units::{Clock, Host, Span, Time};
 use wire::{Body, Frame, PackedRow, Relayed, Stream};
 
 /// Time between two reports to a host that follows the copy.
@@ -36,6 +36,8 @@
     position: u64,
     /// When the copy was current last.
     current_at: Option<Time>,
+    /// The host that read it from the store.
+    reader: Option<Host>,
     /// The row that arrives at the moment, if any.
     arriving: Option<Arc<Progress>>,
 }
@@ -76,9 +78,11 @@
         }
     }
 
-    /// Records that the copy was current at `time`, at the version `position` of the store.
-    pub(crate) fn record_current(&self, position: u64, time: Time) {
+    /// Records that the copy was current at `time`, at the version `position` of the store, as
+    /// `reader` found there.
+    pub(crate) fn record_current(&self, position: u64, time: Time, reader: Option<Host>) {
         let mut state = self.state();
+        state.reader = reader;
         state.position = state.position.max(position);
         state.current_at = state.current_at.max(Some(time));
     }
@@ -94,7 +98,8 @@
     /// time if never.
     pub(crate) fn age(&self) -> Span {
         let state = self.state();
-        let arriving = state.arriving.as_ref().and_then(|arriving| arriving.last());
+        let arriving = state.arriving.as_ref();
+        let arriving = arriving.and_then(|arriving| arriving.last_of_result());
         let contact = state.current_at.max(arriving);
         let now = self.clock.now();
         contact.map_or(Span(u64::MAX), |contact| now.since(contact))
@@ -118,10 +123,12 @@
         let sent = newer.as_ref().map_or(version, |(row, _)| row.version);
         let is_latest = state.row.as_ref().is_none_or(|row| row.version <= sent);
         let position = if is_latest { state.position } else { 0 };
+        let reader = state.reader.clone();
         drop(state);
         let report = wire::Replica {
             position,
             age: self.age(),
+            reader,
             row: newer.as_ref().map(|(row, packed)| PackedRow {
                 key: row.key.clone(),
                 version: row.version,
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -117,6 +117,11 @@
             && self.relayed.availability().is_unavailable(partition)
     }
 
+    /// Whether a partition is unavailable without the help of peers.
+    pub(crate) fn is_direct_unavailable(&self, partition: &Partition) -> bool {
+        self.direct.availability().is_unavailable(partition)
+    }
+
     /// Whether a request that needs a partition is to be refused now, without a call.
     pub(crate) fn should_refuse(&self, partition: &Partition) -> bool {
         let now = self.clock.now();
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -2,9 +2,9 @@
 //!
 //! All hosts rank the hosts of a region in the same way. A host follows one that is ranked before it,
 //! first one of its own availability zone, so that one host of a region reads from the store, and a
-//! failed host is replaced by the next one without any agreement. Lists of hosts may differ, so hosts
-//! may follow each other for a moment; no copy then becomes current, its age grows, and the host
-//! calls the store.
+//! failed host is replaced by the next one without any agreement. A host that does not reach the store
+//! follows any other that does. Lists of hosts may differ, so hosts may follow each other for a
+//! moment; no copy then becomes current, its age grows, and the hosts look for other sources.
 
 use std::collections::HashMap;
 
@@ -13,14 +13,16 @@
 use crate::peers::Peer;
 use crate::prompt::stable_hash;
 
-/// Age of a copy at which the store is called, for the hosts ranked first. A copy in use is younger:
-/// the intervals of three hosts that follow each other, and their round trips.
+/// Age of a copy at which another source is looked for, for the hosts ranked first. A copy in use is
+/// younger: the intervals of three hosts that follow each other, and their round trips.
 const AGE_MAX: Span = Span::from_ms(1_350);
-/// How much later each of the next ranks calls the store, so that its predecessors have the time to
-/// become current again.
+/// How much later each of the next ranks does so: the one before it, which may have to call the store,
+/// then has a copy that arrives, and the way to the store is not shared by all.
 const AGE_MAX_STEP: Span = Span::from_ms(150);
-/// Number of steps after which further ranks call the store at the same age.
+/// Number of steps after which further ranks look for another source at the same age.
 const AGE_MAX_STEPS: usize = 2;
+/// Age at which no further host is tried.
+const TRY_AGE_MAX: Span = Span::from_ms(2_000);
 /// How long a host that failed is not followed; doubles with each failure in series.
 const BACKOFF_MIN: Span = Span::from_ms(1_000);
 /// How often that time doubles at most.
@@ -89,23 +91,25 @@
         let is_store_failing = self
             .store_failed_at
             .is_some_and(|failed_at| now.since(failed_at) < STORE_BACKOFF);
-        if !is_store_failing && age > order.age_max() {
-            return Source::Store;
-        }
-        let mut candidates = if is_store_failing {
-            order.all()
-        } else {
-            order.earlier.clone()
-        };
-        candidates.retain(|peer| self.may_follow(peer, now));
-        // The sort is stable: within the own zone and outside of it, the order stays.
-        candidates.sort_by_key(|peer| peer.zone != own.zone);
-        match candidates.first() {
-            Some(peer) => Source::Peer((*peer).clone()),
-            None => Source::Store,
+        let others: &[&Peer] = if is_store_failing { &order.others } else { &[] };
+        let mut candidates = order.earlier.iter().chain(others);
+        let candidate = candidates.find(|peer| self.may_follow(peer, now));
+        match candidate {
+            Some(peer) if is_store_failing || age <= TRY_AGE_MAX => Source::Peer((*peer).clone()),
+            _ => Source::Store,
         }
     }
 
+    /// Whether `peer` is one that `own` follows while it reaches the store itself.
+    pub fn is_regular(
+        own: &Peer,
+        peer: &Peer,
+        peers: &[Peer],
+        regions: &HashMap<Zone, Region>,
+    ) -> bool {
+        Order::new(own, peers, regions).earlier.contains(&peer)
+    }
+
     /// Returns the age at which the copy of `own` is out of date.
     pub fn age_max(own: &Peer, peers: &[Peer], regions: &HashMap<Zone, Region>) -> Span {
         Order::new(own, peers, regions).age_max()
@@ -118,12 +122,13 @@
     }
 }
 
-/// The other hosts in the order of their ranks.
+/// The other hosts in the order in which they are tried.
 struct Order<'a> {
-    /// Hosts of the same region that are ranked before this one.
+    /// Hosts of the same region that are ranked before this one, first those of its zone.
     earlier: Vec<&'a Peer>,
-    /// Hosts of the same region that are ranked after this one, then those of other regions.
-    later: Vec<&'a Peer>,
+    /// Hosts of other regions, then those of the same region that are ranked after this one, which
+    /// probably follow it.
+    others: Vec<&'a Peer>,
 }
 
 impl<'a> Order<'a> {
@@ -132,22 +137,19 @@
         let rank = |peer: &Peer| (stable_hash(peer.host.as_str()), peer.host.clone());
         let is_near = |peer: &&Peer| peer.zone == own.zone || region(peer) == region(own);
         let others = peers.iter().filter(|peer| peer.host != own.host);
-        let (mut near, mut far): (Vec<&Peer>, Vec<&Peer>) = others.partition(is_near);
+        let (mut near, mut others): (Vec<&Peer>, Vec<&Peer>) = others.partition(is_near);
         near.sort_by_cached_key(|peer| rank(peer));
-        far.sort_by_cached_key(|peer| rank(peer));
+        others.sort_by_cached_key(|peer| rank(peer));
         let position = near.partition_point(|peer| rank(peer) < rank(own));
-        let mut later = near.split_off(position);
-        later.extend(far);
+        others.extend(near.split_off(position));
+        // The sort is stable: within the own zone and outside of it, the order stays.
+        near.sort_by_key(|peer| peer.zone != own.zone);
         Order {
             earlier: near,
-            later,
+            others,
         }
     }
 
-    fn all(&self) -> Vec<&'a Peer> {
-        self.earlier.iter().chain(&self.later).copied().collect()
-    }
-
     fn age_max(&self) -> Span {
         let steps = self.earlier.len().saturating_sub(1).min(AGE_MAX_STEPS) as u64;
         Span(AGE_MAX.0 + AGE_MAX_STEP.0 * steps)
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -73,6 +73,7 @@
     relayed_bytes: AtomicU64,
     delay_us: AtomicU64,
     is_refusing: AtomicBool,
+    is_rejecting: AtomicBool,
     capacity: Option<Arc<Capacity>>,
     forwarded_bytes: AtomicU64,
 }
@@ -148,6 +149,14 @@
         self.state.is_refusing.store(is_refusing, Ordering::Relaxed);
     }
 
+    /// Sets whether each HTTP request on a new connection is answered with 429, and does not reach the
+    /// server.
+    pub fn reject(&self, is_rejecting: bool) {
+        self.state
+            .is_rejecting
+            .store(is_rejecting, Ordering::Relaxed);
+    }
+
     /// Sets the delay of bytes that are read from now on, in each direction.
     pub fn delay(&self, delay: Duration) {
         let delay_us = delay.as_micros() as u64;
@@ -181,6 +190,12 @@
         if state.is_refusing.load(Ordering::Relaxed) {
             continue;
         }
+        if state.is_rejecting.load(Ordering::Relaxed) {
+            executor
+                .spawn(reject_requests(state.clone(), client))
+                .detach();
+            continue;
+        }
         let Ok(server) = TcpStream::connect(target).await else {
             continue;
         };
@@ -215,6 +230,21 @@
     }
 }
 
+/// Answers each request on a connection with 429, as long as the link rejects requests.
+async fn reject_requests(state: Arc<State>, mut client: TcpStream) {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    // Requests are small and sent one at a time, so that each arrives in one piece.
+    while matches!(client.read(&mut buffer).await, Ok(length) if length > 0) {
+        if !state.is_rejecting.load(Ordering::Relaxed) {
+            return;
+        }
+        let response = "HTTP/1.1 429 Status\r\nContent-Length: 8\r\n\r\nrejected";
+        if client.write_all(response.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Reads from the end `source` and queues each chunk with the time when it is due; an empty chunk
 /// marks the end of the stream.
 async fn read_chunks(
--- a/crates/store/src/progress.rs
+++ b/crates/store/src/progress.rs
@@ -4,7 +4,7 @@
 //! time, as its size is unknown and other traffic may use the same network.
 
 use std::sync::OnceLock;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use smol::future::FutureExt;
 use units::{Clock, Span, Time};
@@ -21,6 +21,7 @@
     bytes: AtomicU64,
     first: OnceLock<Time>,
     last: AtomicU64,
+    is_accepted: AtomicBool,
 }
 
 impl Progress {
@@ -31,10 +32,18 @@
             bytes: AtomicU64::new(0),
             first: OnceLock::new(),
             last: AtomicU64::new(0),
+            is_accepted: AtomicBool::new(false),
         }
     }
 
-    /// Records the arrival of the head of the response, or of `bytes` bytes of its body.
+    /// Records the arrival of the head of the response; `is_accepted` says whether the call was
+    /// made, rather than refused.
+    pub fn record_head(&self, is_accepted: bool) {
+        self.is_accepted.store(is_accepted, Ordering::Release);
+        self.record(0);
+    }
+
+    /// Records the arrival of `bytes` bytes of the body.
     pub fn record(&self, bytes: usize) {
         let now = self.clock.now();
         self.last.store(now.0, Ordering::Release);
@@ -58,6 +67,12 @@
         Some(Time(self.last.load(Ordering::Acquire)))
     }
 
+    /// Returns when anything of the result arrived last; `None` if the call was refused.
+    pub fn last_of_result(&self) -> Option<Time> {
+        self.last()
+            .filter(|_| self.is_accepted.load(Ordering::Acquire))
+    }
+
     /// Returns when a call that began at `started` is given up, as far as is known now. `limit` is the
     /// time limit for the head.
     pub fn deadline(&self, started: Time, limit: Span) -> Time {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use store::api::Transaction;
 use store::{Feed, Outcome, Page, Partition};
-use units::Span;
+use units::{Host, Span};
 
 /// A call to the store, requested from a peer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -51,6 +51,9 @@
     pub position: u64,
     /// Time since then, or since any byte of a newer row arrived.
     pub age: Span,
+    /// The host that read the copy from the store, from which the peer got it directly or through
+    /// others; `None` if there is no copy.
+    pub reader: Option<Host>,
     /// A row newer than those sent before.
     pub row: Option<PackedRow>,
 }
--- a/tests/all/gateway/cluster.rs
+++ b/tests/all/gateway/cluster.rs
@@ -229,6 +229,13 @@
         }
     }
 
+    /// Has the store reject all requests of a gateway with 429, or accept them again.
+    pub fn set_rejected(&self, index: u16, is_rejected: bool) {
+        let link = self.store_link(index);
+        link.reject(is_rejected);
+        link.cut();
+    }
+
     /// Returns the path of the settings file of a gateway.
     pub fn settings_file(&self, index: u16) -> &std::path::Path {
         &self.gateways[usize::from(index)].settings_file
--- a/tests/all/gateway/large_documents.rs
+++ b/tests/all/gateway/large_documents.rs
@@ -18,6 +18,8 @@
 pub const APPLY_MAX: Duration = Duration::from_millis(4_000);
 
 const LAST_VERSION: u64 = 6;
+/// The same where the deployment is small.
+const REJECTED_APPLY_MAX: Duration = Duration::from_millis(2_500);
 /// Most times that one version may cross the link.
 const COPIES_MAX: u64 = 2;
 
@@ -109,3 +111,33 @@
         cluster.environment_version(0) == Some(2)
     });
 }
+
+#[test]
+fn hosts_that_the_store_rejects_delay_no_version_on_the_others() {
+    let cluster = Cluster::start_with(Layout {
+        near: 1,
+        far: 4,
+        workers: 1,
+        capacity: None,
+    });
+    let mut version = 1;
+    for rejected in 0..5 {
+        cluster.set_rejected(rejected, true);
+        for _ in 0..2 {
+            // Longer than the report intervals, so that hosts have turned to other sources.
+            std::thread::sleep(Duration::from_millis(1_500));
+            version += 1;
+            put(&cluster, &document(version, 3_000));
+            let context = format!("host {rejected} is rejected, version {version}");
+            eventually(REJECTED_APPLY_MAX, &context, || {
+                let hosts = (0..5).filter(|host| *host != rejected);
+                hosts
+                    .map(|host| cluster.environment_version(host))
+                    .all(|found| found == Some(version))
+            });
+        }
+        cluster.set_rejected(rejected, false);
+        // The hosts are in touch again before the next fault.
+        std::thread::sleep(Duration::from_millis(4_000));
+    }
+}
