gateway: the environment is read from all pages of its table

read_direct took the first page only, so a table of more than 500 rows might have hidden the environment from hosts that read it.

--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -278,16 +278,31 @@
         result
     }
 
-    /// Reads the first rows of a partition, without the help of peers.
+    /// Reads all rows of a partition, page by page, without the help of peers.
     pub(crate) async fn read_direct(
         &self,
         partition: &Partition,
         progress: &Progress,
     ) -> Result<Page> {
-        let read = self.table.read(partition, "", "", PAGE_ROWS_MAX, progress);
-        let page = self.call_direct(partition, (read, progress)).await?;
-        self.record_version(page.version);
-        Ok(page)
+        let mut pages = Page::default();
+        loop {
+            let from = pages.rows.last().map(|row| key_after(&row.key));
+            let from = from.unwrap_or_default();
+            let read = self
+                .table
+                .read(partition, &from, "", PAGE_ROWS_MAX, progress);
+            let page = self.call_direct(partition, (read, progress)).await?;
+            self.record_version(page.version);
+            if pages.rows.is_empty() {
+                // Changes after the first page may be missing in the later ones.
+                pages.version = page.version;
+            }
+            let is_last = page.rows.is_empty() || !page.has_more;
+            pages.rows.extend(page.rows);
+            if is_last {
+                return Ok(pages);
+            }
+        }
     }
 
     async fn feed_through_peer(
