gateway: the reader of a region does not rest for as long as a slow document took

It now waits 0.3 s after a version, and after a response that took over a second it reads the row, which is the newest version only.

--- a/crates/gateway/src/propagation.rs
+++ b/crates/gateway/src/propagation.rs
@@ -22,6 +22,9 @@
 /// The same while no call reaches the store.
 const STORE_INTERVAL_MAX: Span = Span::from_ms(10_000);
 
+/// Time in which a response arrives after which more than one version may have been written.
+const SLOW_ARRIVAL: Span = Span::from_ms(1_000);
+
 /// Keeps the environment current for as long as the process runs.
 pub(crate) async fn run(shared: Arc<Shared>, own: Peer) {
     let mut follower = Follower {
@@ -30,7 +33,7 @@
         own,
         sources: Sources::default(),
         latest: None,
-        is_history_lost: false,
+        reads_row: false,
     };
     loop {
         let source = follower.choose();
@@ -49,8 +52,9 @@
     sources: Sources,
     /// The source used last.
     latest: Option<Source>,
-    /// Whether the store no longer has the changes after the position of the copy.
-    is_history_lost: bool,
+    /// Whether the next call of the store reads the whole row, rather than all changes since the last
+    /// one: these are lost, or several large versions may wait.
+    reads_row: bool,
 }
 
 impl Follower {
@@ -84,19 +88,16 @@
         let shared = self.shared.clone();
         let progress = shared.replica.begin_arrival();
         let started = shared.clock.now();
+        let before = shared.replica.versions().0;
         let result = self.read_store(&progress).await;
         let now = shared.clock.now();
         self.sources.record_store(result.is_ok(), now);
         match result {
-            Ok(true) => {
-                // Leaves others the way to the store for as long as this document took it.
-                let arrival = match (progress.first(), progress.last()) {
-                    (Some(first), Some(last)) => last.since(first),
-                    _ => Span(0),
-                };
-                smol::Timer::after(FEED_PAUSE.max(arrival.into())).await;
+            Ok(()) if shared.replica.versions().0 > before => {
+                self.reads_row = progress.arrival_time() >= SLOW_ARRIVAL;
+                smol::Timer::after(FEED_PAUSE).await;
             }
-            Ok(false) => {}
+            Ok(()) => {}
             Err(error) => {
                 shared.metrics.count("feeds-failed");
                 info!(shared.log, "feed failed"; "table" => %self.partition.table,
@@ -107,18 +108,17 @@
         }
     }
 
-    /// Returns whether a row was read.
-    async fn read_store(&mut self, progress: &Progress) -> Result<bool> {
+    async fn read_store(&mut self, progress: &Progress) -> Result<()> {
         let shared = self.shared.clone();
         let position = shared.replica.versions().1;
-        if position == 0 || self.is_history_lost {
+        if position == 0 || self.reads_row {
             let page = shared.rows.read_direct(&self.partition, progress).await?;
-            self.is_history_lost = false;
+            self.reads_row = false;
             for row in &page.rows {
                 apply(&shared, row, "store");
             }
             self.record_current(page.version);
-            return Ok(true);
+            return Ok(());
         }
         let feed = shared
             .rows
@@ -127,18 +127,17 @@
         let Feed::Changes(changes, version) = feed else {
             info!(shared.log, "feed history lost, reading the table again";
                 "table" => %self.partition.table);
-            self.is_history_lost = true;
-            return Ok(false);
+            self.reads_row = true;
+            return Ok(());
         };
         let rows = changes
             .iter()
             .filter(|change| change.partition.is_empty() && !change.is_deleted);
-        let has_rows = rows.clone().next().is_some();
         // Only the latest version matters, unless it cannot be read.
         rows.rev()
             .any(|change| apply(&shared, &change.row, "store"));
         self.record_current(version);
-        Ok(has_rows)
+        Ok(())
     }
 
     fn record_current(&self, position: u64) {
--- a/crates/store/src/progress.rs
+++ b/crates/store/src/progress.rs
@@ -67,6 +67,14 @@
         Some(Time(self.last.load(Ordering::Acquire)))
     }
 
+    /// Returns the time from the head of the response to its latest piece.
+    pub fn arrival_time(&self) -> Span {
+        match (self.first(), self.last()) {
+            (Some(first), Some(last)) => last.since(first),
+            _ => Span(0),
+        }
+    }
+
     /// Returns when anything of the result arrived last; `None` if the call was refused.
     pub fn last_of_result(&self) -> Option<Time> {
         self.last()
