gateway: hosts with an old copy do not call the store at the same moment

Cause: the steps by which ranks differ were lost, as the age was only looked at when a report came, every 0.3 s, and ranks from the third on had the same limit.

The age is now checked when it is due, and six ranks differ, by 0.1 s each.

--- a/crates/gateway/src/propagation.rs
+++ b/crates/gateway/src/propagation.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use slog::{info, warn};
+use smol::future::FutureExt;
 use store::api::Row;
 use store::{Feed, Partition, Progress, Result};
 use units::Span;
@@ -22,6 +23,8 @@
 /// The same while no call reaches the store.
 const STORE_INTERVAL_MAX: Span = Span::from_ms(10_000);
 
+/// How much later than it is due the age of the copy is checked.
+const AGE_CHECK_SLACK: Span = Span::from_ms(5);
 /// Time in which a response arrives after which more than one version may have been written.
 const SLOW_ARRIVAL: Span = Span::from_ms(1_000);
 
@@ -154,23 +157,25 @@
         let updates = shared.peers.follow(peer.clone(), version, progress);
         let began = shared.clock.now();
         let why = loop {
-            match updates.recv().await {
-                Ok(Ok(update)) if update.reader.as_ref() == Some(&self.own.host) => {
+            let update = async { Some(updates.recv().await) };
+            match update.or(self.wait_out_of_date()).await {
+                None => {}
+                Some(Ok(Ok(update))) if update.reader.as_ref() == Some(&self.own.host) => {
                     break "follows this host".to_owned();
                 }
-                Ok(Ok(update)) => self.apply_update(&peer, update),
-                Ok(Err(error)) => break error.to_string(),
-                Err(_) => break "not followed".to_owned(),
+                Some(Ok(Ok(update))) => self.apply_update(&peer, update),
+                Some(Ok(Err(error))) => break error.to_string(),
+                Some(Err(_)) => break "not followed".to_owned(),
             }
             let listed = self.peers();
             if !listed.contains(&peer) {
                 break "no longer listed".to_owned();
             }
-            let zones = &shared.settings().zones;
-            if shared.replica.age() > Sources::age_max(&self.own, &listed, zones) {
+            if shared.replica.age() > self.age_max() {
                 break "out of date".to_owned();
             }
             self.sources.record_success(&peer);
+            let zones = &shared.settings().zones;
             if !Sources::is_regular(&self.own, &peer, &listed, zones)
                 && self.is_store_due(shared.clock.now().since(began))
             {
@@ -182,6 +187,20 @@
         self.sources.record_failure(&peer, shared.clock.now());
     }
 
+    /// Returns the age at which the copy is out of date.
+    fn age_max(&self) -> Span {
+        let zones = &self.shared.settings().zones;
+        Sources::age_max(&self.own, &self.peers(), zones)
+    }
+
+    /// Waits until the copy is out of date unless it becomes newer: an update may come later than
+    /// that, and hosts must not look for other sources all at once.
+    async fn wait_out_of_date<T>(&self) -> Option<T> {
+        let remaining = self.age_max().0.saturating_sub(self.shared.replica.age().0);
+        smol::Timer::after(Span(remaining + AGE_CHECK_SLACK.0).into()).await;
+        None
+    }
+
     /// Whether the store is to be called again, after another host was followed for `followed`
     /// because the store was not reached.
     fn is_store_due(&self, followed: Span) -> bool {
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -18,9 +18,9 @@
 const AGE_MAX: Span = Span::from_ms(1_350);
 /// How much later each of the next ranks does so: the one before it, which may have to call the store,
 /// then has a copy that arrives, and the way to the store is not shared by all.
-const AGE_MAX_STEP: Span = Span::from_ms(150);
+const AGE_MAX_STEP: Span = Span::from_ms(100);
 /// Number of steps after which further ranks look for another source at the same age.
-const AGE_MAX_STEPS: usize = 2;
+const AGE_MAX_STEPS: usize = 5;
 /// Age at which no further host is tried.
 const TRY_AGE_MAX: Span = Span::from_ms(2_000);
 /// How long a host that failed is not followed; doubles with each failure in series.
--- a/crates/gateway/tests/sources.rs
+++ b/crates/gateway/tests/sources.rs
@@ -109,6 +109,20 @@
     }
 }
 
+#[test]
+fn hosts_look_for_another_source_one_after_the_other() {
+    let peers = peers(18);
+    let north = peers.iter().filter(|peer| region(peer) == "north");
+    let mut ages: Vec<Span> = north
+        .map(|own| Sources::age_max(own, &peers, &regions()))
+        .collect();
+    ages.sort_unstable();
+    ages.dedup();
+    assert!(ages.len() >= 6, "{ages:?}");
+    let steps = ages.windows(2).map(|ages| ages[1].0 - ages[0].0);
+    assert!(steps.clone().all(|step| step >= 100_000), "{ages:?}");
+}
+
 #[test]
 fn host_cut_off_from_the_store_follows_any_other() {
     let peers = peers(6);
