gateway: a reservation does not outlive its attempt

Cause: the row that reserves the attempt of a suspect request was removed by its host only. Two tests, failing before (not served within 13 s after an attempt of 1 s).

Change: the row states the holder's incarnation and the time that its attempt has left. Each host measures from the moment at which it received the row, and the next attempt replaces one that is over, under the condition of its version; if the holder is not listed, its attempt stays as a loss. The refusal's time to return follows from the same state. Ruled out: the age of row versions (marks of 5 s), and a missing holder in the list of gateways alone, as lists lag.

The rows of older releases state no time; 30 s are assumed.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -8,7 +8,7 @@
 
 use async_channel::Receiver;
 use compact_str::{CompactString, format_compact};
-use policy::{Admission, LOSSES_MAX, Listing, Probe, Quarantine, Suspect, Verdict};
+use policy::{Admission, LOSSES_MAX, Listing, Probe, Quarantine, Reservations, Suspect, Verdict};
 use slog::info;
 use smol::future::FutureExt;
 use smol::net::TcpStream;
@@ -63,6 +63,7 @@
 #[derive(Default)]
 pub(crate) struct Crashes {
     quarantine: Mutex<Quarantine>,
+    reservations: Mutex<Reservations>,
     inquiries: Mutex<Inquiries>,
 }
 
@@ -73,6 +74,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the reservations of attempts, on all hosts.
+    pub(crate) fn reservations(&self) -> MutexGuard<'_, Reservations> {
+        self.reservations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn inquiries(&self) -> MutexGuard<'_, Inquiries> {
         self.inquiries
             .lock()
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -100,7 +100,9 @@
         if losses == 0 {
             return Ok(());
         }
-        let reserve = Reservation::new(&self.shared, self.suspect, &self.call.id);
+        let now = self.shared.clock.now();
+        let attempt = self.deadline.after(DEADLINE_SLACK).since(now);
+        let reserve = Reservation::new(&self.shared, self.suspect, attempt, &self.call.id);
         let deadline = store_call_deadline(self.started, self.deadline);
         let expire = expire(&self.shared, deadline, Refusal::StoreUnavailable);
         match reserve.or(expire).await {
--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -11,10 +11,11 @@
 use slog::{info, warn};
 use store::Partition;
 use store::api::{Row, Transaction};
-use units::{Host, Span, Time};
+use units::{Fingerprint, Host, Span, Time};
 
 use crate::control::{TableEvent, retry_pause};
 use crate::crashes::EndpointStart;
+use crate::reservation::{self, reserved_endpoint};
 use crate::state::Shared;
 
 /// Name of the table of losses.
@@ -106,6 +107,11 @@
     })
 }
 
+/// Returns the request whose attempt is reserved by the row of `loss`; `None` if it is another row.
+fn reserved_request(loss: Loss) -> Option<Fingerprint> {
+    (loss.endpoint == reserved_endpoint()).then_some(loss.request)
+}
+
 /// Applies an event of the table of losses.
 pub(crate) fn apply_event(shared: &Shared, event: TableEvent<'_>) {
     let now = shared.clock.now();
@@ -122,12 +128,24 @@
         TableEvent::Gap => {}
         TableEvent::Snapshot(rows, version) => {
             quarantine.replace(rows.iter().filter_map(parse), now);
+            for row in rows {
+                if let Some(request) = parse_key(&row.key).and_then(reserved_request) {
+                    reservation::record_row(shared, request, row);
+                }
+            }
             info!(shared.log, "losses read"; "rows" => rows.len(), "row_version" => version);
         }
         TableEvent::Change(change, _) => {
             let Some(loss) = parse(&change.row) else {
                 return;
             };
+            match reserved_request(loss) {
+                Some(request) if change.is_deleted => {
+                    shared.crashes.reservations().remove(request);
+                }
+                Some(request) => reservation::record_row(shared, request, &change.row),
+                None => {}
+            }
             if change.is_deleted {
                 quarantine.remove(loss);
             } else if quarantine.insert(loss, now) {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -28,8 +28,8 @@
 const STARTING_DELAY: Span = Span::from_ms(150);
 /// Retry delay if another host holds tokens: it releases them when the program is idle there.
 const BUDGET_HELD_DELAY: Span = Span::from_ms(700);
-/// Retry delay while another attempt of a suspect request runs: about the duration of a turn.
-const SUSPECT_RESERVED_DELAY: Span = Span::from_ms(700);
+/// Shortest retry delay after another attempt of a suspect request.
+const SUSPECT_RESERVED_DELAY_MIN: Span = Span::from_ms(200);
 
 /// Why the gateway answers a request itself, without an endpoint's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -70,8 +70,8 @@
     /// Did not run: earlier attempts of the request crashed the endpoints that ran them.
     Quarantined,
     /// Did not run: earlier attempts of the request crashed the endpoints that ran them, and another
-    /// attempt has not ended yet.
-    SuspectReserved,
+    /// attempt has not ended yet. Holds the time after which to try again.
+    SuspectReserved(Span),
     /// Did not run: the deadline has passed.
     DeadlinePassed,
     /// May have run: the connection to the endpoint was lost, or its response was unusable.
@@ -102,7 +102,7 @@
             | Refusal::NoEndpoint
             | Refusal::EndpointsLimited(_)
             | Refusal::Quarantined
-            | Refusal::SuspectReserved
+            | Refusal::SuspectReserved(_)
             | Refusal::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -127,7 +127,7 @@
             Refusal::NoEndpoint => "no-endpoint",
             Refusal::EndpointsLimited(_) => "endpoints-limited",
             Refusal::Quarantined => "quarantined",
-            Refusal::SuspectReserved => "suspect-reserved",
+            Refusal::SuspectReserved(_) => "suspect-reserved",
             Refusal::DeadlinePassed => "no-time-left",
             Refusal::EndpointFailed => "endpoint-broke-off",
             Refusal::EndpointTimedOut => "endpoint-timed-out",
@@ -144,7 +144,7 @@
             Refusal::StoreUnavailable => STORE_UNAVAILABLE_DELAY,
             Refusal::Starting => STARTING_DELAY,
             Refusal::BudgetHeld => BUDGET_HELD_DELAY,
-            Refusal::SuspectReserved => SUSPECT_RESERVED_DELAY,
+            Refusal::SuspectReserved(delay) => *delay.max(&SUSPECT_RESERVED_DELAY_MIN),
             Refusal::EndpointsLimited(delay) => *delay,
             _ => return None,
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -39,6 +39,8 @@
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
     pub(crate) clock: Clock,
+    /// Identifies this start of the process.
+    pub(crate) incarnation: Incarnation,
     pub(crate) rows: Arc<Rows>,
     pub(crate) peers: Peers,
     pub(crate) replica: Arc<Replica>,
@@ -77,6 +79,7 @@
             log,
             metrics,
             clock,
+            incarnation,
             rows,
             peers,
             replica: Arc::new(Replica::new(clock)),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod order;
 mod place;
 mod quarantine;
+mod reservation;
 mod route;
 mod settings;
 
@@ -23,5 +24,6 @@
 pub use order::{Rank, RankFactors};
 pub use place::{Balancer, Candidate, Choice, Chunk, Demand, Fault, TransferCost};
 pub use quarantine::{Admission, LOSSES_MAX, Listing, Loss, Probe, Quarantine, Suspect, Verdict};
+pub use reservation::{Hold, Reservations};
 pub use route::{Reason, Request, Ticket};
 pub use settings::{Order, Routing, Settings};
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -30,7 +30,7 @@
 const TRIAL_DOUBLINGS_MAX: usize = 6;
 /// How long the end of an endpoint is awaited after a request was lost there: an endpoint that
 /// crashed starts again, or its address gets another one, within this time.
-const DECISION_TIMEOUT: Span = Span::from_ms(8_000);
+pub(crate) const DECISION_TIMEOUT: Span = Span::from_ms(8_000);
 
 /// The fingerprints of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/tests/all/gateway/crash.rs
+++ b/tests/all/gateway/crash.rs
@@ -12,6 +12,12 @@
 const CONTACT: Duration = Duration::from_secs(4);
 /// Endpoints that a request may crash before it is no longer sent.
 const CRASHES: usize = 3;
+/// Deadline of attempts that hold a reservation.
+const SHORT_DEADLINE: Duration = Duration::from_secs(1);
+/// Longest time for which the reservation of an attempt with [`SHORT_DEADLINE`] may refuse others:
+/// until its deadline, the time in which hosts decide whether it crashed its endpoint, and
+/// [`CONTACT`].
+const RESERVATION_MAX: Duration = Duration::from_secs(1 + 8 + 4);
 /// Most attempts that may still be sent later than [`CONTACT`] after the third crash.
 const LATE_ATTEMPTS_MAX: usize = 3;
 
@@ -133,3 +139,76 @@
     let crashes = crash_count(&cluster) - before;
     assert!(crashes <= 1, "{crashes} endpoints crashed together");
 }
+
+/// Leaves `body` with one recorded loss at both hosts, which it does not crash any more.
+fn leave_harmless_suspect(cluster: &Cluster, body: &str) {
+    send(cluster, 0, ORDER, "first", body);
+    eventually(START_TIMEOUT, "each host has the loss", || {
+        cluster.log(1).contains("loss received")
+    });
+    for worker in cluster.models.iter().chain(&cluster.desks) {
+        worker.state().crash_prefix = String::new();
+    }
+}
+
+/// Returns an order with a deadline of [`SHORT_DEADLINE`].
+fn brief_order(id: &str, body: &str) -> Request {
+    Request::new("POST", ORDER, id)
+        .with_header("Deadline-Ms", &SHORT_DEADLINE.as_millis().to_string())
+        .with_body(body)
+}
+
+/// Waits until an order that is refused as another attempt runs is served by the host `gateway`.
+fn eventually_served(cluster: &Cluster, gateway: u16, body: &str) {
+    let mut number = 0;
+    eventually(RESERVATION_MAX, "the suspect is served again", || {
+        number += 1;
+        let order = brief_order(&format!("again-{number}"), body);
+        let answer = order.send(cluster.caller_address(gateway));
+        answer.status == 200 || {
+            let refusal = answer.text();
+            assert!(refusal.contains("suspect-reserved"), "{answer:?}");
+            false
+        }
+    });
+}
+
+#[test]
+fn reservation_does_not_outlive_the_attempt_of_a_killed_host() {
+    let mut cluster = start(2, 4);
+    let body = format!("{CRASH_PREFIX} this endpoint");
+    leave_harmless_suspect(&cluster, &body);
+    for worker in &cluster.desks {
+        worker.state().pause_ms = 10_000;
+    }
+    let address = cluster.caller_address(1);
+    let held = body.clone();
+    let attempt = std::thread::spawn(move || brief_order("held", &held).send(address));
+    eventually(START_TIMEOUT, "the attempt is reserved", || {
+        cluster.log(1).contains("attempt reserved") && !cluster.runs("held").is_empty()
+    });
+    cluster.kill(1);
+    drop(attempt.join().unwrap());
+    for worker in &cluster.desks {
+        worker.state().pause_ms = 0;
+    }
+    eventually_served(&cluster, 0, &body);
+}
+
+#[test]
+fn reservation_that_is_written_late_does_not_outlive_its_attempt() {
+    let cluster = start(2, 4);
+    let body = format!("{CRASH_PREFIX} this endpoint");
+    leave_harmless_suspect(&cluster, &body);
+    {
+        let knobs = &mut cluster.store.state().knobs;
+        knobs.lose_answers = 1;
+        knobs.late_ms = 2 * SHORT_DEADLINE.as_millis() as u64;
+    }
+    brief_order("late", &body).send(cluster.caller_address(0));
+    eventually(START_TIMEOUT, "the late write takes effect", || {
+        let rows = &cluster.store.state().rows;
+        rows.values().any(|(_, value)| value.ends_with(b"late"))
+    });
+    eventually_served(&cluster, 1, &body);
+}
