gateway: a changed row of the list of endpoints updates one endpoint

Cause: each changed row of the feed rebuilt the description of every endpoint for the load balancer, also for rows that describe the same endpoint as before.

Change: the load balancer takes single insertions and removals, and keeps its endpoints by service, so that a change visits one endpoint and a decision those of its service. Changes of one response are applied together; the list of hosts is rebuilt once a response. A proptest compares single changes with the whole list.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -257,7 +257,7 @@
             shared.metrics.count("endpoint-changes");
             info!(shared.log, "{}", change.as_str(); "endpoint" => %id, "start" => start_id,
                 "request" => %self.call.id);
-            shared.sync_balancer();
+            shared.sync_endpoint(id);
         }
     }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,7 +8,7 @@
 use slog::{info, warn};
 use store::api::Row;
 use store::{Change, Feed, Page, Partition, Result};
-use units::Span;
+use units::{Span, Time};
 
 use crate::endpoints::EndpointChange;
 use crate::peers;
@@ -77,8 +77,8 @@
     Gap,
     /// All rows of the table, and the version of the store that they were read at.
     Snapshot(&'a [Row], u64),
-    /// One changed row, and the version of the store that the feed has reached.
-    Change(&'a Change, u64),
+    /// The rows that changed, in order, and the version of the store that the feed has reached.
+    Changes(&'a [&'a Change], u64),
 }
 
 async fn read_table(shared: &Shared, table: &str) -> Result<Update> {
@@ -106,8 +106,12 @@
             Some(page.version)
         }
         Update::Feed(Feed::Changes(changes, version)) => {
-            for change in changes.iter().filter(|change| change.partition.is_empty()) {
-                apply(shared, TableEvent::Change(change, version));
+            let changes = changes.iter();
+            let changes: Vec<&Change> = changes
+                .filter(|change| change.partition.is_empty())
+                .collect();
+            if !changes.is_empty() {
+                apply(shared, TableEvent::Changes(&changes, version));
             }
             Some(version)
         }
@@ -130,25 +134,43 @@
         TableEvent::Gap => shared.endpoints().record_store_outage(now),
         TableEvent::Snapshot(rows, version) => {
             let ids: Vec<CompactString> = rows.iter().map(|row| row.key.clone()).collect();
-            rows.iter().for_each(|row| apply_endpoint_row(shared, row));
+            for row in rows {
+                apply_endpoint_row(shared, row);
+            }
             let missing = shared.endpoints().reconcile(&ids, now);
             for (id, change) in missing {
                 log_endpoint_change(shared, change, &id, version);
             }
+            shared.sync_balancer();
         }
-        TableEvent::Change(change, version) if change.is_deleted => {
-            let id = &change.row.key;
-            let change = shared.endpoints().mark_missing(id, now);
-            if let Some(change) = change {
-                log_endpoint_change(shared, change, id, version);
+        TableEvent::Changes(changes, version) => {
+            for change in changes {
+                apply_endpoint_change(shared, change, version, now);
             }
         }
-        TableEvent::Change(change, _) => apply_endpoint_row(shared, &change.row),
     }
-    shared.sync_balancer();
 }
 
-fn apply_endpoint_row(shared: &Shared, row: &Row) {
+/// Applies a changed row. Rows change with each report of an endpoint, so one that describes the same
+/// endpoint as before costs nothing more.
+fn apply_endpoint_change(shared: &Shared, change: &Change, version: u64, now: Time) {
+    let id = &change.row.key;
+    let is_changed = if change.is_deleted {
+        let change = shared.endpoints().mark_missing(id, now);
+        if let Some(change) = change {
+            log_endpoint_change(shared, change, id, version);
+        }
+        change.is_some()
+    } else {
+        apply_endpoint_row(shared, &change.row)
+    };
+    if is_changed {
+        shared.sync_endpoint(id);
+    }
+}
+
+/// Applies a row; returns whether its endpoint has changed.
+fn apply_endpoint_row(shared: &Shared, row: &Row) -> bool {
     match shared.adapter.directory.endpoint(row) {
         Ok(endpoint) => {
             let release = endpoint.release.clone();
@@ -158,6 +180,7 @@
                 info!(shared.log, "{}", change.as_str(); "endpoint" => %row.key,
                     "release" => %release, "row_version" => row.version);
             }
+            change.is_some()
         }
         // An entry that cannot be read describes no usable endpoint, even if an earlier version did.
         Err(error) => {
@@ -169,6 +192,7 @@
             if let Some(change) = change {
                 log_endpoint_change(shared, change, &row.key, row.version);
             }
+            change.is_some()
         }
     }
 }
@@ -189,10 +213,15 @@
                 peers::apply_row(&shared.peers, row, &shared.log);
             }
         }
-        TableEvent::Change(change, _) if change.is_deleted => {
-            shared.peers.roster().remove(&change.row.key);
+        TableEvent::Changes(changes, _) => {
+            for change in changes {
+                if change.is_deleted {
+                    shared.peers.roster().remove(&change.row.key);
+                } else {
+                    peers::apply_row(&shared.peers, &change.row, &shared.log);
+                }
+            }
         }
-        TableEvent::Change(change, _) => peers::apply_row(&shared.peers, &change.row, &shared.log),
     }
     shared.sync_senders();
 }
--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 
 use compact_str::{CompactString, format_compact};
-use policy::{Loss, Suspect};
+use policy::{Loss, Quarantine, Suspect};
 use serde::Serialize;
 use slog::{info, warn};
-use store::Partition;
 use store::api::{Row, Transaction};
+use store::{Change, Partition};
 use units::{Fingerprint, Host, Span, Time};
 
 use crate::control::{TableEvent, retry_pause};
@@ -135,23 +135,11 @@
             }
             info!(shared.log, "losses read"; "rows" => rows.len(), "row_version" => version);
         }
-        TableEvent::Change(change, _) => {
-            let Some(loss) = parse(&change.row) else {
-                return;
-            };
-            match reserved_request(loss) {
-                Some(request) if change.is_deleted => {
-                    shared.crashes.reservations().remove(request);
+        TableEvent::Changes(changes, _) => {
+            for change in changes {
+                if let Some(loss) = parse(&change.row) {
+                    apply_change(shared, &mut quarantine, loss, change, now);
                 }
-                Some(request) => reservation::record_row(shared, request, &change.row),
-                None => {}
-            }
-            if change.is_deleted {
-                quarantine.remove(loss);
-            } else if quarantine.insert(loss, now) {
-                info!(shared.log, "loss received"; "fingerprint" => %loss.request,
-                    "losses" => quarantine.losses(loss.request),
-                    "row_version" => change.row.version);
             }
         }
     }
@@ -159,3 +147,23 @@
         .metrics
         .set_gauge("suspects", quarantine.count() as i64);
 }
+
+fn apply_change(
+    shared: &Shared,
+    quarantine: &mut Quarantine,
+    loss: Loss,
+    change: &Change,
+    now: Time,
+) {
+    match reserved_request(loss) {
+        Some(request) if change.is_deleted => shared.crashes.reservations().remove(request),
+        Some(request) => reservation::record_row(shared, request, &change.row),
+        None => {}
+    }
+    if change.is_deleted {
+        quarantine.remove(loss);
+    } else if quarantine.insert(loss, now) {
+        info!(shared.log, "loss received"; "fingerprint" => %loss.request,
+            "losses" => quarantine.losses(loss.request), "row_version" => change.row.version);
+    }
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -265,11 +265,9 @@
     loop {
         smol::Timer::after(MAINTENANCE_INTERVAL).await;
         let expired = shared.endpoints().expire(shared.clock.now());
-        if !expired.is_empty() {
-            for id in &expired {
-                log_endpoint_change(&shared, EndpointChange::Removed, id, 0);
-            }
-            shared.sync_balancer();
+        for id in &expired {
+            log_endpoint_change(&shared, EndpointChange::Removed, id, 0);
+            shared.sync_endpoint(id);
         }
         shared.programs.release_and_expire();
         shared.histories.drop_expired().await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -169,15 +169,31 @@
 
     /// Updates the load balancer with the listed endpoints that are not draining.
     pub(crate) fn sync_balancer(&self) {
-        let environment = self.environment();
+        let (settings, environment) = (self.settings(), self.environment());
         let endpoints = self.endpoints();
         let accepting = endpoints
             .members()
             .filter(|member| !member.endpoint.draining);
-        let candidates = accepting.map(|member| self.candidate(member, environment.as_deref()));
+        let candidates =
+            accepting.map(|member| candidate(member, &settings, environment.as_deref()));
         self.balancer().sync(candidates);
     }
 
+    /// Updates the load balancer with one endpoint.
+    pub(crate) fn sync_endpoint(&self, id: &str) {
+        let (settings, environment) = (self.settings(), self.environment());
+        // The lock is held while the load balancer is updated, so that updates stay in order.
+        let endpoints = self.endpoints();
+        let member = endpoints.get(id);
+        match member.filter(|member| !member.endpoint.draining) {
+            Some(member) => {
+                let candidate = candidate(member, &settings, environment.as_deref());
+                self.balancer().upsert(candidate);
+            }
+            None => self.balancer().remove(id),
+        }
+    }
+
     /// Updates the load balancer with the listed gateways, which share the limits of endpoints.
     pub(crate) fn sync_senders(&self) {
         let senders: Vec<Sender> = self
@@ -193,38 +209,42 @@
         let own = &self.settings().host;
         self.balancer().set_senders(own, senders, now);
     }
+}
 
-    fn candidate(&self, member: &Member, environment: Option<&Environment>) -> Candidate {
-        let endpoint = &member.endpoint;
-        let service =
-            environment.and_then(|environment| environment.services.get(&endpoint.service));
-        Candidate {
-            id: endpoint.id.clone(),
-            service: endpoint.service.clone(),
-            release: endpoint.release.clone(),
-            zone: endpoint.zone.clone(),
-            slots: endpoint.slots,
-            is_model: service.is_some_and(|service| service.engine.is_some()),
-            start_id: endpoint.start_id,
-            transfer_cost: self.transfer_cost(&endpoint.zone),
-        }
+/// Describes an endpoint to the load balancer.
+fn candidate(
+    member: &Member,
+    settings: &settings::Gateway,
+    environment: Option<&Environment>,
+) -> Candidate {
+    let endpoint = &member.endpoint;
+    let service = environment.and_then(|environment| environment.services.get(&endpoint.service));
+    Candidate {
+        id: endpoint.id.clone(),
+        service: endpoint.service.clone(),
+        release: endpoint.release.clone(),
+        zone: endpoint.zone.clone(),
+        slots: endpoint.slots,
+        is_model: service.is_some_and(|service| service.engine.is_some()),
+        start_id: endpoint.start_id,
+        transfer_cost: transfer_cost(&endpoint.zone, settings),
     }
+}
 
-    fn transfer_cost(&self, zone: &Zone) -> TransferCost {
-        let settings = self.settings();
-        if *zone == settings.zone {
-            return TransferCost::default();
-        }
-        let region = settings.zones.get(zone);
-        if region.is_some_and(|region| *region != settings.region) {
-            return TransferCost {
-                per_request: CROSS_REGION_COST_PER_REQUEST,
-                per_kilobyte: CROSS_REGION_COST_PER_KB,
-            };
-        }
-        TransferCost {
-            per_request: CROSS_ZONE_COST_PER_REQUEST,
-            per_kilobyte: CROSS_ZONE_COST_PER_KB,
-        }
+/// Returns the cost of sending requests from this host to a zone.
+fn transfer_cost(zone: &Zone, settings: &settings::Gateway) -> TransferCost {
+    if *zone == settings.zone {
+        return TransferCost::default();
+    }
+    let region = settings.zones.get(zone);
+    if region.is_some_and(|region| *region != settings.region) {
+        return TransferCost {
+            per_request: CROSS_REGION_COST_PER_REQUEST,
+            per_kilobyte: CROSS_REGION_COST_PER_KB,
+        };
+    }
+    TransferCost {
+        per_request: CROSS_ZONE_COST_PER_REQUEST,
+        per_kilobyte: CROSS_ZONE_COST_PER_KB,
     }
 }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -15,37 +15,22 @@
 use crate::estimate::Mean;
 use crate::limit::{Limit, LimitChange, Sender, Share, Target};
 
-/// Prefill time of a token in microseconds: about 30 tokens a millisecond, the rate of the slower
-/// engines.
-const PREFILL_US_PER_TOKEN: f64 = 34.0;
-/// Weight of the prefill time of uncached tokens. It is above 1 because reading them again delays
-/// all other requests of the endpoint, and because noise in the observed delays at peak load would
-/// otherwise move programs away from their cached prompts.
-const MISSING_WEIGHT: f64 = 2.0;
+mod endpoint;
+mod index;
+
+use self::endpoint::{Endpoint, PREFILL_US_PER_TOKEN};
+use self::index::Index;
+
 /// Service time of a request of a plain service before the first observation, in microseconds.
 const INITIAL_SERVICE_TIME_US: f64 = 50_000.0;
-/// Half-life of an observed delay: queues of bursts last seconds.
-const DELAY_HALF_LIFE_SECONDS: f64 = 1.0;
-/// Weight of a new sample in the delay of an endpoint.
-const DELAY_SAMPLE_WEIGHT: f64 = 0.4;
-/// Time after its last use for which a chunk counts as cached.
-const CHUNK_LIFETIME: Span = Span::from_ms(30_000);
-/// Largest number of chunks recorded for one endpoint.
-const CHUNKS_MAX: usize = 4_096;
-/// Cost of a fault in microseconds: above any queue at low load, below a timeout.
-const FAULT_COST_US: f64 = 400_000.0;
 /// Weight of a minor fault relative to a failure: healthy services also return a few errors.
 const MINOR_FAULT_WEIGHT: f64 = 0.5;
-/// Half-life of a fault.
-const FAULT_HALF_LIFE_SECONDS: f64 = 2.0;
 /// Reduction of the cost of the preferred endpoint of a hash key, in microseconds. All hosts agree
 /// on the preferred endpoint, so a program unknown to them goes there while loads are about equal.
 const PREFERRED_BONUS_US: f64 = 4_000.0;
 /// The same for a request that may have crashed endpoints: above the advantage of a cached prompt,
 /// below the cost of a fault.
 const SUSPECT_BONUS_US: f64 = 200_000.0;
-/// Share of an unseen prompt that counts as cached at the endpoint of the program's latest turn.
-const LAST_ENDPOINT_CACHED_SHARE: f64 = 0.9;
 
 /// A chunk of a prompt, identified together with all chunks before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -149,29 +134,12 @@
     is_sent: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Endpoint {
-    info: Candidate,
-    is_present: bool,
-    outstanding: u32,
-    /// Outstanding requests that were not sent yet.
-    unsent: u32,
-    limit: Option<Limit>,
-    backlog_tokens: f64,
-    delay_us: f64,
-    delay_at: Time,
-    fault_score: f64,
-    fault_at: Time,
-    /// Time of the last use of each chunk, by its identifier.
-    chunk_uses: HashMap<u64, Time>,
-}
-
 /// The endpoints that one host can choose from, with the load it has observed at each.
 #[derive(Clone, Debug, Default)]
 pub struct Balancer {
     own_host: Option<Host>,
     senders: Vec<Sender>,
-    endpoints: HashMap<CompactString, Endpoint>,
+    endpoints: Index,
     service_time_us: HashMap<CompactString, Mean>,
 }
 
@@ -182,20 +150,29 @@
         self.endpoints
             .values_mut()
             .for_each(|endpoint| endpoint.is_present = false);
-        for candidate in candidates {
-            match self.endpoints.get_mut(&candidate.id) {
-                Some(endpoint) if endpoint.info.start_id == candidate.start_id => {
-                    endpoint.info = candidate;
-                    endpoint.is_present = true;
-                }
-                _ => drop(
-                    self.endpoints
-                        .insert(candidate.id.clone(), Endpoint::new(candidate)),
-                ),
+        candidates.for_each(|candidate| self.upsert(candidate));
+        self.endpoints
+            .retain(|endpoint| endpoint.is_present || endpoint.outstanding > 0);
+    }
+
+    /// Adds an endpoint that can be chosen, or replaces its description.
+    pub fn upsert(&mut self, candidate: Candidate) {
+        match self.endpoints.get_mut(&candidate.id) {
+            Some(endpoint) if endpoint.info.is_same_start(&candidate) => {
+                endpoint.info = candidate;
+                endpoint.is_present = true;
             }
+            _ => self.endpoints.insert(Endpoint::new(candidate)),
+        }
+    }
+
+    /// Removes an endpoint from those that can be chosen. Its state is kept until its outstanding
+    /// requests have finished.
+    pub fn remove(&mut self, id: &str) {
+        match self.endpoints.get_mut(id) {
+            Some(endpoint) if endpoint.outstanding > 0 => endpoint.is_present = false,
+            _ => self.endpoints.remove(id),
         }
-        self.endpoints
-            .retain(|_, endpoint| endpoint.is_present || endpoint.outstanding > 0);
     }
 
     /// Replaces the list of hosts that share the limits of endpoints; `own` is this host.
@@ -258,10 +235,10 @@
         demand: &'a Demand<'_>,
         except: &'a [CompactString],
     ) -> impl Iterator<Item = &'a Endpoint> + Clone {
-        self.endpoints.values().filter(move |endpoint| {
+        let endpoints = self.endpoints.of_service(demand.service).iter();
+        endpoints.filter(move |endpoint| {
             let is_allowed = |release| endpoint.info.release == release;
             endpoint.is_present
-                && endpoint.info.service == demand.service
                 && demand.release.is_none_or(is_allowed)
                 && !except.contains(&endpoint.info.id)
         })
@@ -382,6 +359,9 @@
             endpoint.fault_score = endpoint.fault_level(now) + fault.weight();
             endpoint.fault_at = now;
         }
+        if !endpoint.is_present && endpoint.outstanding == 0 {
+            self.endpoints.remove(&choice.id);
+        }
     }
 
     /// Number of outstanding requests of this host at an endpoint.
@@ -406,6 +386,11 @@
 }
 
 impl Candidate {
+    /// Whether `other` describes the same start of the same endpoint.
+    fn is_same_start(&self, other: &Candidate) -> bool {
+        self.start_id == other.start_id && self.service == other.service
+    }
+
     /// Returns the share of the host `own` in a limit of this endpoint.
     fn share(&self, limit: Rate, own: Option<&Host>, senders: &[Sender]) -> Share {
         let target = Target {
@@ -418,110 +403,6 @@
     }
 }
 
-impl Endpoint {
-    fn new(info: Candidate) -> Self {
-        Endpoint {
-            info,
-            is_present: true,
-            outstanding: 0,
-            unsent: 0,
-            limit: None,
-            backlog_tokens: 0.0,
-            delay_us: 0.0,
-            delay_at: Time(0),
-            fault_score: 0.0,
-            fault_at: Time(0),
-            chunk_uses: HashMap::new(),
-        }
-    }
-
-    /// Returns how long it takes until the limit allows another request; zero if there is none.
-    fn limit_wait(&self, now: Time) -> Span {
-        let Some(limit) = &self.limit else {
-            return Span(0);
-        };
-        limit.allowed_at(self.unsent, now).since(now)
-    }
-
-    /// Cost of sending a request to this endpoint: its expected time to the first token with
-    /// weights, in microseconds.
-    fn cost(&self, demand: &Demand<'_>, service_time_us: f64, now: Time) -> f64 {
-        let path = self.info.transfer_cost;
-        let path =
-            path.per_request.0 as f64 + path.per_kilobyte.0 as f64 * demand.bytes as f64 / 1_000.0;
-        let faults = FAULT_COST_US * self.fault_level(now);
-        let work = if self.info.is_model {
-            let missing = self.uncached_tokens(demand, now).0 as f64;
-            (missing * MISSING_WEIGHT + self.backlog_tokens) * PREFILL_US_PER_TOKEN
-                + self.delay_level(now)
-        } else {
-            f64::from(self.outstanding) * service_time_us
-        };
-        let limit_wait = self.limit_wait(now).0 as f64;
-        path + faults + work + self.slot_wait(service_time_us) + limit_wait
-    }
-
-    /// Expected wait for a slot in microseconds; zero while the endpoint has a free one.
-    fn slot_wait(&self, service_time_us: f64) -> f64 {
-        let slots = self.info.slots.max(1);
-        let excess = (self.outstanding + 1).saturating_sub(slots);
-        f64::from(excess) * service_time_us / f64::from(slots)
-    }
-
-    fn uncached_tokens(&self, demand: &Demand<'_>, now: Time) -> Tokens {
-        let is_cached = |chunk: &&Chunk| {
-            self.chunk_uses
-                .get(&chunk.id)
-                .is_some_and(|used_at| now.since(*used_at) < CHUNK_LIFETIME)
-        };
-        let cached = demand.chunks.iter().take_while(is_cached).count();
-        let missing = demand.chunks[cached..].iter();
-        let missing = missing.fold(Tokens(0), |sum, chunk| sum.plus(chunk.tokens));
-        // The last chunk is new with each request; the endpoint of the latest turn has read the
-        // others.
-        let last = demand.chunks.last().map_or(Tokens(0), |chunk| chunk.tokens);
-        if !demand.last_endpoint.is_empty()
-            && demand.last_endpoint == self.info.id
-            && missing > last
-        {
-            let before = missing.minus(last).0 as f64;
-            return last.plus(Tokens((before * (1.0 - LAST_ENDPOINT_CACHED_SHARE)) as u64));
-        }
-        missing
-    }
-
-    /// Records the use of `chunks`; drops expired ones, or all earlier ones if too many remain.
-    fn record_use(&mut self, chunks: &[Chunk], now: Time) {
-        if self.chunk_uses.len() + chunks.len() > CHUNKS_MAX {
-            self.chunk_uses
-                .retain(|_, used_at| now.since(*used_at) < CHUNK_LIFETIME);
-        }
-        if self.chunk_uses.len() + chunks.len() > CHUNKS_MAX {
-            self.chunk_uses.clear();
-        }
-        for chunk in chunks {
-            self.chunk_uses.insert(chunk.id, now);
-        }
-    }
-
-    /// Records by how many microseconds a first token came later than its own prefill explains.
-    fn record_delay(&mut self, excess: f64, now: Time) {
-        let level = self.delay_level(now);
-        self.delay_us = level + DELAY_SAMPLE_WEIGHT * (excess - level);
-        self.delay_at = now;
-    }
-
-    fn delay_level(&self, now: Time) -> f64 {
-        let age = now.since(self.delay_at).as_secs_f64();
-        self.delay_us * (-age / DELAY_HALF_LIFE_SECONDS).exp2()
-    }
-
-    fn fault_level(&self, now: Time) -> f64 {
-        let age = now.since(self.fault_at).as_secs_f64();
-        self.fault_score * (-age / FAULT_HALF_LIFE_SECONDS).exp2()
-    }
-}
-
 /// Weight of an endpoint in rendezvous hashing: the same for a key and an identifier at each host.
 fn rendezvous_weight(key: u64, id: &str) -> u64 {
     let mut hash = key ^ 0x9e37_79b9_7f4a_7c15;
--- /dev/null
+++ b/crates/policy/src/place/endpoint.rs
@@ -0,0 +1,151 @@
+//! What one host knows of one endpoint, and the expected cost of a request there.
+
+use std::collections::HashMap;
+
+use units::{Span, Time, Tokens};
+
+use super::{Candidate, Chunk, Demand};
+use crate::limit::Limit;
+
+/// Prefill time of a token in microseconds: about 30 tokens a millisecond, the rate of the slower
+/// engines.
+pub(super) const PREFILL_US_PER_TOKEN: f64 = 34.0;
+/// Weight of the prefill time of uncached tokens. It is above 1 because reading them again delays
+/// all other requests of the endpoint, and because noise in the observed delays at peak load would
+/// otherwise move programs away from their cached prompts.
+const MISSING_WEIGHT: f64 = 2.0;
+/// Half-life of an observed delay: queues of bursts last seconds.
+const DELAY_HALF_LIFE_SECONDS: f64 = 1.0;
+/// Weight of a new sample in the delay of an endpoint.
+const DELAY_SAMPLE_WEIGHT: f64 = 0.4;
+/// Time after its last use for which a chunk counts as cached.
+const CHUNK_LIFETIME: Span = Span::from_ms(30_000);
+/// Largest number of chunks recorded for one endpoint.
+const CHUNKS_MAX: usize = 4_096;
+/// Cost of a fault in microseconds: above any queue at low load, below a timeout.
+const FAULT_COST_US: f64 = 400_000.0;
+/// Half-life of a fault.
+const FAULT_HALF_LIFE_SECONDS: f64 = 2.0;
+/// Share of an unseen prompt that counts as cached at the endpoint of the program's latest turn.
+const LAST_ENDPOINT_CACHED_SHARE: f64 = 0.9;
+
+#[derive(Clone, Debug)]
+pub(super) struct Endpoint {
+    pub(super) info: Candidate,
+    pub(super) is_present: bool,
+    pub(super) outstanding: u32,
+    /// Outstanding requests that were not sent yet.
+    pub(super) unsent: u32,
+    pub(super) limit: Option<Limit>,
+    pub(super) backlog_tokens: f64,
+    pub(super) delay_us: f64,
+    pub(super) delay_at: Time,
+    pub(super) fault_score: f64,
+    pub(super) fault_at: Time,
+    /// Time of the last use of each chunk, by its identifier.
+    pub(super) chunk_uses: HashMap<u64, Time>,
+}
+
+impl Endpoint {
+    pub(super) fn new(info: Candidate) -> Self {
+        Endpoint {
+            info,
+            is_present: true,
+            outstanding: 0,
+            unsent: 0,
+            limit: None,
+            backlog_tokens: 0.0,
+            delay_us: 0.0,
+            delay_at: Time(0),
+            fault_score: 0.0,
+            fault_at: Time(0),
+            chunk_uses: HashMap::new(),
+        }
+    }
+
+    /// Returns how long it takes until the limit allows another request; zero if there is none.
+    pub(super) fn limit_wait(&self, now: Time) -> Span {
+        let Some(limit) = &self.limit else {
+            return Span(0);
+        };
+        limit.allowed_at(self.unsent, now).since(now)
+    }
+
+    /// Cost of sending a request to this endpoint: its expected time to the first token with
+    /// weights, in microseconds.
+    pub(super) fn cost(&self, demand: &Demand<'_>, service_time_us: f64, now: Time) -> f64 {
+        let path = self.info.transfer_cost;
+        let path =
+            path.per_request.0 as f64 + path.per_kilobyte.0 as f64 * demand.bytes as f64 / 1_000.0;
+        let faults = FAULT_COST_US * self.fault_level(now);
+        let work = if self.info.is_model {
+            let missing = self.uncached_tokens(demand, now).0 as f64;
+            (missing * MISSING_WEIGHT + self.backlog_tokens) * PREFILL_US_PER_TOKEN
+                + self.delay_level(now)
+        } else {
+            f64::from(self.outstanding) * service_time_us
+        };
+        let limit_wait = self.limit_wait(now).0 as f64;
+        path + faults + work + self.slot_wait(service_time_us) + limit_wait
+    }
+
+    /// Expected wait for a slot in microseconds; zero while the endpoint has a free one.
+    pub(super) fn slot_wait(&self, service_time_us: f64) -> f64 {
+        let slots = self.info.slots.max(1);
+        let excess = (self.outstanding + 1).saturating_sub(slots);
+        f64::from(excess) * service_time_us / f64::from(slots)
+    }
+
+    pub(super) fn uncached_tokens(&self, demand: &Demand<'_>, now: Time) -> Tokens {
+        let is_cached = |chunk: &&Chunk| {
+            self.chunk_uses
+                .get(&chunk.id)
+                .is_some_and(|used_at| now.since(*used_at) < CHUNK_LIFETIME)
+        };
+        let cached = demand.chunks.iter().take_while(is_cached).count();
+        let missing = demand.chunks[cached..].iter();
+        let missing = missing.fold(Tokens(0), |sum, chunk| sum.plus(chunk.tokens));
+        // The last chunk is new with each request; the endpoint of the latest turn has read the
+        // others.
+        let last = demand.chunks.last().map_or(Tokens(0), |chunk| chunk.tokens);
+        if !demand.last_endpoint.is_empty()
+            && demand.last_endpoint == self.info.id
+            && missing > last
+        {
+            let before = missing.minus(last).0 as f64;
+            return last.plus(Tokens((before * (1.0 - LAST_ENDPOINT_CACHED_SHARE)) as u64));
+        }
+        missing
+    }
+
+    /// Records the use of `chunks`; drops expired ones, or all earlier ones if too many remain.
+    pub(super) fn record_use(&mut self, chunks: &[Chunk], now: Time) {
+        if self.chunk_uses.len() + chunks.len() > CHUNKS_MAX {
+            self.chunk_uses
+                .retain(|_, used_at| now.since(*used_at) < CHUNK_LIFETIME);
+        }
+        if self.chunk_uses.len() + chunks.len() > CHUNKS_MAX {
+            self.chunk_uses.clear();
+        }
+        for chunk in chunks {
+            self.chunk_uses.insert(chunk.id, now);
+        }
+    }
+
+    /// Records by how many microseconds a first token came later than its own prefill explains.
+    pub(super) fn record_delay(&mut self, excess: f64, now: Time) {
+        let level = self.delay_level(now);
+        self.delay_us = level + DELAY_SAMPLE_WEIGHT * (excess - level);
+        self.delay_at = now;
+    }
+
+    pub(super) fn delay_level(&self, now: Time) -> f64 {
+        let age = now.since(self.delay_at).as_secs_f64();
+        self.delay_us * (-age / DELAY_HALF_LIFE_SECONDS).exp2()
+    }
+
+    pub(super) fn fault_level(&self, now: Time) -> f64 {
+        let age = now.since(self.fault_at).as_secs_f64();
+        self.fault_score * (-age / FAULT_HALF_LIFE_SECONDS).exp2()
+    }
+}
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -310,6 +310,37 @@
         prop_assert!(most <= 60_usize.div_ceil(count) + 1, "{counts:?}");
     }
 
+    /// A host that applies each change by itself chooses like one that reads the whole list.
+    #[test]
+    fn single_changes_give_the_same_choice_as_the_whole_list(
+        changes in prop::collection::vec((0..9_usize, 0..3_u8, 1..3_u64), 1..40), key in any::<u64>()
+    ) {
+        let mut listed = std::collections::BTreeMap::new();
+        let (mut by_change, mut by_list) = (Balancer::default(), Balancer::default());
+        for (number, kind, start_id) in changes {
+            let mut info = Candidate { start_id, ..candidate(number, TransferCost::default(), true) };
+            match kind {
+                0 => {
+                    by_change.remove(&info.id);
+                    listed.remove(&number);
+                    continue;
+                }
+                1 => info.service = "another".into(),
+                _ => {}
+            }
+            by_change.upsert(info.clone());
+            listed.insert(number, info);
+        }
+        by_list.sync(listed.into_values());
+        let prompt = [chunk(1, 3_000)];
+        for number in 0..20 {
+            let demand = demand(&prompt, "", key.wrapping_add(number));
+            let choices = [&mut by_change, &mut by_list]
+                .map(|balancer| balancer.choose(&demand, &[], at(number)));
+            prop_assert_eq!(&choices[0], &choices[1]);
+        }
+    }
+
     /// No request stays counted as outstanding after its end, with any outcome.
     #[test]
     fn ended_requests_are_not_outstanding(ends in prop::collection::vec((any::<bool>(), fault()), 1..40)) {
