policy: hosts agree on the endpoints that read a shared part of prompts

Load: many hosts, each of which sees a fraction of the requests, at a crest and right after the start. Cause: a host preferred the endpoint that it had sent a shared part to by 174 ms over all others, which it took for cold although other hosts had warmed them; endpoints of equal cost were chosen by the order of their identifiers; a new endpoint counted as cold at each host by itself. On the large fleet the busiest got 2.8 times the mean, two none at all.

Change: among the nearest endpoints, a quarter counts as having a shared part: those ranked first for it by rendezvous hashing, the same ones at all hosts of a zone. Equal costs are decided by the rank for the program. A new endpoint has its ranks at once; its share grows over two seconds, as all hosts find it idle in the same moment. The hash is a library's (xxh3 with the key as its seed).

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -188,7 +188,7 @@
         match member.filter(|member| !member.endpoint.draining) {
             Some(member) => {
                 let candidate = candidate(member, &settings, environment.as_deref());
-                self.balancer().upsert(candidate);
+                self.balancer().upsert(candidate, self.clock.now());
             }
             None => self.balancer().remove(id),
         }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -11,23 +11,29 @@
 
 use compact_str::CompactString;
 use units::{Host, Rate, Span, Time, Tokens, Zone};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::estimate::Mean;
 use crate::limit::{Limit, LimitChange, Sender, Share, Target};
 
 mod endpoint;
 mod index;
+mod parts;
 
 use self::endpoint::{Endpoint, PREFILL_US_PER_TOKEN};
 use self::index::Index;
+use self::parts::SharedParts;
 
 /// Service time of a request of a plain service before the first observation, in microseconds.
 const INITIAL_SERVICE_TIME_US: f64 = 50_000.0;
+/// Share of the nearest endpoints, as a divisor, that the hosts of a zone send the same shared part of
+/// prompts to: each of them reads it once, and the load of a popular part is spread over all.
+const HOME_DIVISOR: usize = 4;
 /// Weight of a minor fault relative to a failure: healthy services also return a few errors.
 const MINOR_FAULT_WEIGHT: f64 = 0.5;
 /// Reduction of the cost of the preferred endpoint of a hash key, in microseconds. All hosts agree
 /// on the preferred endpoint, so a program unknown to them goes there while loads are about equal.
-const PREFERRED_BONUS_US: f64 = 4_000.0;
+const PREFERRED_BONUS_US: f64 = 2_000.0;
 /// The same for a request that may have crashed endpoints: above the advantage of a cached prompt,
 /// below the cost of a fault.
 const SUSPECT_BONUS_US: f64 = 200_000.0;
@@ -141,6 +147,7 @@
     senders: Vec<Sender>,
     endpoints: Index,
     service_time_us: HashMap<CompactString, Mean>,
+    parts: SharedParts,
 }
 
 impl Balancer {
@@ -150,19 +157,26 @@
         self.endpoints
             .values_mut()
             .for_each(|endpoint| endpoint.is_present = false);
-        candidates.for_each(|candidate| self.upsert(candidate));
+        candidates.for_each(|candidate| self.insert(candidate, None));
         self.endpoints
             .retain(|endpoint| endpoint.is_present || endpoint.outstanding > 0);
     }
 
-    /// Adds an endpoint that can be chosen, or replaces its description.
-    pub fn upsert(&mut self, candidate: Candidate) {
+    /// Adds an endpoint that can be chosen, or replaces its description. One that joins others gets a
+    /// growing share of the requests at first.
+    pub fn upsert(&mut self, candidate: Candidate, now: Time) {
+        let others = self.endpoints.of_service(&candidate.service);
+        let is_joining = others.iter().any(|other| other.info.id != candidate.id);
+        self.insert(candidate, is_joining.then_some(now));
+    }
+
+    fn insert(&mut self, candidate: Candidate, joined_at: Option<Time>) {
         match self.endpoints.get_mut(&candidate.id) {
             Some(endpoint) if endpoint.info.is_same_start(&candidate) => {
                 endpoint.info = candidate;
                 endpoint.is_present = true;
             }
-            _ => self.endpoints.insert(Endpoint::new(candidate)),
+            _ => self.endpoints.insert(Endpoint::new(candidate, joined_at)),
         }
     }
 
@@ -260,37 +274,41 @@
         let candidates = self
             .candidates(demand, except)
             .filter(|endpoint| endpoint.limit_wait(now) <= demand.max_wait);
-        let preferred = candidates
-            .clone()
-            .max_by_key(|endpoint| rendezvous_weight(demand.hash_key, &endpoint.info.id))
-            .map(|endpoint| endpoint.info.id.clone());
+        let ranking = Ranking::new(candidates, demand, &self.parts, now);
         let preferred_bonus = if demand.is_suspect {
             SUSPECT_BONUS_US
         } else {
             PREFERRED_BONUS_US
         };
-        let mut compared = 0;
-        let mut best: Option<(f64, &Endpoint)> = None;
-        for endpoint in candidates {
-            compared += 1;
-            let mut cost = endpoint.cost(demand, service_time_us, now);
-            if preferred.as_ref() == Some(&endpoint.info.id) {
+        let compared = ranking.ranked.len();
+        let mut best: Option<(f64, &Ranked<'_>)> = None;
+        for candidate in &ranking.ranked {
+            let presumed = ranking.presumed_chunks(candidate);
+            let endpoint = candidate.endpoint;
+            let mut cost = endpoint.cost(demand, presumed, service_time_us, now);
+            if ranking.preferred == Some(candidate.weight) {
                 cost -= preferred_bonus;
             }
-            let better = best
-                .is_none_or(|(least, other)| (cost, &endpoint.info.id) < (least, &other.info.id));
-            if better {
-                best = Some((cost, endpoint));
+            let is_better = best.is_none_or(|(least, other)| {
+                cost < least || (cost == least && candidate.weight > other.weight)
+            });
+            if is_better {
+                best = Some((cost, candidate));
             }
         }
-        let (cost, endpoint) = best?;
-        let missing = endpoint.uncached_tokens(demand, now);
+        let (cost, best) = best?;
+        let endpoint = best.endpoint;
+        let missing = endpoint.uncached_tokens(demand, ranking.presumed_chunks(best), now);
         let id = endpoint.info.id.clone();
         let allowed_at = now.after(endpoint.limit_wait(now));
         let endpoint = self.endpoints.get_mut(&id)?;
         endpoint.outstanding += 1;
         endpoint.unsent += 1;
         endpoint.backlog_tokens += missing.0 as f64;
+        if !demand.is_suspect {
+            self.parts.record(demand.chunks, demand.hash_key, now);
+        }
+        let endpoint = self.endpoints.get(&id)?;
         Some(Choice {
             id,
             missing,
@@ -403,11 +421,84 @@
     }
 }
 
+/// An endpoint that may be chosen.
+struct Ranked<'a> {
+    endpoint: &'a Endpoint,
+    /// Weight for the program or object.
+    weight: u64,
+    /// Weight for the first part of the prompt.
+    part_weight: u64,
+    is_near: bool,
+}
+
+/// The endpoints that may be chosen for a request, as all hosts of an availability zone rank them.
+struct Ranking<'a> {
+    ranked: Vec<Ranked<'a>>,
+    /// Weight of the endpoint that the program or object prefers.
+    preferred: Option<u64>,
+    /// Number of chunks at the start of the prompt that other programs share.
+    shared_chunks: usize,
+    /// Least weight with which an endpoint counts as one that has these chunks.
+    home_weight: u64,
+}
+
+impl<'a> Ranking<'a> {
+    /// Ranks the endpoints for a request. Those that have just joined are left out of most requests,
+    /// unless there are no others.
+    fn new(
+        candidates: impl Iterator<Item = &'a Endpoint> + Clone,
+        demand: &Demand<'_>,
+        parts: &SharedParts,
+        now: Time,
+    ) -> Self {
+        let path_costs = candidates
+            .clone()
+            .map(|endpoint| endpoint.path_cost(demand));
+        let shortest = path_costs.fold(f64::INFINITY, f64::min);
+        let shared_chunks = if demand.is_suspect {
+            0
+        } else {
+            parts.count(demand.chunks, demand.last_endpoint.is_empty())
+        };
+        let part_key = demand.chunks.first().map_or(0, |chunk| chunk.id);
+        let ranked = candidates.map(|endpoint| Ranked {
+            weight: rendezvous_weight(demand.hash_key, &endpoint.info.id),
+            part_weight: rendezvous_weight(part_key, &endpoint.info.id),
+            is_near: endpoint.path_cost(demand) <= shortest,
+            endpoint,
+        });
+        let (open, joining): (Vec<_>, Vec<_>) = ranked.partition(|candidate| {
+            let unit_hash = candidate.weight as f64 / u64::MAX as f64;
+            let is_last = candidate.endpoint.info.id == demand.last_endpoint;
+            is_last || candidate.endpoint.is_open_to(unit_hash, now)
+        });
+        let ranked = if open.is_empty() { joining } else { open };
+        let near = ranked.iter().filter(|candidate| candidate.is_near);
+        let mut part_weights: Vec<u64> = near.map(|candidate| candidate.part_weight).collect();
+        part_weights.sort_unstable_by(|a, b| b.cmp(a));
+        let homes = part_weights.len().div_ceil(HOME_DIVISOR);
+        let preferring = ranked
+            .iter()
+            .filter(|candidate| demand.is_suspect || candidate.is_near);
+        Ranking {
+            preferred: preferring.map(|candidate| candidate.weight).max(),
+            shared_chunks,
+            home_weight: homes
+                .checked_sub(1)
+                .map_or(u64::MAX, |last| part_weights[last]),
+            ranked,
+        }
+    }
+
+    /// Returns how many chunks of the prompt count as cached at an endpoint, although this host may
+    /// not have sent them there: the other hosts of the zone send them to the same endpoints.
+    fn presumed_chunks(&self, candidate: &Ranked<'_>) -> usize {
+        let is_home = candidate.is_near && candidate.part_weight >= self.home_weight;
+        if is_home { self.shared_chunks } else { 0 }
+    }
+}
+
 /// Weight of an endpoint in rendezvous hashing: the same for a key and an identifier at each host.
 fn rendezvous_weight(key: u64, id: &str) -> u64 {
-    let mut hash = key ^ 0x9e37_79b9_7f4a_7c15;
-    for byte in id.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    }
-    hash ^ (hash >> 29)
+    xxh3_64_with_seed(id.as_bytes(), key)
 }
--- a/crates/policy/src/place/endpoint.rs
+++ b/crates/policy/src/place/endpoint.rs
@@ -14,6 +14,11 @@
 /// all other requests of the endpoint, and because noise in the observed delays at peak load would
 /// otherwise move programs away from their cached prompts.
 const MISSING_WEIGHT: f64 = 2.0;
+/// Time in which the share of requests that an endpoint may get grows after it has joined: its cache
+/// is empty, and all hosts find it idle at the same moment.
+const RAMP: Span = Span::from_ms(2_000);
+/// Share of requests for which an endpoint may be chosen when it has just joined.
+const RAMP_START: f64 = 0.1;
 /// Half-life of an observed delay: queues of bursts last seconds.
 const DELAY_HALF_LIFE_SECONDS: f64 = 1.0;
 /// Weight of a new sample in the delay of an endpoint.
@@ -44,12 +49,16 @@
     pub(super) fault_at: Time,
     /// Time of the last use of each chunk, by its identifier.
     pub(super) chunk_uses: HashMap<u64, Time>,
+    /// When the endpoint joined others of its service.
+    joined_at: Option<Time>,
 }
 
 impl Endpoint {
-    pub(super) fn new(info: Candidate) -> Self {
+    /// Creates the state of an endpoint. `joined_at` is set if others of its service were there before.
+    pub(super) fn new(info: Candidate, joined_at: Option<Time>) -> Self {
         Endpoint {
             info,
+            joined_at,
             is_present: true,
             outstanding: 0,
             unsent: 0,
@@ -71,22 +80,40 @@
         limit.allowed_at(self.unsent, now).since(now)
     }
 
-    /// Cost of sending a request to this endpoint: its expected time to the first token with
-    /// weights, in microseconds.
-    pub(super) fn cost(&self, demand: &Demand<'_>, service_time_us: f64, now: Time) -> f64 {
+    /// Cost of the network path of a request, in microseconds.
+    pub(super) fn path_cost(&self, demand: &Demand<'_>) -> f64 {
         let path = self.info.transfer_cost;
-        let path =
-            path.per_request.0 as f64 + path.per_kilobyte.0 as f64 * demand.bytes as f64 / 1_000.0;
+        path.per_request.0 as f64 + path.per_kilobyte.0 as f64 * demand.bytes as f64 / 1_000.0
+    }
+
+    /// Cost of sending a request to this endpoint, in microseconds: its expected time to the first
+    /// token, with weights. The first `presumed_chunks` chunks of the prompt count as cached.
+    pub(super) fn cost(
+        &self,
+        demand: &Demand<'_>,
+        presumed_chunks: usize,
+        service_time_us: f64,
+        now: Time,
+    ) -> f64 {
         let faults = FAULT_COST_US * self.fault_level(now);
         let work = if self.info.is_model {
-            let missing = self.uncached_tokens(demand, now).0 as f64;
+            let missing = self.uncached_tokens(demand, presumed_chunks, now).0 as f64;
             (missing * MISSING_WEIGHT + self.backlog_tokens) * PREFILL_US_PER_TOKEN
                 + self.delay_level(now)
         } else {
             f64::from(self.outstanding) * service_time_us
         };
         let limit_wait = self.limit_wait(now).0 as f64;
-        path + faults + work + self.slot_wait(service_time_us) + limit_wait
+        self.path_cost(demand) + faults + work + self.slot_wait(service_time_us) + limit_wait
+    }
+
+    /// Whether a request with this hash, from 0 to 1, may be sent: all of them, except soon after the
+    /// endpoint has joined.
+    pub(super) fn is_open_to(&self, unit_hash: f64, now: Time) -> bool {
+        self.joined_at.is_none_or(|joined_at| {
+            let ramp = now.since(joined_at).0 as f64 / RAMP.0 as f64;
+            unit_hash < RAMP_START + ramp
+        })
     }
 
     /// Expected wait for a slot in microseconds; zero while the endpoint has a free one.
@@ -96,14 +123,21 @@
         f64::from(excess) * service_time_us / f64::from(slots)
     }
 
-    pub(super) fn uncached_tokens(&self, demand: &Demand<'_>, now: Time) -> Tokens {
+    /// Returns the tokens of a prompt that are probably not cached here. The first `presumed_chunks`
+    /// chunks count as cached.
+    pub(super) fn uncached_tokens(
+        &self,
+        demand: &Demand<'_>,
+        presumed_chunks: usize,
+        now: Time,
+    ) -> Tokens {
         let is_cached = |chunk: &&Chunk| {
             self.chunk_uses
                 .get(&chunk.id)
                 .is_some_and(|used_at| now.since(*used_at) < CHUNK_LIFETIME)
         };
         let cached = demand.chunks.iter().take_while(is_cached).count();
-        let missing = demand.chunks[cached..].iter();
+        let missing = demand.chunks[cached.max(presumed_chunks)..].iter();
         let missing = missing.fold(Tokens(0), |sum, chunk| sum.plus(chunk.tokens));
         // The last chunk is new with each request; the endpoint of the latest turn has read the
         // others.
