gateway: a stream goes on at an endpoint that the store confirms

A report of other operators: a host out of step during a release took up streams and went on at a worker of another version. It can happen here in one form: a worker starts again under its identifier with another release, and a host that has not received the new entry takes it for the old one. The test (a host whose reads of the store are 600 ms late) failed before: a stream of v1 ran at v2. The form that was reported, a stream of a release that the host has not seen yet, was refused before as well; its test is new.

Change: the endpoint chosen for a resumption is read from the store, and another one is chosen if its entry has another start or release. Without the store, no stream is resumed, also not at the host that began it: it cannot tell an outage from being cut off by itself. Costs a read for each resumption.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -174,7 +174,7 @@
             release,
             last_endpoint: last_endpoint(),
         };
-        let mut first = self.choose(&body, &preference, &[])?;
+        let mut first = self.place(&body, &preference, &[]).await?;
         let turn = match &opened {
             None => None,
             Some(opened) => Some(opened.reserve(&first.choice.id).await?),
@@ -186,7 +186,7 @@
             && preference.last_endpoint.as_ref() != Some(&first.choice.id)
         {
             drop(first);
-            first = self.choose(&body, &preference, &[])?;
+            first = self.place(&body, &preference, &[]).await?;
         }
         Ok(Prepared {
             body,
@@ -220,7 +220,7 @@
             }
             let placement = match first.take() {
                 Some(placement) => placement,
-                None => match self.choose(body, preference, &tried) {
+                None => match self.place(body, preference, &tried).await {
                     Ok(placement) => placement,
                     Err(refusal) => return Err(last_refusal.unwrap_or(refusal)),
                 },
@@ -247,6 +247,24 @@
         Err(last_refusal.unwrap_or(Refusal::NoEndpoint))
     }
 
+    /// Chooses an endpoint that is not in `tried`. One that is to go on with a stream is confirmed by
+    /// the store.
+    async fn place(
+        &self,
+        body: &Bytes,
+        preference: &Preference,
+        tried: &[CompactString],
+    ) -> Result<Placement, Refusal> {
+        let mut excluded = tried.to_vec();
+        loop {
+            let placement = self.choose(body, preference, &excluded)?;
+            if preference.release.is_none() || self.is_confirmed(&placement.choice).await? {
+                return Ok(placement);
+            }
+            excluded.push(placement.choice.id.clone());
+        }
+    }
+
     fn choose(
         &self,
         body: &Bytes,
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -1,8 +1,9 @@
 //! Streams that callers resume: at which release, and what is recorded at their beginning.
 
 use compact_str::CompactString;
-use policy::{Fault, Listing};
+use policy::{Choice, Fault, Listing};
 use slog::info;
+use store::{Partition, key_after};
 use turns::Origin;
 
 use crate::attempt::{AttemptOutcome, EndpointResponse};
@@ -35,6 +36,36 @@
         release.cloned().map(Some).ok_or(Refusal::StreamNotKept)
     }
 
+    /// Whether the store lists the chosen start of an endpoint, with the release that it was chosen
+    /// for. A host that is out of step may take another start for it, of another release.
+    ///
+    /// # Errors
+    /// [`Refusal::StoreUnavailable`] if the entry cannot be read.
+    pub(crate) async fn is_confirmed(&self, choice: &Choice) -> Result<bool, Refusal> {
+        let shared = &self.shared;
+        let partition = Partition::new(shared.adapter.directory.endpoint_table(), "");
+        let end = key_after(&choice.id);
+        let page = shared.rows.read(&partition, &choice.id, &end).await;
+        let page = page.map_err(|error| {
+            info!(shared.log, "endpoint of resumed stream not confirmed"; "request" => %self.call.id,
+                "endpoint" => %choice.id, "error" => %error);
+            Refusal::StoreUnavailable
+        })?;
+        let mut entries = page.rows.iter().filter(|row| row.key == choice.id);
+        let entry = entries.find_map(|row| shared.adapter.directory.endpoint(row).ok());
+        let is_confirmed = entry.as_ref().is_some_and(|entry| {
+            entry.start_id == choice.start_id() && entry.release == choice.release
+        });
+        if !is_confirmed {
+            info!(shared.log, "endpoint of resumed stream is another one";
+                "request" => %self.call.id, "endpoint" => %choice.id,
+                "release" => %choice.release, "start" => choice.start_id(),
+                "listed_release" => entry.as_ref().map_or("", |entry| entry.release.as_str()),
+                "listed_start" => entry.as_ref().map_or(0, |entry| entry.start_id));
+        }
+        Ok(is_confirmed)
+    }
+
     /// Records the origin of a stream that a caller may resume.
     ///
     /// # Errors
--- a/tests/all/gateway/resume.rs
+++ b/tests/all/gateway/resume.rs
@@ -1,5 +1,7 @@
 //! Streams that callers resume while endpoints of several releases serve.
 
+use std::time::Duration;
+
 use nix::sys::signal::Signal;
 use standins::platform::Knobs;
 use standins::worker::{ERROR_TEXT, Fault};
@@ -10,6 +12,8 @@
 use crate::gateway::http::{Answer, Request};
 
 const GATEWAYS: u16 = 2;
+/// How late a host that is out of step receives what the store sends.
+const OUT_OF_STEP: Duration = Duration::from_millis(600);
 const STREAMS: usize = 12;
 /// Number of the last event that a caller has of a stream that broke off.
 const LAST_EVENT: &str = "3";
@@ -59,13 +63,18 @@
     });
 }
 
-/// Begins a stream that breaks off in its last event.
+/// Begins a stream at the first gateway that breaks off in its last event.
 fn begin(cluster: &Cluster, id: &str) -> Answer {
+    begin_at(cluster, 0, id)
+}
+
+/// Begins a stream that breaks off in its last event.
+fn begin_at(cluster: &Cluster, gateway: u16, id: &str) -> Answer {
     for worker in &cluster.models {
         worker.state().faults = [Fault::Truncated].into();
     }
     let request = turn(RESUMABLE_TURN, id, &format!("program-{id}"), 900).with_body("body");
-    let answer = request.send(cluster.caller_address(0));
+    let answer = request.send(cluster.caller_address(gateway));
     assert_eq!(
         (answer.status, answer.is_complete),
         (200, false),
@@ -275,3 +284,89 @@
         assert_eq!(answer.header("response-seal"), None);
     }
 }
+
+/// A worker starts again under its identifier, of another release, which the store lists.
+fn restart_as(cluster: &Cluster, worker: usize, release: &str) {
+    let worker = &cluster.models[worker];
+    worker.state().release = release.into();
+    let entry = worker.registry_entry("models", "z0", "ready");
+    let entry = entry.replace("\"born\":1", "\"born\":2");
+    cluster
+        .store
+        .state()
+        .put("servers", &worker.id, entry.as_bytes());
+}
+
+#[test]
+fn host_out_of_step_joins_no_stream_to_an_endpoint_that_started_again() {
+    let cluster = start();
+    for number in 0..STREAMS {
+        begin_at(&cluster, 1, &format!("stream-{number}"));
+    }
+    // What the host reads from the store is late from now on.
+    cluster.store_link(1).delay(OUT_OF_STEP);
+    restart_as(&cluster, 0, "v2");
+    eventually(START_TIMEOUT, "the other host has the new entry", || {
+        cluster.log(0).contains("endpoint restarted")
+    });
+    std::thread::scope(|scope| {
+        for number in 0..STREAMS {
+            let cluster = &cluster;
+            scope.spawn(move || resume(cluster, 1, number));
+        }
+    });
+    let runs = cluster.models[0].state().runs.clone();
+    let joined = runs.iter().find(|run| run.id.starts_with("resumed-"));
+    assert_eq!(joined, None, "joined at another release");
+    cluster.store_link(1).delay(Duration::ZERO);
+    let mut number = STREAMS;
+    eventually(START_TIMEOUT, "streams go on at their release", || {
+        number += 1;
+        let id = format!("later-{number}");
+        resumption(&id, "program-stream-0", "stream-0")
+            .send(cluster.caller_address(1))
+            .status
+            == 200
+    });
+}
+
+#[test]
+fn host_out_of_step_joins_no_stream_of_a_release_that_it_has_not_seen() {
+    let cluster = start();
+    cluster.signal(1, Signal::SIGSTOP);
+    for worker in &cluster.models[2..] {
+        let entry = worker.registry_entry("models", "z0", "ready");
+        let mut store = cluster.store.state();
+        store.put("servers", &worker.id, entry.as_bytes());
+    }
+    eventually(START_TIMEOUT, "the new release is listed", || {
+        cluster.log(0).matches("\"release\":\"v2\"").count() >= 2
+    });
+    for number in 0..STREAMS {
+        begin(&cluster, &format!("stream-{number}"));
+    }
+    let is_new = |number: usize| {
+        let id = format!("stream-{number}");
+        let workers = cluster.models[2..].iter();
+        workers
+            .flat_map(|worker| worker.state().runs.clone())
+            .any(|run| run.id == id)
+    };
+    assert!(
+        (0..STREAMS).any(is_new),
+        "no stream began at the new release"
+    );
+    cluster.signal(1, Signal::SIGCONT);
+    for number in 0..STREAMS {
+        resume(&cluster, 1, number);
+        let expected = if is_new(number) { 2..4 } else { 0..2 };
+        for (index, worker) in cluster.models.iter().enumerate() {
+            let id = format!("resumed-{number}");
+            let is_run = worker.state().runs.iter().any(|run| run.id == id);
+            assert!(
+                !is_run || expected.contains(&index),
+                "{id} at worker {index}"
+            );
+        }
+    }
+}
