gateway: the origin of a stream names its endpoint, which must still have its release

Change: the row of an origin has the endpoint as well, and a resumption is refused if the store lists that endpoint with another release. Rows of older releases have no endpoint and are taken as they are; older releases skip the new field. Open: an endpoint that started again and has left.

--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -7,6 +7,7 @@
 use turns::Origin;
 
 use crate::attempt::{AttemptOutcome, EndpointResponse};
+use crate::endpoints::Endpoint;
 use crate::environment::Repeat;
 use crate::exchange::Exchange;
 use crate::reply::Refusal;
@@ -33,7 +34,38 @@
         info!(self.shared.log, "resumption requested"; "request" => %self.call.id,
             "resumed_attempt" => %resumed, "program" => self.program(),
             "origin" => ?origin, "release" => ?release);
-        release.cloned().map(Some).ok_or(Refusal::StreamNotKept)
+        let (Some(origin), Some(release)) = (&origin, release) else {
+            return Err(Refusal::StreamNotKept);
+        };
+        if !self.is_origin_confirmed(origin).await? {
+            return Err(Refusal::StreamNotKept);
+        }
+        Ok(Some(release.clone()))
+    }
+
+    /// Whether the endpoint that began a stream still has the release that was recorded: the host that
+    /// recorded it may have been out of step, and the endpoint may have started again before. One that
+    /// has left cannot be asked.
+    async fn is_origin_confirmed(&self, origin: &Origin) -> Result<bool, Refusal> {
+        if origin.endpoint.is_empty() {
+            return Ok(true);
+        }
+        let entry = self.listed(&origin.endpoint).await?;
+        Ok(entry.is_none_or(|entry| entry.release == origin.release))
+    }
+
+    /// Returns what the store lists of an endpoint; `None` if it lists none, or one that cannot be read.
+    async fn listed(&self, id: &str) -> Result<Option<Endpoint>, Refusal> {
+        let shared = &self.shared;
+        let partition = Partition::new(shared.adapter.directory.endpoint_table(), "");
+        let page = shared.rows.read(&partition, id, &key_after(id)).await;
+        let page = page.map_err(|error| {
+            info!(shared.log, "endpoint of resumed stream not confirmed";
+                "request" => %self.call.id, "endpoint" => id, "error" => %error);
+            Refusal::StoreUnavailable
+        })?;
+        let mut entries = page.rows.iter().filter(|row| row.key == id);
+        Ok(entries.find_map(|row| shared.adapter.directory.endpoint(row).ok()))
     }
 
     /// Whether the store lists the chosen start of an endpoint, with the release that it was chosen
@@ -43,16 +75,7 @@
     /// [`Refusal::StoreUnavailable`] if the entry cannot be read.
     pub(crate) async fn is_confirmed(&self, choice: &Choice) -> Result<bool, Refusal> {
         let shared = &self.shared;
-        let partition = Partition::new(shared.adapter.directory.endpoint_table(), "");
-        let end = key_after(&choice.id);
-        let page = shared.rows.read(&partition, &choice.id, &end).await;
-        let page = page.map_err(|error| {
-            info!(shared.log, "endpoint of resumed stream not confirmed"; "request" => %self.call.id,
-                "endpoint" => %choice.id, "error" => %error);
-            Refusal::StoreUnavailable
-        })?;
-        let mut entries = page.rows.iter().filter(|row| row.key == choice.id);
-        let entry = entries.find_map(|row| shared.adapter.directory.endpoint(row).ok());
+        let entry = self.listed(&choice.id).await?;
         let is_confirmed = entry.as_ref().is_some_and(|entry| {
             entry.start_id == choice.start_id() && entry.release == choice.release
         });
@@ -97,6 +120,7 @@
                 service: self.service.clone(),
                 release: placement.choice.release.clone(),
                 program: self.program().into(),
+                endpoint: placement.choice.id.clone(),
             };
             self.shared.streams.begin(&self.call.id, origin);
         }
--- a/crates/turns/src/origin.rs
+++ b/crates/turns/src/origin.rs
@@ -21,6 +21,27 @@
     pub release: CompactString,
     /// Program that the stream belongs to; empty for none.
     pub program: CompactString,
+    /// Identifier of the endpoint that began the stream; empty in rows of older releases.
+    pub endpoint: CompactString,
+}
+
+/// An origin as older releases write it.
+#[derive(Deserialize)]
+struct OldOrigin {
+    service: CompactString,
+    release: CompactString,
+    program: CompactString,
+}
+
+impl From<OldOrigin> for Origin {
+    fn from(old: OldOrigin) -> Self {
+        Origin {
+            service: old.service,
+            release: old.release,
+            program: old.program,
+            endpoint: CompactString::default(),
+        }
+    }
 }
 
 impl Origin {
@@ -49,8 +70,13 @@
             return Ok(None);
         };
         let config = bincode::config::standard();
-        bincode::serde::decode_from_slice(&row.value.0, config)
-            .map(|(origin, _)| Some(origin))
+        let decoded = bincode::serde::decode_from_slice::<Origin, _>(&row.value.0, config);
+        let decoded = decoded.map(|(origin, _)| origin).or_else(|_| {
+            let old = bincode::serde::decode_from_slice::<OldOrigin, _>(&row.value.0, config);
+            old.map(|(origin, _)| origin.into())
+        });
+        decoded
+            .map(Some)
             .map_err(|error| Error::Decode(error.to_compact_string()))
     }
 }
--- a/crates/turns/tests/origin.rs
+++ b/crates/turns/tests/origin.rs
@@ -10,6 +10,7 @@
         service: service.into(),
         release: release.into(),
         program: program.into(),
+        endpoint: "endpoint".into(),
     }
 }
 
@@ -35,6 +36,24 @@
     assert_eq!(origin.release_for("others", "program"), None);
 }
 
+#[test]
+fn row_of_an_older_release_names_no_endpoint() {
+    let key = StreamKey::new("stream");
+    let value = ("models", "v1", "program");
+    let value = bincode::serde::encode_to_vec(value, bincode::config::standard());
+    let row = Row {
+        key: key.key.clone(),
+        version: 1,
+        value: Value(value.expect("plain data encodes")),
+    };
+    let expected = Origin {
+        endpoint: CompactString::default(),
+        ..origin("models", "v1", "program")
+    };
+    let found = Origin::from_rows(&key, &[row]);
+    assert_eq!(found.expect("the row decodes"), Some(expected));
+}
+
 #[test]
 fn row_that_cannot_be_decoded_names_no_release() {
     let key = StreamKey::new("stream");
--- a/tests/all/gateway/resume.rs
+++ b/tests/all/gateway/resume.rs
@@ -370,3 +370,59 @@
         }
     }
 }
+
+#[test]
+fn stream_that_a_host_out_of_step_began_is_joined_to_no_other_release() {
+    let cluster = start();
+    let begin = |id: &str, number: usize| {
+        let request = turn(RESUMABLE_TURN, id, &format!("program-stream-{number}"), 900);
+        let address = cluster.caller_address(1);
+        request.with_body("body").send(address)
+    };
+    // The host then holds tokens of the programs, so that the next turns need no call of the store.
+    for number in 0..STREAMS {
+        assert_eq!(begin(&format!("first-{number}"), number).status, 200);
+    }
+    cluster.store_link(1).delay(OUT_OF_STEP);
+    restart_as(&cluster, 0, "v2");
+    eventually(START_TIMEOUT, "the other host has the new entry", || {
+        cluster.log(0).contains("endpoint restarted")
+    });
+    for worker in &cluster.models {
+        worker.state().faults = [Fault::Truncated; STREAMS].into();
+    }
+    std::thread::scope(|scope| {
+        for number in 0..STREAMS {
+            let begin = &begin;
+            scope.spawn(move || begin(&format!("stream-{number}"), number));
+        }
+    });
+    let has_run = |worker: usize, id: &str| {
+        let runs = cluster.models[worker].state().runs.clone();
+        runs.iter().any(|run| run.id == id)
+    };
+    let is_new = |number: usize| has_run(0, &format!("stream-{number}"));
+    assert!((0..STREAMS).any(is_new), "no stream began at the new start");
+    cluster.store_link(1).delay(Duration::ZERO);
+    eventually(
+        START_TIMEOUT,
+        "the origins of the streams are written",
+        || {
+            cluster.log(1).contains("endpoint restarted") && {
+                let rows = cluster.store.state().rows.clone();
+                rows.keys()
+                    .filter(|row| row.key.starts_with("stream-"))
+                    .count()
+                    == STREAMS
+            }
+        },
+    );
+    for worker in &cluster.models {
+        worker.state().faults.clear();
+    }
+    for number in (0..STREAMS).filter(|number| is_new(*number)) {
+        resume(&cluster, 0, number);
+        let id = format!("resumed-{number}");
+        assert!(!has_run(1, &id), "{id} joined at another release");
+    }
+}
