--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -19,6 +19,8 @@
 pub const ERROR_TEXT: &str = "the worker failed";
 /// Time for the caller to read what was sent before a reset discards it.
 const RESET_DELAY: Duration = Duration::from_millis(50);
+/// Time between two bytes of an answer that stalls.
+const SLOW_BYTE_INTERVAL: Duration = Duration::from_millis(100);
 /// Longer than the timeout of any caller.
 const NEVER: Duration = Duration::from_secs(3_600);
 
@@ -59,6 +61,10 @@
     /// Like `CloseDelimited`, but the connection is reset before the end, between two events if the
     /// answer has any.
     CloseDelimitedReset,
+    /// Executes the request and closes the connection within the head of the answer, at the given place.
+    HeadCut(HeadPlace),
+    /// Executes the request and sends a byte of an event now and then until the connection is closed.
+    SlowBytes,
     /// Executes the request and sends header fields until the connection is closed.
     EndlessHead,
     /// Executes the request and sends a body until the connection is closed.
@@ -67,6 +73,19 @@
     EndlessEvents,
 }
 
+/// A place within the head of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadPlace {
+    /// After the status line.
+    StatusLine,
+    /// In the name of the header field with the length, or the framing.
+    FramingName,
+    /// In the value of that field.
+    FramingValue,
+    /// After the last header field, before the empty line.
+    LastField,
+}
+
 impl Fault {
     /// Whether the request is not executed.
     fn is_refusal(self) -> bool {
@@ -305,6 +324,13 @@
         }
         _ => {}
     }
+    if let Fault::HeadCut(place) = fault {
+        write(stream, &head_until(place, id, event_count > 0)).await?;
+        return None;
+    }
+    if fault == Fault::SlowBytes {
+        return answer_slowly(stream, state, id).await;
+    }
     if event_count > 0 {
         return answer_events(stream, state, id, fault, &limit, event_count, pause).await;
     }
@@ -333,6 +359,42 @@
     }
 }
 
+/// Returns the head of an answer up to a place in it.
+fn head_until(place: HeadPlace, id: &str, is_stream: bool) -> String {
+    let (name, value) = match is_stream {
+        true => ("Transfer-Encoding", "chunked"),
+        false => ("Content-Length", "17"),
+    };
+    let whole = head(
+        200,
+        id,
+        &format!("Response-Seal: sealed\r\n{name}: {value}\r\n"),
+    );
+    let framing = whole.rfind(name).unwrap_or_default();
+    let end = match place {
+        HeadPlace::StatusLine => whole.find('\n').unwrap_or_default() + 1,
+        HeadPlace::FramingName => framing + name.len() / 2,
+        HeadPlace::FramingValue => framing + name.len() + 3,
+        HeadPlace::LastField => whole.len() - 2,
+    };
+    whole[..end].to_owned()
+}
+
+/// Sends an event byte by byte, which never ends.
+async fn answer_slowly(stream: &mut TcpStream, state: &Mutex<State>, id: &str) -> Option<()> {
+    let headers = "Response-Seal: sealed\r\nTransfer-Encoding: chunked\r\n";
+    write(stream, &head(200, id, headers)).await?;
+    write(
+        stream,
+        &format!("{:x}\r\ndata: first\n\n\r\n", "data: first\n\n".len()),
+    )
+    .await?;
+    loop {
+        wait(stream, state, id, SLOW_BYTE_INTERVAL).await?;
+        write(stream, "1\r\nx\r\n").await?;
+    }
+}
+
 async fn answer_plain(stream: &mut TcpStream, id: &str, fault: Fault, limit: &str) -> Option<()> {
     let seal = format!("{limit}Response-Seal: sealed\r\n");
     let body = format!("answer to {id}");
--- a/tests/all/gateway/crash.rs
+++ b/tests/all/gateway/crash.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::cluster::{START_TIMEOUT, eventually};
-use crate::gateway::cluster::{Cluster, ORDER, PLAIN_TURN, SAFE, turn};
+use crate::gateway::cluster::{Cluster, KEPT_TURN, ORDER, PLAIN_TURN, SAFE, turn};
 use crate::gateway::http::{Answer, Request};
 
 /// Beginning of the bodies that crash their worker.
@@ -212,3 +212,39 @@
     });
     eventually_served(&cluster, 1, &body);
 }
+
+/// A turn that crashes its endpoints continues a chain: each of them receives the chain as it ran, and
+/// the body as the caller sent it.
+#[test]
+fn crashing_turn_of_a_chain_is_sent_as_the_chain_requires() {
+    let cluster = Cluster::start(2, 6);
+    let first = turn(KEPT_TURN, "t1", "p", 900).with_body("one ");
+    assert_eq!(first.send(cluster.caller_address(0)).status, 200);
+    let second = turn(KEPT_TURN, "t2", "p", 900).with_body("two ");
+    let second = second.with_header("Previous-Turn", "t1");
+    assert_eq!(second.send(cluster.caller_address(1)).status, 200);
+    let output = |id: &str| -> String { (1..=4).map(|n| format!("{id}.{n}\n")).collect() };
+    let chain = format!("one {}two {}", output("t1"), output("t2"));
+    for worker in &cluster.models {
+        worker.state().crash_prefix = "one ".into();
+    }
+    for number in 0..2 * CRASHES {
+        let id = format!("r{number}");
+        let attempt = turn(KEPT_TURN, &id, "p", 900).with_header("Previous-Turn", "t2");
+        let address = cluster.caller_address((number % 2) as u16);
+        attempt.with_body("deadly").send(address);
+        for run in cluster.runs(&id) {
+            let body = String::from_utf8(run.body).unwrap();
+            assert_eq!(body, format!("{chain}deadly"), "{id}");
+        }
+        std::thread::sleep(CONTACT / 4);
+    }
+    assert!(crash_count_of(&cluster, "r") >= CRASHES);
+}
+
+/// Number of attempts whose id begins with `prefix` which workers have begun to run.
+fn crash_count_of(cluster: &Cluster, prefix: &str) -> usize {
+    let runs = cluster.models.iter();
+    let runs = runs.flat_map(|worker| worker.state().runs.clone());
+    runs.filter(|run| run.id.starts_with(prefix)).count()
+}
--- a/tests/all/gateway/faults.rs
+++ b/tests/all/gateway/faults.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use standins::link::{self, Direction};
-use standins::worker::Fault;
+use standins::worker::{Fault, HeadPlace};
 
 use crate::cases;
 use crate::cluster::{START_TIMEOUT, eventually};
-use crate::gateway::cluster::{Cluster, KEPT_TURN, ORDER, PLAIN_TURN, SAFE, turn};
+use crate::gateway::cluster::{Cluster, KEPT_TURN, ORDER, PLAIN_TURN, RESUMABLE_TURN, SAFE, turn};
 use crate::gateway::http::{Connection, Request};
 
 /// A request to two workers, each of which causes `fault` in its first request.
@@ -55,6 +55,22 @@
     safe_truncated: Case { path: SAFE, fault: Fault::Truncated, runs: 2, status: 502 },
     safe_close_delimited: Case { path: SAFE, fault: Fault::CloseDelimited, runs: 1, status: 200 },
     safe_close_delimited_reset: Case { path: SAFE, fault: Fault::CloseDelimitedReset, runs: 2, status: 502 },
+    safe_cut_in_the_name_of_the_length:
+        Case { path: SAFE, fault: Fault::HeadCut(HeadPlace::FramingName), runs: 2, status: 502 },
+    safe_cut_in_the_length:
+        Case { path: SAFE, fault: Fault::HeadCut(HeadPlace::FramingValue), runs: 2, status: 502 },
+    safe_cut_after_the_status_line:
+        Case { path: SAFE, fault: Fault::HeadCut(HeadPlace::StatusLine), runs: 2, status: 502 },
+    safe_cut_before_the_empty_line:
+        Case { path: SAFE, fault: Fault::HeadCut(HeadPlace::LastField), runs: 2, status: 502 },
+    order_cut_in_the_name_of_the_length:
+        Case { path: ORDER, fault: Fault::HeadCut(HeadPlace::FramingName), runs: 1, status: 502 },
+    order_cut_in_the_length:
+        Case { path: ORDER, fault: Fault::HeadCut(HeadPlace::FramingValue), runs: 1, status: 502 },
+    order_cut_after_the_status_line:
+        Case { path: ORDER, fault: Fault::HeadCut(HeadPlace::StatusLine), runs: 1, status: 502 },
+    order_cut_before_the_empty_line:
+        Case { path: ORDER, fault: Fault::HeadCut(HeadPlace::LastField), runs: 1, status: 502 },
     safe_extra_answer: Case { path: SAFE, fault: Fault::ExtraAnswer, runs: 1, status: 200 },
     order_refused: Case { path: ORDER, fault: Fault::Refused, runs: 0, status: 503 },
     order_reset: Case { path: ORDER, fault: Fault::Reset, runs: 1, status: 502 },
@@ -198,6 +214,64 @@
         (KEPT_TURN, Fault::CloseDelimitedReset, false, 3),
 );
 
+/// A stream whose head is cut at a place in it: the caller gets an error, not an empty success, and the
+/// turn is not kept.
+fn check_cut_head_of_a_stream(place: HeadPlace) {
+    let cluster = Cluster::start(1, 1);
+    for (number, path) in [PLAIN_TURN, KEPT_TURN, RESUMABLE_TURN].iter().enumerate() {
+        cluster.set_faults(&[Fault::HeadCut(place)]);
+        let id = format!("r{number}");
+        let answer = turn(path, &id, &id, 900).send(cluster.caller_address(0));
+        assert_eq!(
+            (answer.status, answer.is_complete),
+            (502, true),
+            "{answer:?}"
+        );
+        assert_eq!(cluster.runs(&id).len(), 1);
+    }
+    let next = turn(KEPT_TURN, "next", "p", 900).with_header("Previous-Turn", "r1");
+    assert_eq!(next.send(cluster.caller_address(0)).status, 404);
+}
+
+cases!(check_cut_head_of_a_stream;
+    stream_cut_after_the_status_line_is_an_error: HeadPlace::StatusLine,
+    stream_cut_in_the_name_of_its_framing_is_an_error: HeadPlace::FramingName,
+    stream_cut_in_its_framing_is_an_error: HeadPlace::FramingValue,
+    stream_cut_before_the_empty_line_is_an_error: HeadPlace::LastField,
+);
+
+#[test]
+fn slow_but_sound_stream_is_relayed_to_its_end() {
+    let cluster = Cluster::start(1, 1);
+    for worker in &cluster.models {
+        // Four events within the four seconds that the caller waits.
+        worker.state().pause_ms = 900;
+    }
+    let answer = turn(PLAIN_TURN, "r1", "p", 900).send(cluster.caller_address(0));
+    assert_eq!(
+        (answer.status, answer.is_complete),
+        (200, true),
+        "{answer:?}"
+    );
+    assert_eq!(answer.text().matches("data:").count(), 4);
+}
+
+#[test]
+fn stalled_stream_that_sends_a_byte_now_and_then_ends_at_its_deadline() {
+    let cluster = Cluster::start(1, 1);
+    cluster.set_faults(&[Fault::SlowBytes]);
+    let answer = turn(PLAIN_TURN, "r1", "p", 900).send(cluster.caller_address(0));
+    assert_eq!(
+        (answer.status, answer.is_complete),
+        (200, false),
+        "{answer:?}"
+    );
+    assert_eq!(answer.text(), "data: first\n\n");
+    eventually(START_TIMEOUT, "the worker's connection is closed", || {
+        cluster.models[0].state().abandoned == ["r1"]
+    });
+}
+
 /// Most bytes of an endless answer that a worker gets rid of: those that the gateway reads, and those
 /// in the buffers of the connection.
 const ENDLESS_BYTES_MAX: u64 = 32 << 20;
--- a/tests/all/gateway/routes.rs
+++ b/tests/all/gateway/routes.rs
@@ -70,6 +70,27 @@
     assert!(cluster.desks[0].state().runs.is_empty());
 }
 
+#[test]
+fn worker_that_left_gets_nothing_after_a_restart_of_the_hosts() {
+    let mut cluster = Cluster::start(2, 2);
+    let left = cluster.desks[0].id.clone();
+    cluster.store.state().delete_row("servers", &left);
+    eventually(START_TIMEOUT, "the worker is gone", || {
+        (0..2).all(|index| cluster.log(index).contains("endpoint gone"))
+    });
+    for index in 0..2 {
+        cluster.kill(index);
+        cluster.spawn(index);
+        cluster.eventually_ready(index);
+    }
+    for number in 0..20 {
+        let request = Request::new("POST", ORDER, &format!("r{number}"));
+        let answer = request.send(cluster.caller_address(number % 2));
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!(cluster.desks[0].state().runs, []);
+}
+
 #[test]
 fn table_is_read_again_after_its_change_feed_was_truncated() {
     let cluster = Cluster::start(1, 1);
