--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -383,6 +383,12 @@
     let (status, body) = match path {
         "/metrics" => (StatusCode::OK, shared.metrics.render()),
         "/live" => (StatusCode::OK, Vec::new()),
+        "/endpoints" => {
+            let observations = shared.balancer().describe(shared.clock.now());
+            // Plain data always encodes.
+            let body = serde_json::to_vec(&observations).unwrap_or_default();
+            (StatusCode::OK, body)
+        }
         path if path == shared.adapter.dialect.ready_path() || path == "/ready" => {
             if shared.is_ready() {
                 (StatusCode::OK, Vec::new())
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,7 +22,7 @@
 pub use idle::IdleLimit;
 pub use limit::{Limit, LimitChange, Sender, Share, Target};
 pub use order::{Rank, RankFactors};
-pub use place::{Balancer, Candidate, Choice, Chunk, Demand, Fault, TransferCost};
+pub use place::{Balancer, Candidate, Choice, Chunk, Demand, Fault, Observation, TransferCost};
 pub use quarantine::{Admission, LOSSES_MAX, Listing, Loss, Probe, Quarantine, Suspect, Verdict};
 pub use reservation::{Hold, Reservations};
 pub use route::{Reason, Request, Ticket};
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -10,6 +10,7 @@
 use std::collections::HashMap;
 
 use compact_str::CompactString;
+use serde::Serialize;
 use units::{Host, Rate, Span, Time, Tokens, Zone};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -140,6 +141,37 @@
     is_sent: bool,
 }
 
+/// What one host has observed of an endpoint, and whether it sends requests there.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Observation {
+    /// Identifier of the endpoint.
+    pub endpoint: CompactString,
+    /// Service that it is an instance of.
+    pub service: CompactString,
+    /// Release of its software.
+    pub release: CompactString,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Whether requests may be sent there: false if it drains or has left, and its last requests run.
+    pub is_present: bool,
+    /// Percentage of requests that it may get; below 100 soon after it has joined.
+    pub open_percent: u8,
+    /// Outstanding requests of this host.
+    pub outstanding: u32,
+    /// Tokens of these requests that it still has to read.
+    pub backlog_tokens: u64,
+    /// Chunks of prompts that this host sent there and that count as cached.
+    pub cached_chunks: usize,
+    /// By how many milliseconds first tokens came later than their own prefill explains; decays.
+    pub delay_ms: u64,
+    /// Milliseconds since that was observed; `None` if never.
+    pub delay_age_ms: Option<u64>,
+    /// Number of recent failures; decays.
+    pub faults: f64,
+    /// Milliseconds until its limit allows a request.
+    pub limit_wait_ms: u64,
+}
+
 /// The endpoints that one host can choose from, with the load it has observed at each.
 #[derive(Clone, Debug, Default)]
 pub struct Balancer {
@@ -382,6 +414,15 @@
         }
     }
 
+    /// Describes the endpoints as this host observes them, for operators, in the order of their
+    /// identifiers.
+    pub fn describe(&self, now: Time) -> Vec<Observation> {
+        let endpoints = self.endpoints.values();
+        let mut observations: Vec<_> = endpoints.map(|endpoint| endpoint.describe(now)).collect();
+        observations.sort_by(|a, b| a.endpoint.cmp(&b.endpoint));
+        observations
+    }
+
     /// Number of outstanding requests of this host at an endpoint.
     pub fn outstanding(&self, id: &str) -> u32 {
         self.endpoints
--- a/crates/policy/src/place/endpoint.rs
+++ b/crates/policy/src/place/endpoint.rs
@@ -4,7 +4,7 @@
 
 use units::{Span, Time, Tokens};
 
-use super::{Candidate, Chunk, Demand};
+use super::{Candidate, Chunk, Demand, Observation};
 use crate::limit::Limit;
 
 /// Prefill time of a token in microseconds: about 30 tokens a millisecond, the rate of the slower
@@ -110,12 +110,37 @@
     /// Whether a request with this hash, from 0 to 1, may be sent: all of them, except soon after the
     /// endpoint has joined.
     pub(super) fn is_open_to(&self, unit_hash: f64, now: Time) -> bool {
-        self.joined_at.is_none_or(|joined_at| {
-            let ramp = now.since(joined_at).0 as f64 / RAMP.0 as f64;
-            unit_hash < RAMP_START + ramp
+        unit_hash < self.open_share(now)
+    }
+
+    /// Share of requests that may be sent, from 0 to 1, above 1 some time after the endpoint has joined.
+    fn open_share(&self, now: Time) -> f64 {
+        self.joined_at.map_or(f64::INFINITY, |joined_at| {
+            RAMP_START + now.since(joined_at).0 as f64 / RAMP.0 as f64
         })
     }
 
+    /// Describes the endpoint for operators.
+    pub(super) fn describe(&self, now: Time) -> Observation {
+        let is_cached = |used_at: &&Time| now.since(**used_at) < CHUNK_LIFETIME;
+        let is_observed = self.delay_at > Time(0);
+        Observation {
+            endpoint: self.info.id.clone(),
+            service: self.info.service.clone(),
+            release: self.info.release.clone(),
+            zone: self.info.zone.clone(),
+            is_present: self.is_present,
+            open_percent: (self.open_share(now).min(1.0) * 100.0) as u8,
+            outstanding: self.outstanding,
+            backlog_tokens: self.backlog_tokens as u64,
+            cached_chunks: self.chunk_uses.values().filter(is_cached).count(),
+            delay_ms: self.delay_level(now) as u64 / 1_000,
+            delay_age_ms: is_observed.then(|| now.since(self.delay_at).as_ms()),
+            faults: (self.fault_level(now) * 100.0).round() / 100.0,
+            limit_wait_ms: self.limit_wait(now).as_ms(),
+        }
+    }
+
     /// Expected wait for a slot in microseconds; zero while the endpoint has a free one.
     pub(super) fn slot_wait(&self, service_time_us: f64) -> f64 {
         let slots = self.info.slots.max(1);
--- a/crates/policy/src/place/index.rs
+++ b/crates/policy/src/place/index.rs
@@ -31,6 +31,10 @@
         self.by_service.get_mut(service)?.get_mut(*position)
     }
 
+    pub(super) fn values(&self) -> impl Iterator<Item = &Endpoint> {
+        self.by_service.values().flatten()
+    }
+
     pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut Endpoint> {
         self.by_service.values_mut().flatten()
     }
--- a/tests/all/gateway/routes.rs
+++ b/tests/all/gateway/routes.rs
@@ -91,6 +91,32 @@
     assert_eq!(cluster.desks[0].state().runs, []);
 }
 
+#[test]
+fn status_address_shows_what_a_host_observes_of_each_endpoint() {
+    let cluster = Cluster::start(1, 2);
+    for number in 0..4 {
+        let id = format!("t{number}");
+        let answer = turn(PLAIN_TURN, &id, &id, 900).send(cluster.caller_address(0));
+        assert_eq!(answer.status, 200);
+    }
+    let text = cluster.status(0, "/endpoints").unwrap().text();
+    let observations: Vec<serde_json::Value> = serde_json::from_str(&text).unwrap();
+    assert_eq!(observations.len(), 4, "{text}");
+    let is_observed = |observation: &&serde_json::Value| {
+        observation["service"] == "models" && observation["delay_age_ms"].is_u64()
+    };
+    assert!(
+        observations
+            .iter()
+            .any(|observation| is_observed(&observation)),
+        "{text}"
+    );
+    for observation in &observations {
+        assert_eq!(observation["is_present"], true);
+        assert_eq!(observation["outstanding"], 0);
+    }
+}
+
 #[test]
 fn table_is_read_again_after_its_change_feed_was_truncated() {
     let cluster = Cluster::start(1, 1);
