--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -6,13 +6,16 @@
 //! probably not cached, the network path, and the time until the endpoint's limit allows a request.
 //! A host counts only its own requests; the work of other hosts shows in the observed time to the
 //! first token.
+//!
+//! Many hosts that each see a small part of the load would have every endpoint read every part of
+//! prompts that programs share. [`Ranking`] lets the hosts of an availability zone agree on the
+//! endpoints that do, without any message between them.
 
 use std::collections::HashMap;
 
 use compact_str::CompactString;
 use serde::Serialize;
 use units::{Host, Rate, Span, Time, Tokens, Zone};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::estimate::Mean;
 use crate::limit::{Limit, LimitChange, Sender, Share, Target};
@@ -20,16 +23,15 @@
 mod endpoint;
 mod index;
 mod parts;
+mod ranking;
 
 use self::endpoint::{Endpoint, PREFILL_US_PER_TOKEN};
 use self::index::Index;
 use self::parts::SharedParts;
+use self::ranking::{Ranked, Ranking};
 
 /// Service time of a request of a plain service before the first observation, in microseconds.
 const INITIAL_SERVICE_TIME_US: f64 = 50_000.0;
-/// Share of the nearest endpoints, as a divisor, that the hosts of a zone send the same shared part of
-/// prompts to: each of them reads it once, and the load of a popular part is spread over all.
-const HOME_DIVISOR: usize = 4;
 /// Weight of a minor fault relative to a failure: healthy services also return a few errors.
 const MINOR_FAULT_WEIGHT: f64 = 0.5;
 /// Reduction of the cost of the preferred endpoint of a hash key, in microseconds. All hosts agree
@@ -337,11 +339,7 @@
         endpoint.outstanding += 1;
         endpoint.unsent += 1;
         endpoint.backlog_tokens += missing.0 as f64;
-        if !demand.is_suspect {
-            self.parts.record(demand.chunks, demand.hash_key, now);
-        }
-        let endpoint = self.endpoints.get(&id)?;
-        Some(Choice {
+        let choice = Choice {
             id,
             missing,
             expected: Span(cost.max(0.0) as u64),
@@ -350,7 +348,11 @@
             release: endpoint.info.release.clone(),
             start_id: endpoint.info.start_id,
             is_sent: false,
-        })
+        };
+        if !demand.is_suspect {
+            self.parts.record(demand.chunks, demand.hash_key, now);
+        }
+        Some(choice)
     }
 
     /// Records that the request is sent, after which its prompt counts as cached at the endpoint.
@@ -461,85 +463,3 @@
         })
     }
 }
-
-/// An endpoint that may be chosen.
-struct Ranked<'a> {
-    endpoint: &'a Endpoint,
-    /// Weight for the program or object.
-    weight: u64,
-    /// Weight for the first part of the prompt.
-    part_weight: u64,
-    is_near: bool,
-}
-
-/// The endpoints that may be chosen for a request, as all hosts of an availability zone rank them.
-struct Ranking<'a> {
-    ranked: Vec<Ranked<'a>>,
-    /// Weight of the endpoint that the program or object prefers.
-    preferred: Option<u64>,
-    /// Number of chunks at the start of the prompt that other programs share.
-    shared_chunks: usize,
-    /// Least weight with which an endpoint counts as one that has these chunks.
-    home_weight: u64,
-}
-
-impl<'a> Ranking<'a> {
-    /// Ranks the endpoints for a request. Those that have just joined are left out of most requests,
-    /// unless there are no others.
-    fn new(
-        candidates: impl Iterator<Item = &'a Endpoint> + Clone,
-        demand: &Demand<'_>,
-        parts: &SharedParts,
-        now: Time,
-    ) -> Self {
-        let path_costs = candidates
-            .clone()
-            .map(|endpoint| endpoint.path_cost(demand));
-        let shortest = path_costs.fold(f64::INFINITY, f64::min);
-        let shared_chunks = if demand.is_suspect {
-            0
-        } else {
-            parts.count(demand.chunks, demand.last_endpoint.is_empty())
-        };
-        let part_key = demand.chunks.first().map_or(0, |chunk| chunk.id);
-        let ranked = candidates.map(|endpoint| Ranked {
-            weight: rendezvous_weight(demand.hash_key, &endpoint.info.id),
-            part_weight: rendezvous_weight(part_key, &endpoint.info.id),
-            is_near: endpoint.path_cost(demand) <= shortest,
-            endpoint,
-        });
-        let (open, joining): (Vec<_>, Vec<_>) = ranked.partition(|candidate| {
-            let unit_hash = candidate.weight as f64 / u64::MAX as f64;
-            let is_last = candidate.endpoint.info.id == demand.last_endpoint;
-            is_last || candidate.endpoint.is_open_to(unit_hash, now)
-        });
-        let ranked = if open.is_empty() { joining } else { open };
-        let near = ranked.iter().filter(|candidate| candidate.is_near);
-        let mut part_weights: Vec<u64> = near.map(|candidate| candidate.part_weight).collect();
-        part_weights.sort_unstable_by(|a, b| b.cmp(a));
-        let homes = part_weights.len().div_ceil(HOME_DIVISOR);
-        let preferring = ranked
-            .iter()
-            .filter(|candidate| demand.is_suspect || candidate.is_near);
-        Ranking {
-            preferred: preferring.map(|candidate| candidate.weight).max(),
-            shared_chunks,
-            home_weight: homes
-                .checked_sub(1)
-                .map_or(u64::MAX, |last| part_weights[last]),
-            ranked,
-        }
-    }
-
-    /// Returns how many chunks of the prompt count as cached at an endpoint, although this host may
-    /// not have sent them there: the other hosts of the zone send them to the same endpoints.
-    fn presumed_chunks(&self, candidate: &Ranked<'_>) -> usize {
-        let is_home = candidate.is_near && candidate.part_weight >= self.home_weight;
-        if is_home { self.shared_chunks } else { 0 }
-    }
-}
-
-/// Weight of an endpoint in rendezvous hashing: the same for a key and an identifier at each host.
-fn rendezvous_weight(key: u64, id: &str) -> u64 {
-    xxh3_64_with_seed(id.as_bytes(), key)
-}
