policy: only engines get a growing share after they joined

Found on reading the diff: the growing share of a new endpoint also held for plain services, which have no cache to fill. The share now grows for engines only.

--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -196,11 +196,12 @@
             .retain(|endpoint| endpoint.is_present || endpoint.outstanding > 0);
     }
 
-    /// Adds an endpoint that can be chosen, or replaces its description. One that joins others gets a
-    /// growing share of the requests at first.
+    /// Adds an endpoint that can be chosen, or replaces its description. An engine that joins others
+    /// gets a growing share of the requests at first.
     pub fn upsert(&mut self, candidate: Candidate, now: Time) {
         let others = self.endpoints.of_service(&candidate.service);
-        let is_joining = others.iter().any(|other| other.info.id != candidate.id);
+        let has_others = others.iter().any(|other| other.info.id != candidate.id);
+        let is_joining = candidate.is_model && has_others;
         self.insert(candidate, is_joining.then_some(now));
     }
 
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -270,6 +270,23 @@
     }
 }
 
+/// A plain service has no cache to fill, and few endpoints: those that start again are used at once.
+#[test]
+fn new_endpoints_of_a_plain_service_share_its_load_at_once() {
+    let mut balancer = balancer(1, false);
+    for number in 1..3 {
+        balancer.upsert(candidate(number, TransferCost::default(), false), at(0));
+    }
+    let mut counts = [0_u32; 3];
+    for number in 0..12 {
+        let choice = balancer.choose(&demand(&[], "", number), &[], at(10));
+        let id = choice.expect("an endpoint").id;
+        let index: usize = id["endpoint-".len()..].parse().expect("a number");
+        counts[index] += 1;
+    }
+    assert_eq!(counts, [4, 4, 4]);
+}
+
 proptest! {
     /// A request that is bound to a release goes to an endpoint of it, however loaded they are.
     #[test]
