tests: attempts of a suspect overlap for certain

Its logs: one host reserved at .363, its endpoint crashed at .380 and the reservation was released as the crash was recorded; another host, slow, asked for its reservation at .44, when the request had two losses and no reservation, and was let through, which is allowed below three losses. Four attempts sent together need not overlap when an attempt ends within 20 ms. The stand-in now runs the attempt for a second before it crashes, so that they do; the check and its bound stay.

--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -151,6 +151,8 @@
     /// A request whose body begins with this text crashes the worker when it begins to run; empty
     /// for none.
     pub crash_prefix: String,
+    /// Time from the beginning of such a request to the crash, in milliseconds.
+    pub crash_delay_ms: u64,
     /// Release of the worker's software in its entry; `v1` if empty.
     pub release: String,
     /// Whether the worker has crashed: its connections are closed and new ones are refused.
@@ -251,7 +253,10 @@
         if fault == Fault::RefusedAgainLater {
             repeated = refusal(&id, "");
         }
-        if !fault.is_refusal() && record_run(&state, run) {
+        if !fault.is_refusal() && begins_crash(&state, run) {
+            let delay = Duration::from_millis(lock(&state).crash_delay_ms);
+            smol::Timer::after(delay).await;
+            lock(&state).is_crashed = true;
             crash.close();
             return;
         }
@@ -263,12 +268,11 @@
 }
 
 /// Records a request that begins to run; returns whether it crashes the worker.
-fn record_run(state: &Mutex<State>, run: Run) -> bool {
+fn begins_crash(state: &Mutex<State>, run: Run) -> bool {
     let mut state = lock(state);
     let prefix = state.crash_prefix.as_bytes();
     let is_crash = !prefix.is_empty() && run.body.starts_with(prefix);
     state.runs.push(run);
-    state.is_crashed |= is_crash;
     is_crash
 }
 
--- a/tests/all/gateway/crash.rs
+++ b/tests/all/gateway/crash.rs
@@ -12,6 +12,8 @@
 const CONTACT: Duration = Duration::from_secs(4);
 /// Endpoints that a request may crash before it is no longer sent.
 const CRASHES: usize = 3;
+/// How long an attempt runs that others are to meet.
+const OVERLAP: Duration = Duration::from_secs(1);
 /// Deadline of attempts that hold a reservation.
 const SHORT_DEADLINE: Duration = Duration::from_secs(1);
 /// Longest time for which the reservation of an attempt with [`SHORT_DEADLINE`] may refuse others:
@@ -129,6 +131,10 @@
     eventually(START_TIMEOUT, "each host has the loss", || {
         (1..4).all(|gateway| cluster.log(gateway).contains("loss received"))
     });
+    // The endpoint runs the first attempt for long enough for the others to arrive meanwhile.
+    for worker in &cluster.desks {
+        worker.state().crash_delay_ms = OVERLAP.as_millis() as u64;
+    }
     let before = crash_count(&cluster);
     std::thread::scope(|scope| {
         for gateway in 0..4 {
