--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -151,8 +151,8 @@
     }
 }
 
-/// Applies a changed row. Rows change with each report of an endpoint, so one that describes the same
-/// endpoint as before costs nothing more.
+/// Applies a changed row. The load balancer is updated only if the row describes another endpoint than
+/// before: most changes concern fields that are not used here.
 fn apply_endpoint_change(shared: &Shared, change: &Change, version: u64, now: Time) {
     let id = &change.row.key;
     let is_changed = if change.is_deleted {
