--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -53,7 +53,6 @@
     pub name: String,
     pub address: SocketAddr,
     pub ready_address: SocketAddr,
-    settings: PathBuf,
     process: Process,
 }
 
@@ -70,6 +69,8 @@
 pub struct Run {
     pub worker: String,
     pub request: String,
+    /// Hash of its body.
+    pub hash: String,
 }
 
 pub struct Fleet {
@@ -205,8 +206,12 @@
         std::thread::spawn(move || {
             for line in lines.map_while(std::result::Result::ok) {
                 if let Some(rest) = line.strip_prefix("run ") {
-                    let request = rest.split(' ').next().unwrap_or("").to_owned();
-                    let run = Run { worker: name.clone(), request };
+                    let mut words = rest.split(' ').map(str::to_owned);
+                    let run = Run {
+                        worker: name.clone(),
+                        request: words.next().unwrap_or_default(),
+                        hash: words.last().unwrap_or_default().replace("hash=", ""),
+                    };
                     runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
                 }
                 record.line(&format!("worker {name}: {line}"));
@@ -288,32 +293,15 @@
             name: name.to_owned(),
             address: format!("127.0.0.1:{}", ports[0]).parse()?,
             ready_address: format!("127.0.0.1:{}", ports[1]).parse()?,
-            settings: path,
             process,
         });
         self.record.line(&format!("started gateway {name}"));
         Ok(())
     }
 
-    /// Sends a signal to the process of a gateway.
-    pub fn signal_gateway(&self, index: usize, signal: &str) -> Result<()> {
-        let gateway = &self.gateways[index];
-        self.record.line(&format!("SIG{signal} to gateway {}", gateway.name));
-        send_signal(&gateway.process.0, signal)
-    }
-
-    /// Starts the process of a gateway that has ended again, as the platform does.
-    pub fn restart_gateway(&mut self, index: usize) -> Result<()> {
-        let settings = self.gateways[index].settings.clone();
-        let log = File::options().append(true).open(settings.with_extension("log"))?;
-        self.gateways[index].process = spawn_gateway(&settings, log)?;
-        self.record.line(&format!("started gateway {} again", self.gateways[index].name));
-        self.wait_ready(Duration::from_secs(10))
-    }
-
-    /// Whether the process of a gateway still runs.
-    pub fn is_running(&mut self, index: usize) -> bool {
-        matches!(self.gateways[index].process.0.try_wait(), Ok(None))
+    /// Returns the id of a gateway's process.
+    pub fn gateway_pid(&self, index: usize) -> u32 {
+        self.gateways[index].process.0.id()
     }
 
     fn wait_ready(&self, limit: Duration) -> Result<()> {
@@ -540,6 +528,20 @@
     Ok(Process(child))
 }
 
+/// Returns the resident memory of a process; 0 if it has ended.
+pub fn resident_bytes(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+    kilobytes.unwrap_or(0_u64) * 1_024
+}
+
+/// Kills a process that the test started, by its id.
+pub fn kill(pid: u32) {
+    // A process that has ended already is not an error.
+    let _ = Command::new("kill").args(["-s", "KILL", &pid.to_string()]).status();
+}
+
 fn send_signal(child: &Child, signal: &str) -> Result<()> {
     let pid = child.id().to_string();
     let status = Command::new("kill").args(["-s", signal, &pid]).status()?;
--- a/review/kit/json.rs
+++ b/review/kit/json.rs
@@ -5,7 +5,7 @@
 #[derive(Clone, Debug)]
 pub enum Json {
     Null,
-    Bool(bool),
+    Bool,
     Number(f64),
     Text(String),
     List(Vec<Json>),
@@ -84,8 +84,8 @@
             b'{' => self.object(),
             b'[' => self.array(),
             b'"' => self.string().map(Json::Text),
-            b't' => self.word("true", Json::Bool(true)),
-            b'f' => self.word("false", Json::Bool(false)),
+            b't' => self.word("true", Json::Bool),
+            b'f' => self.word("false", Json::Bool),
             b'n' => self.word("null", Json::Null),
             _ => self.number(),
         }
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -9,6 +9,7 @@
 
 mod budget_forgotten;
 mod budget_stranded;
+mod program_id_ignored;
 mod turn_quarantined;
 mod turn_too_long;
 
@@ -33,6 +34,7 @@
             };
         }
         ["budget-forgotten", record] => budget_forgotten::run(Path::new(record), has_trouble),
+        ["program-id-ignored", record] => program_id_ignored::run(Path::new(record), has_trouble),
         ["turn-quarantined", record] => turn_quarantined::run(Path::new(record), has_trouble),
         ["budget-stranded", record] => budget_stranded::run(Path::new(record), has_trouble),
         ["turn-too-long", record] => turn_too_long::run(Path::new(record), has_trouble),
--- a/review/kit/platform.rs
+++ b/review/kit/platform.rs
@@ -75,13 +75,6 @@
         self.state.1.notify_all();
     }
 
-    /// Returns the keys of a table.
-    pub fn keys(&self, table: &str) -> Vec<String> {
-        let state = self.lock();
-        let keys = state.rows.keys().filter(|key| key.0 == table);
-        keys.map(|key| key.2.clone()).collect()
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/review/kit/turn_too_long.rs
+++ b/review/kit/turn_too_long.rs
@@ -1,47 +1,93 @@
-//! Turns whose new input is longer than one call of the store holds. See `claim.txt` of the case.
+//! Turns with a long new input, within `MaxBodyBytes`. See `claim.txt` of the case.
 
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use crate::Verdict;
-use crate::fleet::{Call, Fleet, MECHE};
+use crate::fleet::{Call, Fleet, MECHE, kill, resident_bytes};
 use crate::http::Channel;
 
-/// Below `MaxBodyBytes`, which is 4,194,304.
+/// Below `MaxBodyBytes`, which is 4,194,304; above what one call of the store holds.
 const LONG_BYTES: usize = 1_000_000;
+/// Below `MaxBodyBytes` as well.
+const LONGEST_BYTES: usize = 4_000_000;
 /// The mean of the sheet.
 const SHORT_BYTES: usize = 5_100;
+/// Long turns that are sent one after another.
 const TURNS: usize = 6;
-/// More such turns than this break the rule.
+/// Clients that send one of the longest turns at the same time: there are 10 or 11 in each zone.
+const CLIENTS: usize = 8;
+/// Memory of a `front` machine.
+const MEMORY_BYTES: u64 = 120 << 20;
+/// More requests than this that were passed on and not answered break the rule.
 const LOST_MAX: usize = 3;
 
 pub fn run(record: &Path, has_trouble: bool) -> Verdict {
     let fleet = Fleet::start(record, &MECHE, &["port-louis", "pamplemousses"], 3, 1)?;
-    let bytes = if has_trouble { LONG_BYTES } else { SHORT_BYTES };
-    let mut lost = 0;
+    let bytes = |long| if has_trouble { long } else { SHORT_BYTES };
+    let mut in_series = 0;
     for index in 0..TURNS {
-        let mut channel = Channel::connect(fleet.gateways[0].address)?;
-        // The channel is a kept one: it has carried a request before.
-        let opening = turn(&fleet, SHORT_BYTES, index);
-        let opened = fleet.send_on(&mut channel, 0, &opening)?;
-        if !opened.is_complete {
-            return Err("the short turn was not answered".into());
-        }
-        let long = Call {
-            previous: Some(opening.id),
-            ..turn(&fleet, bytes, index)
-        };
-        let response = fleet.send_on(&mut channel, 0, &long);
-        let is_answered = response.is_ok_and(|response| response.is_complete);
-        if !is_answered && fleet.run_count(&long.id) > 0 {
-            lost += 1;
-        }
+        in_series += usize::from(is_lost(&fleet, index, bytes(LONG_BYTES))?);
     }
+    let (at_once, peak, was_killed) = send_at_once(&fleet, bytes(LONGEST_BYTES));
+    fleet.record.line(&format!(
+        "turns that a worker ran and whose channel was closed without the end of an answer: {in_series} of \
+         {TURNS} sent in series, {at_once} of {CLIENTS} sent at once"
+    ));
     fleet.record.line(&format!(
-        "turns that a worker ran to its end and whose channel was closed without the end of an answer: \
-         {lost} of {TURNS}"
+        "memory of the gateway at its peak: {peak} bytes of {MEMORY_BYTES}; killed by the platform: \
+         {was_killed}"
     ));
     fleet.record_logs(&["turn not committed", "store lost"], 6);
-    Ok(lost <= LOST_MAX)
+    Ok(in_series <= LOST_MAX && at_once <= LOST_MAX)
+}
+
+/// Sends turns of several clients at once, while the platform watches the memory of the gateway. Returns
+/// how many were lost, the memory at its peak and whether the platform killed the process.
+fn send_at_once(fleet: &Fleet, bytes: usize) -> (usize, u64, bool) {
+    let pid = fleet.gateway_pid(0);
+    let (lost, ended) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let was_killed = AtomicBool::new(false);
+    let mut peak = 0;
+    std::thread::scope(|scope| {
+        for index in 0..CLIENTS {
+            let (lost, ended) = (&lost, &ended);
+            scope.spawn(move || {
+                if is_lost(fleet, 100 + index, bytes).unwrap_or(false) {
+                    lost.fetch_add(1, Ordering::Relaxed);
+                }
+                ended.fetch_add(1, Ordering::Relaxed);
+            });
+        }
+        while ended.load(Ordering::Relaxed) < CLIENTS {
+            peak = peak.max(resident_bytes(pid));
+            if peak > MEMORY_BYTES && !was_killed.swap(true, Ordering::Relaxed) {
+                fleet.record.line("the gateway exceeds its memory: the platform kills it");
+                kill(pid);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    });
+    (lost.into_inner(), peak, was_killed.into_inner())
+}
+
+/// Sends a short turn, then one of this size on the same channel. Returns whether a worker ran the second
+/// one and its answer did not arrive whole.
+fn is_lost(fleet: &Fleet, index: usize, bytes: usize) -> crate::fleet::Result<bool> {
+    let mut channel = Channel::connect(fleet.gateways[0].address)?;
+    let opening = turn(fleet, SHORT_BYTES, index);
+    let opened = fleet.send_on(&mut channel, 0, &opening)?;
+    if !opened.is_complete {
+        return Err("the short turn was not answered".into());
+    }
+    let long = Call {
+        previous: Some(opening.id),
+        ..turn(fleet, bytes, index)
+    };
+    let response = fleet.send_on(&mut channel, 0, &long);
+    let is_answered = response.is_ok_and(|response| response.is_complete);
+    Ok(!is_answered && fleet.run_count(&long.id) > 0)
 }
 
 fn turn(fleet: &Fleet, bytes: usize, index: usize) -> Call {
--- a/review/kit/worker.rs
+++ b/review/kit/worker.rs
@@ -59,7 +59,11 @@
         return stream.write_all(head.as_bytes());
     }
     let (_, target) = request.target();
-    say(&format!("run {request_id} {target} bytes={}", request.body.len()));
+    say(&format!(
+        "run {request_id} {target} bytes={} hash={:016x}",
+        request.body.len(),
+        hash(&request.body)
+    ));
     let common = format!("{common}Response-Seal: {SEAL}\r\n");
     if !target.contains("/turn/") {
         std::thread::sleep(gap);
@@ -85,6 +89,13 @@
     Ok(())
 }
 
+/// Hash of a body, to compare what a worker ran with what it was to run (FNV-1a).
+pub fn hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
+
 fn event_count(request: &Message, event_tokens: u64) -> u64 {
     let usage = request.header("token-usage").and_then(|usage| usage.split_once(','));
     let most = usage.and_then(|(_, most)| most.trim().parse::<u64>().ok());
