--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -51,6 +51,7 @@
 
 pub struct Gateway {
     pub name: String,
+    zone: String,
     pub address: SocketAddr,
     pub ready_address: SocketAddr,
     process: Process,
@@ -291,6 +292,7 @@
         let process = spawn_gateway(&path, log)?;
         self.gateways.push(Gateway {
             name: name.to_owned(),
+            zone: zone.to_owned(),
             address: format!("127.0.0.1:{}", ports[0]).parse()?,
             ready_address: format!("127.0.0.1:{}", ports[1]).parse()?,
             process,
@@ -304,12 +306,21 @@
         self.gateways[index].process.0.id()
     }
 
-    fn wait_ready(&self, limit: Duration) -> Result<()> {
+    /// Waits until all gateways are ready. One that has ended, as another process took one of its ports,
+    /// is started again with other ports.
+    fn wait_ready(&mut self, limit: Duration) -> Result<()> {
         let deadline = Instant::now() + limit;
         while !self.gateways.iter().all(Gateway::is_ready) {
             if Instant::now() > deadline {
                 return Err("the gateways are not ready".into());
             }
+            for index in 0..self.gateways.len() {
+                if self.gateways[index].process.0.try_wait()?.is_some() {
+                    let ended = self.gateways.remove(index);
+                    self.add_gateway(&ended.name, &ended.zone)?;
+                    self.gateways[index..].rotate_right(1);
+                }
+            }
             std::thread::sleep(Duration::from_millis(100));
         }
         Ok(())
