--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use crate::http::{Channel, Message};
@@ -40,12 +40,33 @@
 }
 
 /// A process that is killed when this is dropped.
-struct Process(Child);
+struct Process(Mutex<Child>);
+
+impl Process {
+    fn new(child: Child) -> Self {
+        Process(Mutex::new(child))
+    }
+
+    fn child(&self) -> MutexGuard<'_, Child> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends SIGKILL, and waits for the end of the process.
+    fn kill(&self) {
+        let mut child = self.child();
+        // A process that has ended already is not an error.
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    fn has_ended(&self) -> bool {
+        matches!(self.child().try_wait(), Ok(Some(_)))
+    }
+}
 
 impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        self.kill();
     }
 }
 
@@ -200,7 +221,7 @@
             .stdout(Stdio::piped())
             .spawn()?;
         let mut lines = BufReader::new(child.stdout.take().ok_or("no output")?).lines();
-        let process = Process(child);
+        let process = Process::new(child);
         let first = lines.next().ok_or("worker did not start")??;
         let address = first.strip_prefix("listening ").ok_or("unexpected line")?.parse()?;
         let (record, runs, name) = (self.record.clone(), self.runs.clone(), id.clone());
@@ -248,11 +269,18 @@
         self.platform.put("servers", &worker.id, &entry);
     }
 
-    /// Sends a signal to the process of a worker, such as `KILL`. Its entry stays.
-    pub fn signal_worker(&self, id: &str, signal: &str) -> Result<()> {
+    /// Kills the process of a worker with SIGKILL. Its entry stays.
+    pub fn kill_worker(&self, id: &str) -> Result<()> {
         let worker = self.workers.iter().find(|worker| worker.id == id).ok_or("no such worker")?;
-        self.record.line(&format!("SIG{signal} to worker {id}"));
-        send_signal(&worker.process.0, signal)
+        worker.process.kill();
+        self.record.line(&format!("SIGKILL to worker {id}"));
+        Ok(())
+    }
+
+    /// Kills the process of a gateway with SIGKILL.
+    pub fn kill_gateway(&self, index: usize) {
+        self.gateways[index].process.kill();
+        self.record.line(&format!("SIGKILL to gateway {}", self.gateways[index].name));
     }
 
     /// Starts a gateway with the command and the settings template of the deploy file.
@@ -303,7 +331,7 @@
 
     /// Returns the id of a gateway's process.
     pub fn gateway_pid(&self, index: usize) -> u32 {
-        self.gateways[index].process.0.id()
+        self.gateways[index].process.child().id()
     }
 
     /// Waits until all gateways are ready. One that has ended, as another process took one of its ports,
@@ -315,7 +343,7 @@
                 return Err("the gateways are not ready".into());
             }
             for index in 0..self.gateways.len() {
-                if self.gateways[index].process.0.try_wait()?.is_some() {
+                if self.gateways[index].process.has_ended() {
                     let ended = self.gateways.remove(index);
                     self.add_gateway(&ended.name, &ended.zone)?;
                     self.gateways[index..].rotate_right(1);
@@ -536,7 +564,7 @@
         .stdout(log.try_clone()?)
         .stderr(log)
         .spawn()?;
-    Ok(Process(child))
+    Ok(Process::new(child))
 }
 
 /// Returns the resident memory of a process; 0 if it has ended.
@@ -547,18 +575,6 @@
     kilobytes.unwrap_or(0_u64) * 1_024
 }
 
-/// Kills a process that the test started, by its id.
-pub fn kill(pid: u32) {
-    // A process that has ended already is not an error.
-    let _ = Command::new("kill").args(["-s", "KILL", &pid.to_string()]).status();
-}
-
-fn send_signal(child: &Child, signal: &str) -> Result<()> {
-    let pid = child.id().to_string();
-    let status = Command::new("kill").args(["-s", signal, &pid]).status()?;
-    status.success().then_some(()).ok_or_else(|| "the signal was not sent".into())
-}
-
 fn free_ports(count: usize) -> Result<Vec<u16>> {
     let listeners: std::result::Result<Vec<_>, _> =
         (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
--- a/review/kit/turn_quarantined.rs
+++ b/review/kit/turn_quarantined.rs
@@ -21,6 +21,8 @@
 const PROGRAMS: usize = 12;
 /// A turn that reached no worker in so many tries breaks the rule.
 const TRIES_MAX: usize = 5;
+/// Time until a turn that has failed is sent again: within the 100 to 400 ms that clients wait.
+const RESEND_MS: u64 = 390;
 /// Time in which each program is to be finished.
 const FINISH_MS: u64 = 12_000;
 
@@ -83,7 +85,7 @@
             body: format!("events=8 Grower {group} {index} asks about palm {}.\n", index * 17).into(),
             deadline_ms: 4_000,
             finish_ms: FINISH_MS,
-            resend_ms: 350,
+            resend_ms: RESEND_MS,
             ..Call::default()
         };
         fleet.send_turn(&nodes(index), &call)
@@ -112,7 +114,7 @@
         body: INPUT.into(),
         deadline_ms: 4_000,
         finish_ms,
-        resend_ms: 350,
+        resend_ms: RESEND_MS,
         ..Call::default()
     }
 }
@@ -170,7 +172,7 @@
         }
         std::thread::sleep(Duration::from_millis(100));
         for worker in &workers {
-            fleet.signal_worker(worker, "KILL")?;
+            fleet.kill_worker(worker)?;
         }
         Ok((workers, fleet.record.seconds()))
     })
--- a/review/kit/turn_too_long.rs
+++ b/review/kit/turn_too_long.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::fleet::{Call, Fleet, MECHE, kill, resident_bytes};
+use crate::fleet::{Call, Fleet, MECHE, resident_bytes};
 use crate::http::Channel;
 
 /// Below `MaxBodyBytes`, which is 4,194,304; above what one call of the store holds.
@@ -64,7 +64,7 @@
             peak = peak.max(resident_bytes(pid));
             if peak > MEMORY_BYTES && !was_killed.swap(true, Ordering::Relaxed) {
                 fleet.record.line("the gateway exceeds its memory: the platform kills it");
-                kill(pid);
+                fleet.kill_gateway(0);
             }
             std::thread::sleep(Duration::from_millis(5));
         }
