--- a/review/kit/budget_stranded.rs
+++ b/review/kit/budget_stranded.rs
@@ -1,5 +1,5 @@
-//! The first turn of a program comes in through one zone, the others through another zone. A later turn,
-//! which the budget still holds, is refused however often it is sent. See `claim.txt` of the case.
+//! The first two turns of a program come in through one zone, the others through another zone. A later
+//! turn, which the budget still holds, is refused however often it is sent. See `claim.txt` of the case.
 
 use std::path::Path;
 
@@ -8,7 +8,6 @@
 
 const BUDGET: u64 = 1_080;
 const TURN_MAX: u64 = 135;
-const TURNS: u64 = BUDGET / TURN_MAX;
 /// A turn that reached no worker in so many tries breaks the rule.
 const TRIES_MAX: usize = 5;
 /// Time in which the program is to be finished.
@@ -17,35 +16,35 @@
 const FIRST_TURNS: usize = 10;
 
 pub fn run(record: &Path, has_trouble: bool) -> Verdict {
-    let zones = ["port-louis", "pamplemousses", "pamplemousses"];
+    let zones = ["port-louis", "port-louis", "pamplemousses", "pamplemousses"];
     let fleet = Fleet::start(record, &MECHE, &zones, 3, 1)?;
-    let (port_louis, pamplemousses) = ([0], [1, 2]);
+    let (port_louis, pamplemousses) = ([[0, 1], [1, 0]], [2, 3]);
     let began = fleet.record.seconds();
-    let first_zone: &[usize] = if has_trouble { &port_louis } else { &pamplemousses };
-    let opening = fleet.send_turn(first_zone, &turn(None));
-    let mut tokens = opening.tokens;
-    let mut previous = opening.answered.ok_or("the first turn was not answered")?;
+    let mut tokens = 0;
+    let mut previous = None;
+    // Two short turns, each through another gateway of the first zone.
+    for gateways in &port_louis {
+        let gateways = if has_trouble { gateways } else { &pamplemousses };
+        let sent = fleet.send_turn(gateways, &turn(previous, "events=10"));
+        tokens += sent.tokens;
+        previous = Some(sent.answered.ok_or("a first turn was not answered")?);
+    }
     let mut lost = Turn::default();
-    for _ in 1..TURNS {
-        // The budget holds one more turn at its most, whatever was generated.
-        if tokens + TURN_MAX > BUDGET {
-            return Err("the turns generated more than their most".into());
-        }
-        let sent = fleet.send_turn(&pamplemousses, &turn(Some(&previous)));
+    // As long as the budget holds one more turn at its most.
+    while tokens + TURN_MAX <= BUDGET {
+        let sent = fleet.send_turn(&pamplemousses, &turn(previous.clone(), "go on"));
         tokens += sent.tokens;
-        match sent.answered {
-            Some(id) => previous = id,
-            None => {
-                lost = sent;
-                break;
-            }
+        if sent.answered.is_none() {
+            lost = sent;
+            break;
         }
+        previous = sent.answered;
     }
     let took_ms = ((fleet.record.seconds() - began) * 1e3) as u64;
     let opened = (0..FIRST_TURNS).filter(|index| {
         let call = Call {
             program: format!("other{index}"),
-            ..turn(None)
+            ..turn(None, "go on")
         };
         fleet.send_turn(&pamplemousses, &call).answered.is_some()
     });
@@ -65,14 +64,14 @@
     Ok(!is_broken)
 }
 
-fn turn(previous: Option<&str>) -> Call {
+fn turn(previous: Option<String>, input: &str) -> Call {
     Call {
         path: "/turn/kept/4b".into(),
         program: "3fa81c".into(),
         budget: BUDGET,
         most: TURN_MAX,
-        previous: previous.map(str::to_owned),
-        body: b"go on\n".to_vec(),
+        previous,
+        body: format!("{input}\n").into(),
         deadline_ms: 5_000,
         finish_ms: FINISH_MS,
         resend_ms: 250,
