--- a/review/kit/budget_forgotten.rs
+++ b/review/kit/budget_forgotten.rs
@@ -30,7 +30,10 @@
     let (stopped, moving) = std::thread::scope(|scope| {
         let stopped = scope.spawn(|| play_stopped(&fleet, began, away));
         let moving = scope.spawn(|| play_moving(&fleet, began, away));
-        (stopped.join().unwrap_or_default(), moving.join().unwrap_or_default())
+        (
+            stopped.join().unwrap_or_default(),
+            moving.join().unwrap_or_default(),
+        )
     });
     fleet.record.line(&format!(
         "tokens handed to the client, where {TOKENS_MAX} are allowed: {stopped} to the program that was \
--- a/review/kit/budget_stranded.rs
+++ b/review/kit/budget_stranded.rs
@@ -24,7 +24,11 @@
     let mut previous = None;
     // Two short turns, each through another gateway of the first zone.
     for gateways in &port_louis {
-        let gateways = if has_trouble { gateways } else { &pamplemousses };
+        let gateways = if has_trouble {
+            gateways
+        } else {
+            &pamplemousses
+        };
         let sent = fleet.send_turn(gateways, &turn(previous, "events=10"));
         tokens += sent.tokens;
         previous = Some(sent.answered.ok_or("a first turn was not answered")?);
@@ -49,7 +53,11 @@
         fleet.send_turn(&pamplemousses, &call).answered.is_some()
     });
     let opened = opened.count();
-    let reached = lost.tries.iter().filter(|(id, _)| fleet.run_count(id) > 0).count();
+    let reached = lost
+        .tries
+        .iter()
+        .filter(|(id, _)| fleet.run_count(id) > 0)
+        .count();
     fleet.record.line(&format!(
         "tokens handed to the client: {tokens} of {BUDGET}; the lost turn has {} tries, of which {reached} \
          reached a worker; the last try ended {took_ms} ms after the program began, which has {FINISH_MS} \
--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -212,7 +212,10 @@
 
     /// Starts a worker, which registers as ready; `gap_ms` is its pause before each event or answer.
     pub fn add_worker(&mut self, service: &str, zone: &str, gap_ms: u64) -> Result<()> {
-        let id = format!("i-{:08x}", 0x7f3a_91c2_u32.wrapping_add(self.workers.len() as u32 * 77_777));
+        let id = format!(
+            "i-{:08x}",
+            0x7f3a_91c2_u32.wrapping_add(self.workers.len() as u32 * 77_777)
+        );
         let program = std::env::current_exe()?;
         let mut child = Command::new(program)
             .args(["worker", &id, &gap_ms.to_string()])
@@ -223,7 +226,10 @@
         let mut lines = BufReader::new(child.stdout.take().ok_or("no output")?).lines();
         let process = Process::new(child);
         let first = lines.next().ok_or("worker did not start")??;
-        let address = first.strip_prefix("listening ").ok_or("unexpected line")?.parse()?;
+        let address = first
+            .strip_prefix("listening ")
+            .ok_or("unexpected line")?
+            .parse()?;
         let (record, runs, name) = (self.record.clone(), self.runs.clone(), id.clone());
         std::thread::spawn(move || {
             for line in lines.map_while(std::result::Result::ok) {
@@ -234,7 +240,9 @@
                         request: words.next().unwrap_or_default(),
                         hash: words.last().unwrap_or_default().replace("hash=", ""),
                     };
-                    runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
+                    runs.lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .push(run);
                 }
                 record.line(&format!("worker {name}: {line}"));
             }
@@ -255,7 +263,11 @@
     pub fn register(&self, index: usize, state: &str) {
         let worker = &self.workers[index];
         let is_engine = worker.service == self.deployment.engine_service;
-        let slots = if is_engine { self.deployment.engine_slots } else { 6 };
+        let slots = if is_engine {
+            self.deployment.engine_slots
+        } else {
+            6
+        };
         let entry = format!(
             "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"v1\",\
              \"Slots\":{slots},\"State\":\"{state}\",\"ColdLeftMs\":0,\"Stage\":\"both\",\
@@ -271,7 +283,11 @@
 
     /// Kills the process of a worker with SIGKILL. Its entry stays.
     pub fn kill_worker(&self, id: &str) -> Result<()> {
-        let worker = self.workers.iter().find(|worker| worker.id == id).ok_or("no such worker")?;
+        let worker = self
+            .workers
+            .iter()
+            .find(|worker| worker.id == id)
+            .ok_or("no such worker")?;
         worker.process.kill();
         self.record.line(&format!("SIGKILL to worker {id}"));
         Ok(())
@@ -280,21 +296,29 @@
     /// Kills the process of a gateway with SIGKILL.
     pub fn kill_gateway(&self, index: usize) {
         self.gateways[index].process.kill();
-        self.record.line(&format!("SIGKILL to gateway {}", self.gateways[index].name));
+        self.record
+            .line(&format!("SIGKILL to gateway {}", self.gateways[index].name));
     }
 
     /// Starts a gateway with the command and the settings template of the deploy file.
     pub fn add_gateway(&mut self, name: &str, zone: &str) -> Result<()> {
         let ports = free_ports(3)?;
         let zones = self.deployment.zones;
-        let region = zones.iter().find(|(other, _)| *other == zone).ok_or("unknown zone")?.1;
+        let region = zones
+            .iter()
+            .find(|(other, _)| *other == zone)
+            .ok_or("unknown zone")?
+            .1;
         let mut zone_lines = String::new();
         for (zone, region) in zones {
             zone_lines.push_str(&format!("{zone} = {region}\n"));
         }
         let template = std::fs::read_to_string("deploy/gateway.ini")?;
         let (begin, end) = ("{{#Zones}}", "{{/Zones}}");
-        let section = template.find(begin).zip(template.find(end)).ok_or("no section of zones")?;
+        let section = template
+            .find(begin)
+            .zip(template.find(end))
+            .ok_or("no section of zones")?;
         let settings = format!(
             "{}{zone_lines}{}",
             &template[..section.0],
@@ -369,7 +393,10 @@
 
     /// Returns what workers began to run so far, in order.
     pub fn all_runs(&self) -> Vec<Run> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Returns the worker that runs, or ran, a request.
@@ -380,7 +407,12 @@
     }
 
     /// Sends one request on a channel to a gateway, and records both.
-    pub fn send_on(&self, channel: &mut Channel, gateway: usize, call: &Call) -> std::io::Result<Message> {
+    pub fn send_on(
+        &self,
+        channel: &mut Channel,
+        gateway: usize,
+        call: &Call,
+    ) -> std::io::Result<Message> {
         let name = &self.gateways[gateway].name;
         self.record.line(&format!(
             "client: {} {} to {name}, {} bytes, previous {}",
@@ -400,7 +432,9 @@
                 event_count(&response.body),
                 refusal_text(response)
             )),
-            Err(error) => self.record.line(&format!("client: {} gets no answer: {error}", call.id)),
+            Err(error) => self
+                .record
+                .line(&format!("client: {} gets no answer: {error}", call.id)),
         }
         result
     }
@@ -421,7 +455,8 @@
                 .filter(|line| text.iter().any(|text| line.contains(text)))
                 .collect();
             for line in lines.iter().rev().take(most).rev() {
-                self.record.line(&format!("log of {}: {line}", gateway.name));
+                self.record
+                    .line(&format!("log of {}: {line}", gateway.name));
             }
         }
     }
@@ -508,7 +543,10 @@
         for send in 0..TURN_SENDS {
             for retry in 0..2 {
                 let index = gateways[(send + retry) % gateways.len()];
-                let call = Call { id: self.new_id(), ..call.clone() };
+                let call = Call {
+                    id: self.new_id(),
+                    ..call.clone()
+                };
                 let response = self.send(index, &call);
                 let status = response.as_ref().map_or(0, Message::status);
                 turn.tries.push((call.id.clone(), status));
@@ -576,9 +614,12 @@
 }
 
 fn free_ports(count: usize) -> Result<Vec<u16>> {
-    let listeners: std::result::Result<Vec<_>, _> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
+    let listeners: std::result::Result<Vec<_>, _> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0"))
+        .collect();
     let ports = listeners?;
-    let ports = ports.iter().map(|listener| Ok(listener.local_addr()?.port()));
+    let ports = ports
+        .iter()
+        .map(|listener| Ok(listener.local_addr()?.port()));
     ports.collect()
 }
--- a/review/kit/http.rs
+++ b/review/kit/http.rs
@@ -113,7 +113,9 @@
     /// Reads the body into `message`; what arrived stays there if the channel ends early.
     fn read_body(&mut self, message: &mut Message, until_close: bool) -> Result<()> {
         let is_chunked = message.header("transfer-encoding").is_some();
-        let length = message.header("content-length").and_then(|text| text.parse().ok());
+        let length = message
+            .header("content-length")
+            .and_then(|text| text.parse().ok());
         if is_chunked {
             loop {
                 let size = usize::from_str_radix(self.line()?.trim(), 16)
--- a/review/kit/platform.rs
+++ b/review/kit/platform.rs
@@ -125,7 +125,10 @@
             return refused("more than 1 MB");
         }
         let value = |entry: &Json| entry.text("Value").unwrap_or("").to_owned();
-        if writes.iter().any(|entry| value(entry).len() > VALUE_MAX_BYTES) {
+        if writes
+            .iter()
+            .any(|entry| value(entry).len() > VALUE_MAX_BYTES)
+        {
             return refused("value longer than RowBytes");
         }
         let mut state = self.lock();
--- a/review/kit/program_id_ignored.rs
+++ b/review/kit/program_id_ignored.rs
@@ -39,7 +39,10 @@
         let response = fleet.send(0, &call)?;
         text.extend_from_slice(&input);
         let expected = format!("{:016x}", hash(&text));
-        let run = fleet.all_runs().into_iter().find(|run| run.request == call.id);
+        let run = fleet
+            .all_runs()
+            .into_iter()
+            .find(|run| run.request == call.id);
         if run.is_some_and(|run| run.hash != expected) {
             wrong += 1;
         }
--- a/review/kit/turn_quarantined.rs
+++ b/review/kit/turn_quarantined.rs
@@ -52,11 +52,17 @@
     fleet.record.wait_until(crashed_at + DOWN_S);
     if has_trouble {
         for index in 0..CRASHED {
-            fleet.add_worker(PINDAN.engine_service, PINDAN.zones[index].0, PINDAN.engine_gap_ms)?;
+            fleet.add_worker(
+                PINDAN.engine_service,
+                PINDAN.zones[index].0,
+                PINDAN.engine_gap_ms,
+            )?;
         }
     }
     fleet.record.wait_until(crashed_at + DOWN_S + CALM_S);
-    fleet.record.line("calm: programs begin, whose later turns are judged");
+    fleet
+        .record
+        .line("calm: programs begin, whose later turns are judged");
     let late = first_turns(&fleet, "late");
     let reached = late.iter().filter(|turn| turn.answered.is_some()).count();
     let turns = later_turns(&fleet, &late);
@@ -66,7 +72,10 @@
          {TRIES_MAX} tries or more: {lost} of {}",
         turns.len()
     ));
-    fleet.record_logs(&["endpoint investigated", "request suspected", "quarantined"], 8);
+    fleet.record_logs(
+        &["endpoint investigated", "request suspected", "quarantined"],
+        8,
+    );
     Ok(reached * 10 < PROGRAMS * 9 || lost == 0)
 }
 
@@ -82,7 +91,11 @@
             program: format!("{group}{index}"),
             budget: 1_080,
             most: 136,
-            body: format!("events=8 Grower {group} {index} asks about palm {}.\n", index * 17).into(),
+            body: format!(
+                "events=8 Grower {group} {index} asks about palm {}.\n",
+                index * 17
+            )
+            .into(),
             deadline_ms: 4_000,
             finish_ms: FINISH_MS,
             resend_ms: RESEND_MS,
@@ -128,7 +141,9 @@
                 scope.spawn(move || turn(index))
             })
             .collect();
-        let results = threads.into_iter().map(|thread| thread.join().unwrap_or_default());
+        let results = threads
+            .into_iter()
+            .map(|thread| thread.join().unwrap_or_default());
         results.collect()
     })
 }
@@ -159,7 +174,10 @@
         let mut workers: Vec<String> = Vec::new();
         for _ in 0..100 {
             let runs = fleet.all_runs();
-            workers = runs[runs_before..].iter().map(|run| run.worker.clone()).collect();
+            workers = runs[runs_before..]
+                .iter()
+                .map(|run| run.worker.clone())
+                .collect();
             if workers.len() >= CRASHED {
                 break;
             }
--- a/review/kit/turn_too_long.rs
+++ b/review/kit/turn_too_long.rs
@@ -63,7 +63,9 @@
         while ended.load(Ordering::Relaxed) < CLIENTS {
             peak = peak.max(resident_bytes(pid));
             if peak > MEMORY_BYTES && !was_killed.swap(true, Ordering::Relaxed) {
-                fleet.record.line("the gateway exceeds its memory: the platform kills it");
+                fleet
+                    .record
+                    .line("the gateway exceeds its memory: the platform kills it");
                 fleet.kill_gateway(0);
             }
             std::thread::sleep(Duration::from_millis(5));
--- a/review/kit/worker.rs
+++ b/review/kit/worker.rs
@@ -12,12 +12,7 @@
 
 const SEAL: &str = "3e1b.07.5a2.600.0.c9f2a4d1";
 
-pub fn run(
-    address: SocketAddr,
-    id: &str,
-    gap: Duration,
-    event_tokens: u64,
-) -> std::io::Result<()> {
+pub fn run(address: SocketAddr, id: &str, gap: Duration, event_tokens: u64) -> std::io::Result<()> {
     let listener = TcpListener::bind(address)?;
     say(&format!("listening {}", listener.local_addr()?));
     for stream in listener.incoming() {
@@ -51,7 +46,10 @@
     let request_id = request.header("request-id").unwrap_or("");
     let stream = &mut channel.stream;
     let common = format!("Request-Id: {request_id}\r\nKeep-Alive: timeout=5\r\n");
-    if request.header("expect-instance").is_some_and(|expected| expected != id) {
+    if request
+        .header("expect-instance")
+        .is_some_and(|expected| expected != id)
+    {
         let head = format!(
             "HTTP/1.1 421 Misdirected Request\r\n{common}Instance-Id: {id}\r\n\
              Content-Length: 0\r\n\r\n"
@@ -68,7 +66,10 @@
     if !target.contains("/turn/") {
         std::thread::sleep(gap);
         let body = format!("done {request_id}");
-        let head = format!("HTTP/1.1 200 OK\r\n{common}Content-Length: {}\r\n\r\n", body.len());
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{common}Content-Length: {}\r\n\r\n",
+            body.len()
+        );
         stream.write_all(format!("{head}{body}").as_bytes())?;
         say(&format!("end {request_id} events=0"));
         return Ok(());
@@ -97,7 +98,9 @@
 }
 
 fn event_count(request: &Message, event_tokens: u64) -> u64 {
-    let usage = request.header("token-usage").and_then(|usage| usage.split_once(','));
+    let usage = request
+        .header("token-usage")
+        .and_then(|usage| usage.split_once(','));
     let most = usage.and_then(|(_, most)| most.trim().parse::<u64>().ok());
     let most = most.unwrap_or(event_tokens) / event_tokens;
     // The new input is the last line of the prompt.
