--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -37,7 +37,8 @@
         ["program-id-ignored", record] => program_id_ignored::run(Path::new(record), has_trouble),
         ["turn-quarantined", record] => turn_quarantined::run(Path::new(record), has_trouble),
         ["budget-stranded", record] => budget_stranded::run(Path::new(record), has_trouble),
-        ["turn-too-long", record] => turn_too_long::run(Path::new(record), has_trouble),
+        ["turn-too-long", record] => turn_too_long::run_in_series(Path::new(record), has_trouble),
+        ["turns-at-once", record] => turn_too_long::run_at_once(Path::new(record), has_trouble),
         _ => Err("usage: drill NAME RECORD".into()),
     };
     match verdict {
--- a/review/kit/turn_too_long.rs
+++ b/review/kit/turn_too_long.rs
@@ -1,4 +1,5 @@
-//! Turns with a long new input, within `MaxBodyBytes`. See `claim.txt` of the case.
+//! Turns with a long new input, within `MaxBodyBytes`: sent in series by [`run_in_series`], by several
+//! clients at once by [`run_at_once`]. See `claim.txt` of the two cases.
 
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -23,24 +24,42 @@
 /// More requests than this that were passed on and not answered break the rule.
 const LOST_MAX: usize = 3;
 
-pub fn run(record: &Path, has_trouble: bool) -> Verdict {
-    let fleet = Fleet::start(record, &MECHE, &["port-louis", "pamplemousses"], 3, 1)?;
-    let bytes = |long| if has_trouble { long } else { SHORT_BYTES };
-    let mut in_series = 0;
+pub fn run_in_series(record: &Path, has_trouble: bool) -> Verdict {
+    let fleet = start(record)?;
+    let bytes = if has_trouble { LONG_BYTES } else { SHORT_BYTES };
+    let mut lost = 0;
     for index in 0..TURNS {
-        in_series += usize::from(is_lost(&fleet, index, bytes(LONG_BYTES))?);
+        lost += usize::from(is_lost(&fleet, index, bytes)?);
     }
-    let (at_once, peak, was_killed) = send_at_once(&fleet, bytes(LONGEST_BYTES));
     fleet.record.line(&format!(
-        "turns that a worker ran and whose channel was closed without the end of an answer: {in_series} of \
-         {TURNS} sent in series, {at_once} of {CLIENTS} sent at once"
+        "turns that a worker ran and whose channel was closed without the end of an answer: {lost} of \
+         {TURNS}"
+    ));
+    fleet.record_logs(&["turn not committed", "store lost"], 6);
+    Ok(lost <= LOST_MAX)
+}
+
+pub fn run_at_once(record: &Path, has_trouble: bool) -> Verdict {
+    let fleet = start(record)?;
+    let bytes = if has_trouble {
+        LONGEST_BYTES
+    } else {
+        SHORT_BYTES
+    };
+    let (lost, peak, was_killed) = send_at_once(&fleet, bytes);
+    fleet.record.line(&format!(
+        "turns that a worker ran and whose channel was closed without the end of an answer: {lost} of \
+         {CLIENTS}"
     ));
     fleet.record.line(&format!(
         "memory of the gateway at its peak: {peak} bytes of {MEMORY_BYTES}; killed by the platform: \
          {was_killed}"
     ));
-    fleet.record_logs(&["turn not committed", "store lost"], 6);
-    Ok(in_series <= LOST_MAX && at_once <= LOST_MAX)
+    Ok(lost <= LOST_MAX)
+}
+
+fn start(record: &Path) -> crate::fleet::Result<Fleet> {
+    Fleet::start(record, &MECHE, &["port-louis", "pamplemousses"], 3, 1)
 }
 
 /// Sends turns of several clients at once, while the platform watches the memory of the gateway. Returns
