--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,7 @@
 use units::{Clock, Host, Incarnation, Span, Time, Zone};
 use wire::{Frame, Identity, Key, Link, PackedRow, Relay, Relayed, Stream};
 
+use crate::programs::Programs;
 use crate::replica::{self, REPORT_INTERVAL, Replica};
 use crate::rows::Rows;
 
@@ -44,6 +45,8 @@
 const REPORT_TIMEOUT: Span = Span(REPORT_INTERVAL.0 + 400_000);
 /// Longest pause between two pieces of a row.
 const PIECE_TIMEOUT: Span = Span::from_ms(1_000);
+/// Longest time for a peer to settle a grant: a connection between regions and a write of the store.
+const SETTLE_TIMEOUT: Span = Span::from_ms(600);
 /// How long connections stay open after the last request.
 const LINK_IDLE_TIMEOUT: Span = Span::from_ms(4_000);
 
@@ -155,6 +158,12 @@
         wait: Span,
         reply: Sender<Result<Relayed>>,
     },
+    /// Has a peer settle its grant of a program's budget.
+    Settle {
+        peer: Peer,
+        program: CompactString,
+        done: Sender<()>,
+    },
     /// Follows the copy of the environment that a peer has.
     Follow {
         peer: Peer,
@@ -212,6 +221,41 @@
             .unwrap_or_else(|_| Err(no_peer_reachable()))
     }
 
+    /// Has the listed gateways among `holders` settle their grants of a program's budget. Returns when
+    /// all of them have answered or failed, at most after `limit`.
+    pub(crate) async fn settle(
+        &self,
+        program: &CompactString,
+        holders: &[Incarnation],
+        limit: Span,
+    ) {
+        let listed: Vec<Peer> = {
+            let roster = self.roster();
+            let peers = roster.peers();
+            let peers = peers.filter(|peer| holders.contains(&peer.incarnation));
+            peers.cloned().collect()
+        };
+        let (done, done_rx) = async_channel::bounded::<()>(1);
+        for peer in listed {
+            let request = Request::Settle {
+                peer,
+                program: program.clone(),
+                done: done.clone(),
+            };
+            // A full queue counts as a failure of the peer.
+            drop(self.requests_tx.try_send(request));
+        }
+        drop(done);
+        let all = async {
+            // Nothing is sent: the channel closes when the last request has ended.
+            let _ = done_rx.recv().await;
+        };
+        let expire = async {
+            smol::Timer::after(limit.into()).await;
+        };
+        all.or(expire).await;
+    }
+
     /// Follows a peer's copy of the environment until the receiver is dropped; an error is the last
     /// update. `version` is the version of the row that this host has.
     pub(crate) fn follow(
@@ -246,6 +290,7 @@
     pub(crate) key: Key,
     pub(crate) rows: Arc<Rows>,
     pub(crate) replica: Arc<Replica>,
+    pub(crate) programs: Arc<Programs>,
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
 }
@@ -297,7 +342,13 @@
         let _ = ctx.replica.serve(stream, version).await;
         return;
     }
-    let relayed = ctx.rows.serve_peer(relay).await;
+    let relayed = match relay {
+        Relay::Settle { program } => {
+            ctx.programs.settle(&program).await;
+            Relayed::Settled
+        }
+        relay => ctx.rows.serve_peer(relay).await,
+    };
     // A peer that has disconnected repeats its request.
     let _ = stream.send(&Frame::Relayed(relayed)).await;
     let _ = stream.finish();
@@ -343,6 +394,14 @@
                 // The requesting task may have been cancelled.
                 drop(reply.try_send(result));
             }
+            Request::Settle {
+                peer,
+                program,
+                done,
+            } => {
+                self.settle(&peer, program).await;
+                drop(done);
+            }
             Request::Follow {
                 peer,
                 version,
@@ -357,6 +416,15 @@
         }
     }
 
+    async fn settle(&self, peer: &Peer, program: CompactString) {
+        let relay = Relay::Settle { program };
+        if let Err(error) = within(SETTLE_TIMEOUT, self.call(peer, &relay)).await {
+            info!(self.ctx.log, "grant not settled by peer"; "peer" => %peer.host,
+                "address" => %peer.address, "error" => %error);
+            self.links.borrow_mut().remove(&peer.host);
+        }
+    }
+
     /// Passes on the reports of a peer on a connection of their own, until an error or until nobody
     /// receives them.
     async fn follow(
--- a/crates/gateway/src/programs.rs
+++ b/crates/gateway/src/programs.rs
@@ -4,8 +4,11 @@
 //! a cancelled request does not cancel work that others need. A write whose response was lost is
 //! sent again unchanged until its outcome is known; all other work of the program waits for it.
 //!
-//! The spare tokens of a program are those of this host's grant that are neither used nor reserved. An
-//! idle host releases them and settles its grant, as other hosts see only what the account row states.
+//! The spare tokens of a program are those of this host's grant that are neither used nor reserved.
+//! Other hosts see only what the account row states, so a host that needs the spare tokens of others
+//! has them settle their grants. An idle host settles its grant without being asked only if much of
+//! the budget would be lost with it, or if few tokens are left for other hosts: a program moves
+//! between hosts, and a write for each pause of each host would exceed what the store takes.
 //!
 //! A host keeps a program, with what it has handed out of it, until the account row is gone.
 
@@ -22,6 +25,7 @@
 use units::{Clock, Incarnation, Span, Time, Tokens};
 
 use crate::control::retry_pause;
+use crate::peers::Peers;
 use crate::reply::Refusal;
 use crate::rows::Rows;
 
@@ -31,14 +35,17 @@
 /// Time in which a running host that reaches the store settles its grant; the rest of a grant that
 /// stays unchanged for longer is lost.
 const SETTLE_TIME_MAX: Span = Span::from_ms(1_500);
-/// Time between checks whether the writes of a stopping process have ended.
-const STOP_POLL: Duration = Duration::from_millis(10);
+/// Longest time that a turn waits until the hosts that hold the tokens it needs have settled.
+const SETTLE_WAIT_MAX: Span = Span::from_ms(700);
+/// Time between checks whether the writes of programs have ended.
+const TASK_POLL: Duration = Duration::from_millis(10);
 
 type ReservationResult = std::result::Result<Reservation, Refusal>;
 
 /// All programs that this host serves.
 pub(crate) struct Programs {
     rows: Arc<Rows>,
+    peers: Peers,
     incarnation: Incarnation,
     clock: Clock,
     log: Logger,
@@ -50,6 +57,7 @@
     id: CompactString,
     key: AccountKey,
     rows: Arc<Rows>,
+    peers: Peers,
     clock: Clock,
     log: Logger,
     state: Mutex<State>,
@@ -59,6 +67,8 @@
     ledger: Ledger,
     /// Whether the account was read after the newest waiting request was queued.
     is_account_current: bool,
+    /// Whether the other hosts were asked to settle after the newest waiting request was queued.
+    has_asked_holders: bool,
     waiting: VecDeque<Waiting>,
     last_endpoint: Option<CompactString>,
     publish_endpoint: bool,
@@ -105,6 +115,8 @@
 enum Step {
     Idle,
     Read,
+    /// Has these hosts settle their grants.
+    Ask(Vec<Incarnation>),
     Write(Box<PendingWrite>),
     Drop,
 }
@@ -135,12 +147,14 @@
 impl Programs {
     pub(crate) fn new(
         rows: Arc<Rows>,
+        peers: Peers,
         incarnation: Incarnation,
         clock: Clock,
         log: Logger,
     ) -> Self {
         Programs {
             rows,
+            peers,
             incarnation,
             clock,
             log,
@@ -157,6 +171,7 @@
                 id: id.clone(),
                 key: AccountKey::new(id),
                 rows: self.rows.clone(),
+                peers: self.peers.clone(),
                 clock: self.clock,
                 log: self.log.clone(),
                 state: Mutex::new(State::new(self.incarnation, now)),
@@ -169,6 +184,27 @@
         program.clone()
     }
 
+    /// Settles this host's grant of a program's budget; waits for the write, at most for
+    /// [`SETTLE_WAIT_MAX`].
+    pub(crate) async fn settle(&self, id: &CompactString) {
+        let program = {
+            let programs = self.programs.lock().unwrap_or_else(PoisonError::into_inner);
+            programs.get(id).cloned()
+        };
+        let Some(program) = program else {
+            return;
+        };
+        {
+            let mut state = program.lock();
+            state.release_spare |= !state.ledger.is_settled();
+            if !state.release_spare {
+                return;
+            }
+        }
+        program.clone().ensure_task();
+        self.wait_for_tasks(&[program], SETTLE_WAIT_MAX).await;
+    }
+
     /// Releases the spare tokens of idle programs, and removes expired programs with their accounts.
     pub(crate) fn release_and_expire(&self) {
         let now = self.clock.now();
@@ -182,12 +218,15 @@
             let is_available = !self.rows.is_unavailable(&program.key.partition);
             let is_idle = state.lifetime.idle(now) >= IDLE_BEFORE_RELEASE;
             let has_row = state.ledger.version() > 0;
-            if is_idle && !state.ledger.is_settled() {
+            let is_over = state.lifetime.is_over(now);
+            let should_settle =
+                state.ledger.should_settle_idle() || is_over && !state.ledger.is_settled();
+            if is_idle && !state.ledger.is_running() && should_settle {
                 state.release_spare = is_available;
             } else if has_row && state.lifetime.needs_rewrite() {
                 state.top_up = is_available && !is_idle;
                 state.release_spare = is_available && is_idle;
-            } else if state.ledger.is_running() || !state.lifetime.is_over(now) {
+            } else if state.ledger.is_running() || !is_over {
                 return true;
             } else if has_row {
                 state.drop_account = is_available;
@@ -216,11 +255,18 @@
         });
         let holding: Vec<Arc<Program>> = holding.collect();
         holding.iter().cloned().for_each(Program::ensure_task);
+        self.wait_for_tasks(&holding, limit).await;
+    }
+
+    /// Waits until no task of these programs is running, at most for `limit`.
+    async fn wait_for_tasks(&self, programs: &[Arc<Program>], limit: Span) {
         let deadline = self.clock.now().after(limit);
         while self.clock.now() < deadline
-            && holding.iter().any(|program| program.lock().is_task_running)
+            && programs
+                .iter()
+                .any(|program| program.lock().is_task_running)
         {
-            smol::Timer::after(STOP_POLL).await;
+            smol::Timer::after(TASK_POLL).await;
         }
     }
 
@@ -265,6 +311,7 @@
                 reply,
             });
             state.is_account_current = false;
+            state.has_asked_holders = false;
             receiver
         };
         self.clone().ensure_task();
@@ -305,6 +352,7 @@
             match self.next_step() {
                 Step::Idle => return,
                 Step::Read => self.read().await,
+                Step::Ask(holders) => self.ask_holders(&holders).await,
                 Step::Write(pending) => self.write(*pending).await,
                 Step::Drop => self.drop_account().await,
             }
@@ -326,6 +374,11 @@
                     return Step::Read;
                 }
                 Admission::Spent => Some(Refusal::BudgetSpent),
+                Admission::Held if !state.has_asked_holders => {
+                    state.has_asked_holders = true;
+                    state.is_account_current = false;
+                    return Step::Ask(state.ledger.unsettled_hosts().collect());
+                }
                 Admission::Held => Some(state.refuse_held(self.clock.now())),
             };
             if let Some(refusal) = &refusal {
@@ -368,6 +421,15 @@
         }
     }
 
+    async fn ask_holders(&self, holders: &[Incarnation]) {
+        let started = self.clock.now();
+        let settle = self.peers.settle(&self.id, holders, SETTLE_WAIT_MAX);
+        settle.await;
+        info!(self.log, "grants of other hosts requested"; "program" => %self.id,
+            "hosts" => holders.len(),
+            "took_ms" => self.clock.now().since(started).as_ms());
+    }
+
     async fn write(&self, pending: PendingWrite) {
         let result = self
             .rows
@@ -447,6 +509,7 @@
         State {
             ledger: Ledger::new(incarnation),
             is_account_current: false,
+            has_asked_holders: false,
             waiting: VecDeque::new(),
             last_endpoint: None,
             publish_endpoint: false,
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -8,6 +8,7 @@
 use smol::future::FutureExt;
 use store::api::Transaction;
 use store::{Error, Feed, Outcome, Page, Partition, Progress, Result, Table, key_after};
+use telemetry::Metrics;
 use turns::VersionAges;
 use units::{Clock, Incarnation, Span, Time};
 use wire::{Relay, Relayed};
@@ -41,6 +42,7 @@
     available: Event,
     /// Versions of the store that responses have reported, with the time of each.
     ages: Mutex<VersionAges>,
+    metrics: Metrics,
     clock: Clock,
 }
 
@@ -98,7 +100,13 @@
 }
 
 impl Rows {
-    pub(crate) fn new(table: Arc<dyn Table>, peers: Peers, clock: Clock, log: &Logger) -> Self {
+    pub(crate) fn new(
+        table: Arc<dyn Table>,
+        peers: Peers,
+        clock: Clock,
+        metrics: Metrics,
+        log: &Logger,
+    ) -> Self {
         let now = clock.now();
         Rows {
             table,
@@ -107,10 +115,52 @@
             relayed: Path::new("peers", now, log),
             available: Event::new(),
             ages: Mutex::default(),
+            metrics,
             clock,
         }
     }
 
+    /// Calls the store directly, and counts the call by table and outcome.
+    async fn write_table(&self, partition: &Partition, tx: &Transaction) -> Result<Outcome> {
+        self.count(&partition.table, "writes");
+        let result = self.table.write(partition, tx).await;
+        match &result {
+            Ok(Outcome::Committed(_)) => {}
+            Ok(Outcome::Conflict(_)) => self.count(&partition.table, "conflicts"),
+            Err(_) => self.count(&partition.table, "failures"),
+        }
+        result
+    }
+
+    /// Like [`Rows::write_table`], for a read.
+    async fn read_table(
+        &self,
+        partition: &Partition,
+        (from, to): (&str, &str),
+        limit: usize,
+        progress: &Progress,
+    ) -> Result<Page> {
+        self.count(&partition.table, "reads");
+        let read = self.table.read(partition, from, to, limit, progress);
+        read.await
+    }
+
+    /// Like [`Rows::write_table`], for a call that waits for changes.
+    async fn feed_table(
+        &self,
+        table: &str,
+        version: u64,
+        wait: Span,
+        progress: &Progress,
+    ) -> Result<Feed> {
+        self.count(table, "feeds");
+        self.table.feed(table, version, wait, progress).await
+    }
+
+    fn count(&self, table: &str, call: &str) {
+        self.metrics.count(&format!("store-{table}-{call}"));
+    }
+
     /// Whether a gateway with this incarnation is listed.
     pub(crate) fn is_listed(&self, incarnation: Incarnation) -> bool {
         self.peers.roster().contains(incarnation)
@@ -162,7 +212,7 @@
 
     pub(crate) async fn write(&self, partition: &Partition, tx: &Transaction) -> Result<Outcome> {
         let progress = self.progress();
-        let direct = (self.table.write(partition, tx), &progress);
+        let direct = (self.write_table(partition, tx), &progress);
         let relay = || Relay::Write {
             partition: partition.clone(),
             transaction: tx.clone(),
@@ -195,9 +245,7 @@
         to: &str,
     ) -> Result<Page> {
         let progress = self.progress();
-        let read = self
-            .table
-            .read(partition, from, to, PAGE_ROWS_MAX, &progress);
+        let read = self.read_table(partition, (from, to), PAGE_ROWS_MAX, &progress);
         let direct = (read, &progress);
         let relay = || Relay::Read {
             partition: partition.clone(),
@@ -271,9 +319,7 @@
         // A call that does not wait for changes is enough for the test.
         let feed_wait = if is_unavailable { Span(0) } else { wait };
         let timeout = Span(feed_wait.0 + response_timeout.0);
-        let feed = self
-            .table
-            .feed(&partition.table, version, feed_wait, progress);
+        let feed = self.feed_table(&partition.table, version, feed_wait, progress);
         let result = self
             .with_timeout(partition, (feed, progress), timeout, is_unavailable)
             .await;
@@ -293,9 +339,7 @@
         loop {
             let from = pages.rows.last().map(|row| key_after(&row.key));
             let from = from.unwrap_or_default();
-            let read = self
-                .table
-                .read(partition, &from, "", PAGE_ROWS_MAX, progress);
+            let read = self.read_table(partition, (&from, ""), PAGE_ROWS_MAX, progress);
             let page = self.call_direct(partition, (read, progress)).await?;
             self.record_version(page.version);
             if pages.rows.is_empty() {
@@ -335,7 +379,7 @@
                 transaction,
             } => {
                 let progress = self.progress();
-                let call = self.table.write(&partition, &transaction);
+                let call = self.write_table(&partition, &transaction);
                 self.call_direct(&partition, (call, &progress))
                     .await
                     .map(Relayed::Written)
@@ -348,7 +392,7 @@
             } => {
                 let limit = (limit as usize).min(PAGE_ROWS_MAX);
                 let progress = self.progress();
-                let call = self.table.read(&partition, &from, &to, limit, &progress);
+                let call = self.read_table(&partition, (&from, &to), limit, &progress);
                 let page = self.call_direct(&partition, (call, &progress)).await;
                 page.map(Relayed::Page)
             }
@@ -357,8 +401,8 @@
                 version,
                 wait,
             } => self.serve_feed(&table, version, wait.min(FEED_WAIT)).await,
-            // Copies of the environment are sent by `Replica::serve`.
-            Relay::Environment { .. } => Err(unavailable()),
+            // Served by other parts of the gateway.
+            Relay::Environment { .. } | Relay::Settle { .. } => Err(unavailable()),
         };
         result.unwrap_or_else(|error| {
             if error.is_uncertain() {
@@ -380,7 +424,7 @@
         }
         let timeout = Span(wait.0 + self.direct.availability().response_timeout(&partition).0);
         let progress = self.progress();
-        let call = self.table.feed(table, version, wait, &progress);
+        let call = self.feed_table(table, version, wait, &progress);
         let call = (call, &progress);
         let feed = self.with_timeout(&partition, call, timeout, false).await?;
         Ok(Relayed::Feed(feed))
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -212,6 +212,7 @@
         key: Key::new(*settings.key.bytes()),
         rows: shared.rows.clone(),
         replica: shared.replica.clone(),
+        programs: shared.programs.clone(),
         clock: shared.clock,
         log: shared.log.clone(),
     };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -48,7 +48,7 @@
     pub(crate) rows: Arc<Rows>,
     pub(crate) peers: Peers,
     pub(crate) replica: Arc<Replica>,
-    pub(crate) programs: Programs,
+    pub(crate) programs: Arc<Programs>,
     pub(crate) histories: Histories,
     pub(crate) crashes: Crashes,
     pub(crate) streams: Arc<Streams>,
@@ -75,10 +75,22 @@
         let clock = Clock::new();
         let peers = Peers::new();
         let table = adapter.table.clone();
-        let rows = Arc::new(Rows::new(table, peers.clone(), clock, &log));
+        let rows = Arc::new(Rows::new(
+            table,
+            peers.clone(),
+            clock,
+            metrics.clone(),
+            &log,
+        ));
         Shared {
             histories: Histories::new(rows.clone(), clock, log.clone()),
-            programs: Programs::new(rows.clone(), incarnation, clock, log.clone()),
+            programs: Arc::new(Programs::new(
+                rows.clone(),
+                peers.clone(),
+                incarnation,
+                clock,
+                log.clone(),
+            )),
             crashes: Crashes::default(),
             streams: Arc::new(Streams::new(rows.clone(), clock, log.clone())),
             buffers: Buffers::default(),
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -3,8 +3,8 @@
 //! Where the budget allows, a host obtains a larger grant than the next turn needs (an advance), so
 //! that later turns start without waiting for the store, and even while the store is unavailable.
 //!
-//! No host reads what another one has left of its grant: only the row shows it. So a host that is idle
-//! settles its grant: it releases what it has not handed out, and the row states the exact use. Until
+//! No host reads what another one has left of its grant: only the row shows it. A host settles its
+//! grant on request: it releases what it has not handed out, and the row states the exact use. Until
 //! then a turn that does not fit may fit later, and the budget is not spent.
 //!
 //! The grant of a host that dies before it has settled is not returned, although its callers may have
@@ -26,6 +26,10 @@
 /// the maximum of one turn. Three hosts that die still leave a quarter of the tokens.
 const AMPLE_DIVISOR: u64 = 4;
 
+/// Share of the budget, as a divisor, from which an idle host returns its spare tokens without being
+/// asked: they would be lost with the host.
+const IDLE_SPARE_DIVISOR: u64 = 4;
+
 /// Result of the admission of a turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -113,6 +117,17 @@
         self.available() == Tokens(0) && self.account.reserve(self.holder) == self.reserved
     }
 
+    /// Whether an idle host is to settle its grant without being asked: its spare tokens are a large
+    /// share of the budget, or exceed what is left for the other hosts. Smaller grants are settled on
+    /// request, as each settlement is a write, and the host's next turn may need another one.
+    pub fn should_settle_idle(&self) -> bool {
+        let spare = self.available();
+        let others = self.account.granted_to_others(self.holder);
+        let ungranted = self.budget.minus(others.plus(self.granted));
+        let is_large = spare.0 >= self.budget.0 / IDLE_SPARE_DIVISOR;
+        spare > Tokens(0) && (is_large || spare > ungranted)
+    }
+
     /// Returns the tokens of this host's grant that are neither used nor reserved.
     pub fn available(&self) -> Tokens {
         self.granted.minus(self.taken())
--- a/crates/turns/tests/ledger.rs
+++ b/crates/turns/tests/ledger.rs
@@ -268,6 +268,39 @@
     assert_eq!(ledger.admit(Tokens(901), BUDGET), Admission::Spent);
 }
 
+/// An idle host with a grant, and whether it settles without being asked.
+macro_rules! idle_cases {
+    ($($name:ident: $granted:literal granted, $used:literal used, $others:literal to others => $settles:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut ledger = ledger_with_grant($granted);
+                assert_eq!(ledger.admit(Tokens($used), BUDGET), Admission::Admitted);
+                ledger.settle(Tokens($used), Tokens($used));
+                let mut account = granted_to_another($others, 0);
+                let own = Grant {
+                    holder: Incarnation(1),
+                    granted: Tokens($granted),
+                    taken: Tokens(0),
+                };
+                account = account.with_grant(own, Tokens(0));
+                ledger.refresh(account, 2);
+                assert_eq!(ledger.should_settle_idle(), $settles);
+            }
+        )*
+    };
+}
+
+idle_cases! {
+    // Much of the budget would be lost with the host.
+    a_large_spare_grant_is_returned_by_an_idle_host: 400 granted, 60 used, 0 to others => true;
+    // Other hosts would have to wait until this one has settled.
+    a_spare_grant_that_exceeds_the_ungranted_tokens_is_returned: 200 granted, 60 used, 700 to others => true;
+    // The write, and another one for the next turn, would cost more than the grant is worth.
+    a_small_spare_grant_stays_with_an_idle_host: 200 granted, 60 used, 200 to others => false;
+    nothing_is_returned_of_a_grant_that_is_used_up: 400 granted, 400 used, 600 to others => false;
+}
+
 #[test]
 fn a_grant_that_is_being_returned_is_not_used() {
     let mut ledger = ledger_with_grant(400);
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -42,6 +42,13 @@
         /// The version of the row that the sender has; 0 for none.
         version: u64,
     },
+    /// Settles the peer's grant of a program's budget: the account row then states what the peer has
+    /// handed out and reserved, and no more is granted to it. Peers of earlier releases cannot decode
+    /// this call and close the stream.
+    Settle {
+        /// Identifier of the program.
+        program: CompactString,
+    },
 }
 
 /// A peer's copy of the row with the environment.
@@ -84,4 +91,6 @@
     Uncertain,
     /// The copy of the environment.
     Replica(Replica),
+    /// The grant is settled, or the peer has none.
+    Settled,
 }
--- a/tests/all/gateway/budgets.rs
+++ b/tests/all/gateway/budgets.rs
@@ -111,6 +111,30 @@
     tokens_that_idle_hosts_do_not_use_are_not_held: 2_u16 idle, budget 240;
     // A turn was answered 402 `budget-spent` although the budget held it.
     tokens_that_an_idle_host_had_reserved_are_not_spent: 1_u16 idle, budget 114;
+    tokens_that_more_idle_hosts_do_not_use_are_not_held: 4_u16 idle, budget 240;
+    tokens_of_idle_hosts_are_not_held_in_a_budget_of_six_turns: 3_u16 idle, budget 180;
+    tokens_of_idle_hosts_are_not_held_in_a_budget_of_five_turns: 2_u16 idle, budget 150;
+}
+
+// Each pause of a program made each host that served it write its account, and the next turn there
+// wait for another write: the store refused calls, and with them turns.
+#[test]
+fn a_program_that_moves_between_hosts_does_not_write_in_each_pause() {
+    const ROUNDS: u64 = 5;
+    const PAUSE: Duration = Duration::from_millis(1_400);
+    let cluster = Cluster::start(2, 1);
+    for round in 0..ROUNDS {
+        for host in 0..2 {
+            let name = format!("r{round}-{host}");
+            let answer = send_until_final(&cluster, host, &name, 2_000);
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        std::thread::sleep(PAUSE);
+    }
+    let writes = |host| cluster.metric(host, "store_accounts_writes_total");
+    let total = writes(0).unwrap() + writes(1).unwrap();
+    // Each host obtains a grant, and may have to return one that is large.
+    assert!(total < ROUNDS * 2, "{total} writes");
 }
 
 // The tokens that a host had not handed out were lost with it, however long it had been idle.
--- a/tests/all/gateway/cluster.rs
+++ b/tests/all/gateway/cluster.rs
@@ -248,11 +248,17 @@
 
     /// Returns the version of the environment in force at a gateway.
     pub fn environment_version(&self, index: u16) -> Option<u64> {
+        self.metric(index, "environment_version")
+    }
+
+    /// Returns the value of a gateway's metric; `None` if nothing was recorded yet.
+    pub fn metric(&self, index: u16, name: &str) -> Option<u64> {
         let text = self.status(index, "/metrics")?.text();
         let mut lines = text.lines();
         lines.find_map(|line| {
-            let version = line.strip_prefix("balsamhold_gateway_environment_version ")?;
-            version.parse().ok()
+            let rest = line.strip_prefix("balsamhold_gateway_")?;
+            let value = rest.strip_prefix(name)?.strip_prefix(' ')?;
+            value.parse().ok()
         })
     }
 
