--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use clients::{Account, Standing};
 use compact_str::CompactString;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
@@ -11,10 +12,11 @@
 use policy::Suspect;
 use slog::info;
 use smol::future::FutureExt;
-use units::{Fingerprint, Span, Time};
+use units::{Clock, Fingerprint, Span, Time};
 
 use crate::call::Call;
-use crate::exchange::Exchange;
+use crate::environment::{Environment, Repeat};
+use crate::exchange::{Exchange, scoped_id};
 use crate::prompt::unit_hash;
 use crate::reply::{Body, Refusal, close_connection, refusal_response};
 use crate::sniff::HeadState;
@@ -51,17 +53,19 @@
             let timeout = call.timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
             let id = call.id.clone();
             let program = call.program.clone();
+            let account = account_name(&shared, &call);
             let result = accept(shared.clone(), head, call, body, &head_state, started).await;
             result.unwrap_or_else(|refusal| {
                 let elapsed = shared.clock.now().since(started);
                 let remaining = Span(timeout.0.saturating_sub(elapsed.0));
                 let delay = refusal.retry_delay(remaining, &mut rand::rng());
-                log_refusal(&shared, &id, program.as_ref(), &refusal, delay, started);
+                let names = (program.as_ref(), account.as_ref());
+                log_refusal(&shared, &id, names, &refusal, delay, started);
                 refusal_response(&*shared.adapter.dialect, &id, &refusal, delay)
             })
         }
         Err((id, refusal)) => {
-            log_refusal(&shared, &id, None, &refusal, None, started);
+            log_refusal(&shared, &id, (None, None), &refusal, None, started);
             let mut response = refusal_response(&*shared.adapter.dialect, &id, &refusal, None);
             close_connection(&mut response);
             response
@@ -77,7 +81,7 @@
 fn log_refusal(
     shared: &Shared,
     id: &CompactString,
-    program: Option<&CompactString>,
+    (program, account): (Option<&CompactString>, Option<&CompactString>),
     refusal: &Refusal,
     delay: Option<Span>,
     started: Time,
@@ -85,6 +89,7 @@
     shared.metrics.count_request(refusal.code());
     info!(shared.log, "request refused"; "request" => %id,
         "program" => program.map_or("", CompactString::as_str),
+        "account" => account.map_or("", CompactString::as_str),
         "code" => refusal.code(), "status" => refusal.status().as_u16(), "ran" => refusal.ran(),
         "retry_ms" => delay.map_or(0, Span::as_ms),
         "environment" => shared.environment().map_or(0, |environment| environment.version),
@@ -95,7 +100,7 @@
 async fn accept(
     shared: Arc<Shared>,
     head: Parts,
-    call: Call,
+    mut call: Call,
     body: Incoming,
     head_state: &HeadState,
     started: Time,
@@ -108,12 +113,26 @@
     let route = route.ok_or_else(|| unknown_route(&shared))?.clone();
     let timeout = call.timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let requested_deadline = started.after(timeout.min(route.timeout));
+    let account = identify(&shared, &environment, route.is_public, &call)?.cloned();
     let deadline = shared.limit_deadline(requested_deadline)?;
     let limit = environment.limits.max_body.0 as usize;
     let body = read_body(&shared, body, limit, deadline).await?;
     head_state.expect_next_head();
     // The gateway may have begun to stop while the body arrived.
     let deadline = shared.limit_deadline(requested_deadline)?;
+    call.program = call.program.map(|id| scoped_id(account.as_ref(), &id));
+    let previous = call.previous_turn;
+    call.previous_turn = previous.map(|id| scoped_id(account.as_ref(), &id));
+    if let Some(account) = &account {
+        let standing = if route.repeat == Repeat::Stream && call.is_first_turn() {
+            Standing::New
+        } else {
+            Standing::UnderWay
+        };
+        let caps = &shared.caps;
+        caps.admit(account, environment.version, standing, deadline)
+            .await?;
+    }
     let split_key = call.program.as_ref().unwrap_or(&call.id);
     let service = route
         .select_service(unit_hash(split_key))
@@ -126,6 +145,7 @@
         is_trial: false,
         reservation: None,
         call,
+        account,
         head,
         started,
         deadline,
@@ -135,6 +155,34 @@
     exchange.run(body).await
 }
 
+/// Returns the name of the account that holds the key of a request.
+fn account_name(shared: &Shared, call: &Call) -> Option<CompactString> {
+    let environment = shared.environment()?;
+    let account = environment.accounts.by_key(call.key.as_ref()?)?;
+    Some(account.name.clone())
+}
+
+/// Returns the client account that sent a request; `None` if it needs none.
+///
+/// # Errors
+/// If the request has no key of an account. A host that has lost touch may not have a new key yet.
+fn identify<'a>(
+    shared: &Shared,
+    environment: &'a Environment,
+    is_public: bool,
+    call: &Call,
+) -> Result<Option<&'a Account>, Refusal> {
+    if is_public || environment.accounts.is_empty() {
+        return Ok(None);
+    }
+    let key = call.key.as_ref();
+    match key.and_then(|key| environment.accounts.by_key(key)) {
+        Some(account) => Ok(Some(account)),
+        None if shared.replica.age() > ENVIRONMENT_AGE_MAX => Err(Refusal::StaleEnvironment),
+        None => Err(Refusal::UnknownKey),
+    }
+}
+
 /// Returns the refusal of a request without a route: whether a route is unknown is a statement on the
 /// newest environment, which a host that has lost touch may not have.
 fn unknown_route(shared: &Shared) -> Refusal {
@@ -192,6 +240,11 @@
     }
 }
 
+/// Waits until `deadline`.
+pub(crate) async fn wait_until(clock: Clock, deadline: Time) {
+    smol::Timer::after(deadline.since(clock.now()).into()).await;
+}
+
 /// Waits until `deadline`, or until the last answers of a stopping gateway are due, then fails with
 /// `refusal`.
 pub(crate) async fn expire<T>(
@@ -199,9 +252,7 @@
     deadline: Time,
     refusal: Refusal,
 ) -> Result<T, Refusal> {
-    let expire = async {
-        smol::Timer::after(deadline.since(shared.clock.now()).into()).await;
-    };
+    let expire = wait_until(shared.clock, deadline);
     expire.or(shared.answers_end()).await;
     Err(refusal)
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -237,8 +237,10 @@
         let directives = Directives {
             endpoint: &choice.id,
             remaining: self.deadline.since(self.shared.clock.now()),
-            urgency: is_model.then(|| queue_urgency(&self.route, &self.call)),
+            urgency: is_model
+                .then(|| queue_urgency(&self.route, self.account.as_ref(), &self.call)),
             pin: None,
+            sender: self.sender(),
         };
         let mut request = Request::new(Full::new(body.clone()));
         *request.method_mut() = self.head.method.clone();
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use compact_str::CompactString;
-use units::{Rate, Span, Tokens};
+use units::{Digest, Rate, Span, Tokens};
 
 /// Part of a prompt that other prompts may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +45,27 @@
     pub resumed_attempt: Option<CompactString>,
     /// Object that the request refers to, for routes with object affinity.
     pub object: Option<CompactString>,
+    /// Digest of the key that the caller sent.
+    pub key: Option<Digest>,
+}
+
+impl Call {
+    /// Whether the request may be the first turn of a program: it continues no turn, and its prompt has
+    /// no parts beside the shared one and its own.
+    pub fn is_first_turn(&self) -> bool {
+        self.previous_turn.is_none() && self.prompt_parts.len() <= 2
+    }
+}
+
+/// What an endpoint is told of the sender of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender<'a> {
+    /// The environment has no client accounts; the caller's headers stay.
+    Unknown,
+    /// The request needs no key.
+    Anonymous,
+    /// The name of the client account.
+    Account(&'a str),
 }
 
 /// Why the head of a request is rejected.
@@ -85,6 +106,8 @@
     pub urgency: Option<u8>,
     /// How long the endpoint should keep the prompt in memory after the answer.
     pub pin: Option<Span>,
+    /// The sender; the caller's key is never sent.
+    pub sender: Sender<'a>,
 }
 
 /// The limit that an endpoint's response names for the rate of requests from all hosts together.
--- a/crates/gateway/src/environment.rs
+++ b/crates/gateway/src/environment.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use clients::Accounts;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use units::{Bytes, Span, Tokens};
@@ -57,6 +58,8 @@
     pub sticky: bool,
     /// Whether another endpoint may continue a stream.
     pub resumable: bool,
+    /// Whether requests need no key of a client account.
+    pub is_public: bool,
 }
 
 /// Capacity of a model engine.
@@ -105,6 +108,8 @@
     pub services: HashMap<CompactString, Service>,
     /// Limits for requests and connections of callers.
     pub limits: Limits,
+    /// Client accounts; if there are none, requests need no key.
+    pub accounts: Accounts,
 }
 
 impl Environment {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use compact_str::{CompactString, ToCompactString};
+use clients::Account;
+use compact_str::{CompactString, ToCompactString, format_compact};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
@@ -15,7 +16,7 @@
 use crate::accept::expire;
 use crate::attempt::{AttemptOutcome, EndpointResponse, Placement};
 use crate::availability::{store_call_deadline, store_wait_deadline};
-use crate::call::Call;
+use crate::call::{Call, Sender};
 use crate::crashes::{self, LossKind};
 use crate::environment::{Environment, Repeat, Route};
 use crate::losses;
@@ -42,6 +43,8 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) environment: Arc<Environment>,
     pub(crate) call: Call,
+    /// The client account that sent the request.
+    pub(crate) account: Option<Account>,
     /// Identifies the request over all attempts of its caller.
     pub(crate) suspect: Suspect,
     /// Whether the request is in quarantine, and sent once to learn whether it still has to be.
@@ -153,6 +156,20 @@
         }
     }
 
+    /// Returns what the endpoint is told of the sender.
+    pub(crate) fn sender(&self) -> Sender<'_> {
+        match &self.account {
+            Some(account) => Sender::Account(&account.name),
+            None if self.environment.accounts.is_empty() => Sender::Unknown,
+            None => Sender::Anonymous,
+        }
+    }
+
+    /// Returns the identifier of the request's turn among the turns of all accounts.
+    pub(crate) fn turn_id(&self) -> CompactString {
+        scoped_id(self.account.as_ref(), &self.call.id)
+    }
+
     pub(crate) fn program(&self) -> &str {
         self.call.program.as_deref().unwrap_or("")
     }
@@ -409,6 +426,15 @@
     }
 }
 
+/// Returns an identifier that a caller chose, made unique among all accounts: the turns and programs of
+/// another account do not exist for a caller.
+pub(crate) fn scoped_id(account: Option<&Account>, id: &CompactString) -> CompactString {
+    match account {
+        Some(account) => format_compact!("{}/{id}", account.name),
+        None => id.clone(),
+    }
+}
+
 fn loss_kind(refusal: &Refusal) -> LossKind {
     match refusal {
         Refusal::EndpointTimedOut => LossKind::TimedOut,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod availability;
 mod buffers;
 mod call;
+mod caps;
 mod control;
 mod crashes;
 mod dialect;
@@ -52,7 +53,7 @@
     Availability, AvailabilityChange, store_call_deadline, store_wait_deadline,
 };
 pub use buffers::{Buffer, Buffers};
-pub use call::{Call, Directives, Malformed, NamedLimit, PromptPart, ResponseMeta};
+pub use call::{Call, Directives, Malformed, NamedLimit, PromptPart, ResponseMeta, Sender};
 pub use dialect::{Adapter, Dialect, Directory};
 pub use endpoints::{Endpoint, EndpointChange, Endpoints};
 pub use environment::{Engine, Environment, Limits, Repeat, Route, Service, Share};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,7 @@
 //! it cannot; it never forwards the call to another peer. Connections are opened when they are needed
 //! and closed soon after, so that there are none while the store is available.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,7 +13,7 @@
 
 use async_channel::{Receiver, Sender};
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use slog::{Logger, info, warn};
 use smol::LocalExecutor;
 use smol::future::FutureExt;
@@ -22,7 +23,9 @@
 use units::{Clock, Host, Incarnation, Span, Time, Zone};
 use wire::{Frame, Identity, Key, Link, PackedRow, Relay, Relayed, Stream};
 
+use crate::caps::Caps;
 use crate::programs::Programs;
+use crate::prompt::stable_hash;
 use crate::replica::{self, REPORT_INTERVAL, Replica};
 use crate::rows::Rows;
 
@@ -45,13 +48,14 @@
 const REPORT_TIMEOUT: Span = Span(REPORT_INTERVAL.0 + 400_000);
 /// Longest pause between two pieces of a row.
 const PIECE_TIMEOUT: Span = Span::from_ms(1_000);
-/// Longest time for a peer to settle a grant: a connection between regions and a write of the store.
-const SETTLE_TIMEOUT: Span = Span::from_ms(600);
+/// Longest time for a peer to return a grant or a share: a connection between regions and a write of
+/// the store.
+const RETURN_TIMEOUT: Span = Span::from_ms(600);
 /// How long connections stay open after the last request.
 const LINK_IDLE_TIMEOUT: Span = Span::from_ms(4_000);
 
 /// A gateway, as its row describes it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Peer {
     /// Host that the gateway runs on; the key of its row.
     pub host: Host,
@@ -61,14 +65,25 @@
     pub address: SocketAddr,
     /// Availability zone of the host.
     pub zone: Zone,
+    /// Processor time of the host in thousandths of a core; 0 if unknown. Rows of earlier releases end
+    /// before it, and these ignore it.
+    pub processor: u32,
 }
 
 impl Peer {
     /// Decodes the value of a row.
     fn decode(bytes: &[u8]) -> Option<Self> {
         let config = bincode::config::standard().with_limit::<4_096>();
-        let decoded = bincode::serde::decode_from_slice(bytes, config).ok()?;
-        Some(decoded.0)
+        let ((host, incarnation, address, zone), length) =
+            bincode::serde::decode_from_slice(bytes, config).ok()?;
+        let processor = bincode::serde::decode_from_slice(&bytes[length..], config);
+        Some(Peer {
+            host,
+            incarnation,
+            address,
+            zone,
+            processor: processor.map_or(0, |(processor, _)| processor),
+        })
     }
 
     fn encode(&self) -> Vec<u8> {
@@ -133,6 +148,22 @@
         peers.into_iter().cloned().collect()
     }
 
+    /// Returns the gateways in the order in which they meter a group of client accounts: first those
+    /// without a recent failure, the ones with the most processor time, in an order that differs
+    /// between groups.
+    pub fn meter_order(&self, group: u64, now: Time) -> Vec<Peer> {
+        let is_failed = |peer: &Peer| {
+            let failure = self.failures.get(&peer.host);
+            failure.is_some_and(|failed_at| now.since(*failed_at) < FAILED_PEER_BACKOFF)
+        };
+        let mut peers: Vec<&Peer> = self.peers.values().collect();
+        peers.sort_by_cached_key(|peer| {
+            let tie_break = stable_hash(&format!("{group}/{}", peer.host));
+            (is_failed(peer), Reverse(peer.processor), tie_break)
+        });
+        peers.into_iter().cloned().collect()
+    }
+
     /// Whether a listed gateway has this incarnation.
     pub fn contains(&self, incarnation: Incarnation) -> bool {
         let mut peers = self.peers.values();
@@ -158,10 +189,17 @@
         wait: Span,
         reply: Sender<Result<Relayed>>,
     },
-    /// Has a peer settle its grant of a program's budget.
-    Settle {
+    /// Calls one peer.
+    Call {
         peer: Peer,
-        program: CompactString,
+        relay: Relay,
+        limit: Span,
+        reply: Sender<Relayed>,
+    },
+    /// Has a peer return what it does not need.
+    Return {
+        peer: Peer,
+        relay: Relay,
         done: Sender<()>,
     },
     /// Follows the copy of the environment that a peer has.
@@ -221,14 +259,22 @@
             .unwrap_or_else(|_| Err(no_peer_reachable()))
     }
 
-    /// Has the listed gateways among `holders` settle their grants of a program's budget. Returns when
-    /// all of them have answered or failed, at most after `limit`.
-    pub(crate) async fn settle(
-        &self,
-        program: &CompactString,
-        holders: &[Incarnation],
-        limit: Span,
-    ) {
+    /// Calls one peer; `None` if it does not answer in time.
+    pub(crate) async fn call(&self, peer: Peer, relay: Relay, limit: Span) -> Option<Relayed> {
+        let (reply, reply_rx) = async_channel::bounded(1);
+        let request = Request::Call {
+            peer,
+            relay,
+            limit,
+            reply,
+        };
+        self.requests_tx.try_send(request).ok()?;
+        reply_rx.recv().await.ok()
+    }
+
+    /// Has the listed gateways among `holders` return what they do not need, as `relay` names it.
+    /// Returns when all of them have answered or failed, at most after `limit`.
+    pub(crate) async fn request_return(&self, relay: &Relay, holders: &[Incarnation], limit: Span) {
         let listed: Vec<Peer> = {
             let roster = self.roster();
             let peers = roster.peers();
@@ -237,9 +283,9 @@
         };
         let (done, done_rx) = async_channel::bounded::<()>(1);
         for peer in listed {
-            let request = Request::Settle {
+            let request = Request::Return {
                 peer,
-                program: program.clone(),
+                relay: relay.clone(),
                 done: done.clone(),
             };
             // A full queue counts as a failure of the peer.
@@ -291,6 +337,7 @@
     pub(crate) rows: Arc<Rows>,
     pub(crate) replica: Arc<Replica>,
     pub(crate) programs: Arc<Programs>,
+    pub(crate) caps: Arc<Caps>,
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
 }
@@ -347,6 +394,7 @@
             ctx.programs.settle(&program).await;
             Relayed::Settled
         }
+        Relay::Acquire { host, wants } => Relayed::Acquired(ctx.caps.serve(&host, &wants)),
         relay => ctx.rows.serve_peer(relay).await,
     };
     // A peer that has disconnected repeats its request.
@@ -394,12 +442,19 @@
                 // The requesting task may have been cancelled.
                 drop(reply.try_send(result));
             }
-            Request::Settle {
+            Request::Call {
                 peer,
-                program,
-                done,
-            } => {
-                self.settle(&peer, program).await;
+                relay,
+                limit,
+                reply,
+            } => match within(limit, self.call(&peer, &relay)).await {
+                // The requesting task may have been cancelled.
+                Ok(Frame::Relayed(relayed)) => drop(reply.try_send(relayed)),
+                Ok(_) => {}
+                Err(_) => drop(self.links.borrow_mut().remove(&peer.host)),
+            },
+            Request::Return { peer, relay, done } => {
+                self.request_return(&peer, &relay).await;
                 drop(done);
             }
             Request::Follow {
@@ -416,10 +471,9 @@
         }
     }
 
-    async fn settle(&self, peer: &Peer, program: CompactString) {
-        let relay = Relay::Settle { program };
-        if let Err(error) = within(SETTLE_TIMEOUT, self.call(peer, &relay)).await {
-            info!(self.ctx.log, "grant not settled by peer"; "peer" => %peer.host,
+    async fn request_return(&self, peer: &Peer, relay: &Relay) {
+        if let Err(error) = within(RETURN_TIMEOUT, self.call(peer, relay)).await {
+            info!(self.ctx.log, "nothing returned by peer"; "peer" => %peer.host,
                 "address" => %peer.address, "error" => %error);
             self.links.borrow_mut().remove(&peer.host);
         }
--- a/crates/gateway/src/programs.rs
+++ b/crates/gateway/src/programs.rs
@@ -23,6 +23,7 @@
 use store::{Error, Outcome, key_after};
 use turns::{Account, AccountKey, Admission, Ledger, Lifetime, PlannedWrite};
 use units::{Clock, Incarnation, Span, Time, Tokens};
+use wire::Relay;
 
 use crate::control::retry_pause;
 use crate::peers::Peers;
@@ -423,8 +424,11 @@
 
     async fn ask_holders(&self, holders: &[Incarnation]) {
         let started = self.clock.now();
-        let settle = self.peers.settle(&self.id, holders, SETTLE_WAIT_MAX);
-        settle.await;
+        let relay = Relay::Settle {
+            program: self.id.clone(),
+        };
+        let request = self.peers.request_return(&relay, holders, SETTLE_WAIT_MAX);
+        request.await;
         info!(self.log, "grants of other hosts requested"; "program" => %self.id,
             "hosts" => holders.len(),
             "took_ms" => self.clock.now().since(started).as_ms());
--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -1,15 +1,17 @@
 //! Computes the queue rank of a request and the chunks of its prompt for load balancing.
 
+use clients::Account;
 use policy::Chunk;
 
 use crate::call::Call;
 use crate::environment::Route;
 
-/// Returns the rank of a request in an endpoint's queue: by the rank of its route, and within a
-/// route, requests of running programs before those of new ones.
-pub(crate) fn queue_urgency(route: &Route, call: &Call) -> u8 {
-    let is_new = u8::from(call.previous_turn.is_none() && call.prompt_parts.len() <= 2);
-    (2 * route.rank.min(3) + is_new + 1).min(9)
+/// Returns the rank of a request in an endpoint's queue: by the rank of its client account or else of
+/// its route, and within a rank, requests of running programs before those of new ones.
+pub(crate) fn queue_urgency(route: &Route, account: Option<&Account>, call: &Call) -> u8 {
+    let rank = account.and_then(|account| account.rank);
+    let rank = rank.unwrap_or(route.rank);
+    (2 * rank.min(3) + u8::from(call.is_first_turn()) + 1).min(9)
 }
 
 /// Returns the prompt's parts, each identified together with all parts before it.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -199,9 +199,10 @@
         }
         let events = std::mem::take(&mut self.events);
         if let Some(turn) = &self.turn {
+            let turn_id = self.exchange.turn_id();
             let commit = turn.commit(
                 shared,
-                &self.exchange.call.id,
+                &turn_id,
                 &self.placement.choice.id,
                 events.into_data(),
             );
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -30,6 +30,8 @@
 const STOPPING_DELAY: Span = Span::from_ms(10);
 /// Retry delay if another host holds tokens: it releases them when the program is idle there.
 const BUDGET_HELD_DELAY: Span = Span::from_ms(700);
+/// Shortest retry delay beyond an account's limit: most of its other requests return as well.
+const OVER_LIMIT_DELAY_MIN: Span = Span::from_ms(500);
 /// Shortest retry delay after another attempt of a suspect request.
 const SUSPECT_RESERVED_DELAY_MIN: Span = Span::from_ms(200);
 
@@ -52,6 +54,11 @@
     StaleEnvironment,
     /// The request continues a turn that does not exist.
     UnknownTurn,
+    /// The request has no key of a client account.
+    UnknownKey,
+    /// Did not run: the client account has used up its limit. Holds the time after which a request may
+    /// be admitted.
+    OverLimit(Span),
     /// The budget of the program is spent.
     BudgetSpent,
     /// Did not run: the gateway stops before the request is certain to have an answer.
@@ -94,6 +101,8 @@
             Refusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::NoRoute | Refusal::UnknownTurn => StatusCode::NOT_FOUND,
+            Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+            Refusal::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
             Refusal::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Refusal::EndpointFailed => StatusCode::BAD_GATEWAY,
             Refusal::EndpointTimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -123,6 +132,8 @@
             Refusal::NoRoute => "no-route",
             Refusal::StaleEnvironment => "environment-stale",
             Refusal::UnknownTurn => "no-turn",
+            Refusal::UnknownKey => "unknown-key",
+            Refusal::OverLimit(_) => "over-limit",
             Refusal::BudgetSpent => "budget-spent",
             Refusal::Starting => "starting",
             Refusal::Stopping => "stopping",
@@ -153,6 +164,7 @@
             Refusal::BudgetHeld => BUDGET_HELD_DELAY,
             Refusal::SuspectReserved(delay) => *delay.max(&SUSPECT_RESERVED_DELAY_MIN),
             Refusal::EndpointsLimited(delay) => *delay,
+            Refusal::OverLimit(delay) => *delay.max(&OVER_LIMIT_DELAY_MIN),
             _ => return None,
         };
         // The delay does not exceed what the caller honours. Callers arrive at different times, so
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -402,7 +402,9 @@
                 wait,
             } => self.serve_feed(&table, version, wait.min(FEED_WAIT)).await,
             // Served by other parts of the gateway.
-            Relay::Environment { .. } | Relay::Settle { .. } => Err(unavailable()),
+            Relay::Environment { .. } | Relay::Settle { .. } | Relay::Acquire { .. } => {
+                Err(unavailable())
+            }
         };
         result.unwrap_or_else(|error| {
             if error.is_uncertain() {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -97,6 +97,7 @@
         smol::spawn(follow_peers(shared.clone(), own.clone())),
         smol::spawn(follow_losses(shared.clone())),
         smol::spawn(maintain(shared.clone())),
+        smol::spawn(shared.caps.clone().run()),
         smol::spawn(sweep::run(shared.clone(), own.clone())),
         smol::spawn(follow_settings(
             shared.clone(),
@@ -198,6 +199,7 @@
         incarnation,
         address: settings.peer_address,
         zone: settings.zone.clone(),
+        processor: settings.processor,
     };
     let ctx = Context {
         own: own.clone(),
@@ -213,6 +215,7 @@
         rows: shared.rows.clone(),
         replica: shared.replica.clone(),
         programs: shared.programs.clone(),
+        caps: shared.caps.clone(),
         clock: shared.clock,
         log: shared.log.clone(),
     };
@@ -261,6 +264,7 @@
             shared.sync_endpoint(id);
         }
         shared.programs.release_and_expire();
+        shared.caps.expire();
         shared.histories.drop_expired().await;
         shared
             .metrics
@@ -374,6 +378,7 @@
     let (status, body) = match path {
         "/metrics" => (StatusCode::OK, shared.metrics.render()),
         "/live" => (StatusCode::OK, Vec::new()),
+        "/accounts" => (StatusCode::OK, shared.caps.describe()),
         "/endpoints" => {
             let observations = shared.balancer().describe(shared.clock.now());
             // Plain data always encodes.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use units::{Clock, Incarnation, Span, Time, Zone};
 
 use crate::buffers::Buffers;
+use crate::caps::Caps;
 use crate::crashes::Crashes;
 use crate::dialect::Adapter;
 use crate::endpoints::{Endpoints, Member};
@@ -49,6 +50,7 @@
     pub(crate) peers: Peers,
     pub(crate) replica: Arc<Replica>,
     pub(crate) programs: Arc<Programs>,
+    pub(crate) caps: Arc<Caps>,
     pub(crate) histories: Histories,
     pub(crate) crashes: Crashes,
     pub(crate) streams: Arc<Streams>,
@@ -91,6 +93,12 @@
                 clock,
                 log.clone(),
             )),
+            caps: Arc::new(Caps::new(
+                peers.clone(),
+                settings.host.clone(),
+                clock,
+                log.clone(),
+            )),
             crashes: Crashes::default(),
             streams: Arc::new(Streams::new(rows.clone(), clock, log.clone())),
             buffers: Buffers::default(),
@@ -181,6 +189,7 @@
             "routes" => environment.routes.len(), "bytes" => row.value.0.len());
         self.metrics
             .set_gauge("environment-version", environment.version as i64);
+        self.caps.set_has_limits(environment.accounts.has_limits());
         self.environment.store(Some(Arc::new(environment)));
         self.sync_balancer();
     }
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -9,6 +9,7 @@
         incarnation: Incarnation(number),
         address: "127.0.0.1:80".parse().expect("an address"),
         zone: zone.parse().expect("a zone"),
+        processor: 0,
     }
 }
 
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -13,6 +13,9 @@
 const STOP_DEFAULT_SECONDS: Rate = Rate(8.0);
 const STOP_MAX_SECONDS: Rate = Rate(3_600.0);
 
+/// Maximum of the key `processor-cores`.
+const PROCESSOR_MAX_CORES: Rate = Rate(1_000.0);
+
 /// Settings of a gateway process.
 #[derive(Clone, Debug)]
 pub struct Gateway {
@@ -30,6 +33,8 @@
     pub peer_address: SocketAddr,
     /// Secret key that all gateways of the environment share.
     pub key: Secret,
+    /// Processor time that the host has, in thousandths of a core; 0 if unknown.
+    pub processor: u32,
     /// Time from the stop signal until the process is killed.
     pub stop_within: Span,
     /// Region of each availability zone.
@@ -63,6 +68,12 @@
             STOP_DEFAULT_SECONDS,
             Rate(1.0)..=STOP_MAX_SECONDS,
         )?;
+        let cores = gateway.get_in_range(
+            "processor-cores",
+            "0 to 1000",
+            Rate(0.0),
+            Rate(0.0)..=PROCESSOR_MAX_CORES,
+        )?;
         gateway.check_unknown_keys()?;
         let zones = reader
             .required("zones")?
@@ -77,6 +88,7 @@
             status_address,
             peer_address,
             key: Secret::new(key),
+            processor: (cores.0 * 1e3) as u32,
             stop_within: Span((seconds.0 * 1e6) as u64),
             zones,
             platform,
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -1,5 +1,6 @@
 //! Calls to the store that a peer makes for a process to which the store is unavailable.
 
+use clients::{Granted, Want};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use store::api::Transaction;
@@ -49,6 +50,14 @@
         /// Identifier of the program.
         program: CompactString,
     },
+    /// Obtains credit for requests of client accounts, and attaches the host to the peer's meter. Peers
+    /// of earlier releases cannot decode this call and close the stream.
+    Acquire {
+        /// The host that sends the call.
+        host: Host,
+        /// What it wants; may be empty.
+        wants: Vec<Want>,
+    },
 }
 
 /// A peer's copy of the row with the environment.
@@ -93,4 +102,6 @@
     Replica(Replica),
     /// The grant is settled, or the peer has none.
     Settled,
+    /// The credit granted for each of the wants, in their order.
+    Acquired(Vec<Granted>),
 }
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod http;
 
+mod accounts;
 mod bad_input;
 mod budgets;
 mod crash;
