--- a/tests/all/gateway/cluster.rs
+++ b/tests/all/gateway/cluster.rs
@@ -282,6 +282,23 @@
         kilobytes << 10
     }
 
+    /// Returns the number of open descriptors of a gateway's process.
+    pub fn descriptors(&self, index: u16) -> usize {
+        let child = self.gateways[usize::from(index)].child.as_ref().unwrap();
+        let open = std::fs::read_dir(format!("/proc/{}/fd", child.id()));
+        open.unwrap().count()
+    }
+
+    /// Returns the processor time that a gateway's process has used, in ticks of the kernel.
+    pub fn processor_ticks(&self, index: u16) -> u64 {
+        let child = self.gateways[usize::from(index)].child.as_ref().unwrap();
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap();
+        // The name of the program, in parentheses, may have spaces.
+        let fields = text.rsplit(')').next().unwrap().split(' ');
+        let times = fields.skip(12).take(2);
+        times.map(|ticks| ticks.parse::<u64>().unwrap()).sum()
+    }
+
     /// Kills a gateway with SIGKILL and waits for its end.
     pub fn kill(&mut self, index: u16) {
         self.signal(index, Signal::SIGKILL);
