--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use clients::{Account, Standing};
 use compact_str::CompactString;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
@@ -18,7 +18,7 @@
 use crate::environment::{Environment, Repeat};
 use crate::exchange::{Exchange, scoped_id};
 use crate::prompt::unit_hash;
-use crate::reply::{Body, Refusal, close_connection, refusal_response};
+use crate::reply::{Body, Refusal, close_connection, hold_request, refusal_response};
 use crate::sniff::HeadState;
 use crate::state::Shared;
 
@@ -28,6 +28,10 @@
 const HEADER_EXTRA_BYTES: usize = 4;
 /// Bytes of a body that count as its beginning: fewer than any prompt has that others continue.
 const BEGINNING_BYTES: usize = 256;
+/// Memory of a request that is served, in lengths of its body: the body, and what is written from it.
+const BODY_COPIES: u64 = 2;
+/// The same of a turn that is retained: also its text with that of the turns before it, and its rows.
+const RETAINED_COPIES: u64 = 4;
 /// Age above which an environment may lack routes; an environment that is followed is younger.
 const ENVIRONMENT_AGE_MAX: Span = Span::from_ms(2_000);
 /// Timeout of a caller that does not state one.
@@ -38,6 +42,7 @@
     shared: Arc<Shared>,
     request: Request<Incoming>,
     head_state: Arc<HeadState>,
+    held: intake::Request,
 ) -> Response<Body> {
     let started = shared.clock.now();
     let (head, body) = request.into_parts();
@@ -54,7 +59,16 @@
             let id = call.id.clone();
             let program = call.program.clone();
             let account = account_name(&shared, &call);
-            let result = accept(shared.clone(), head, call, body, &head_state, started).await;
+            let accepting = accept(
+                shared.clone(),
+                head,
+                call,
+                body,
+                &head_state,
+                &held,
+                started,
+            );
+            let result = accepting.await;
             result.unwrap_or_else(|refusal| {
                 let elapsed = shared.clock.now().since(started);
                 let remaining = Span(timeout.0.saturating_sub(elapsed.0));
@@ -75,7 +89,7 @@
     if shared.is_draining() || is_chunked {
         close_connection(&mut response);
     }
-    response
+    hold_request(response, held)
 }
 
 fn log_refusal(
@@ -103,6 +117,7 @@
     mut call: Call,
     body: Incoming,
     head_state: &HeadState,
+    held: &intake::Request,
     started: Time,
 ) -> Result<Response<Body>, Refusal> {
     let environment = shared.environment().ok_or(Refusal::Starting)?;
@@ -118,6 +133,13 @@
     let limit = environment.limits.max_body.0 as usize;
     let body = read_body(&shared, body, limit, deadline).await?;
     head_state.expect_next_head();
+    let copies = if route.retains_turns {
+        RETAINED_COPIES
+    } else {
+        BODY_COPIES
+    };
+    let memory = units::Bytes(body.len() as u64 * copies);
+    held.serve(memory).map_err(|_| Refusal::Overloaded)?;
     // The gateway may have begun to stop while the body arrived.
     let deadline = shared.limit_deadline(requested_deadline)?;
     call.program = call.program.map(|id| scoped_id(account.as_ref(), &id));
@@ -226,20 +248,37 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::TooLarge);
     }
-    let read = async {
-        match Limited::new(body, limit).collect().await {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-            Err(_) => Err(Refusal::BodyIncomplete),
-        }
-    };
-    let read = read.or(expire(shared, deadline, Refusal::BodyIncomplete));
+    let read = collect_body(body, limit).or(expire(shared, deadline, Refusal::BodyIncomplete));
     match read.await {
         Err(Refusal::BodyIncomplete) if shared.has_answered() => Err(Refusal::Stopping),
         read => read,
     }
 }
 
+/// Collects a body in one piece: chunks may be as small as a byte, and each would keep a buffer.
+async fn collect_body(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    let announced = body.size_hint().upper().unwrap_or(limit as u64);
+    let most = usize::try_from(announced).map_or(limit, |bytes| bytes.min(limit));
+    let mut collected: Vec<u8> = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::BodyIncomplete)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if collected.len() + data.len() > limit {
+            return Err(Refusal::TooLarge);
+        }
+        let length = collected.len() + data.len();
+        if length > collected.capacity() {
+            // No more than the body may need: many bodies may stop short of their end.
+            let capacity = (2 * length).min(most.max(length));
+            collected.reserve_exact(capacity - collected.len());
+        }
+        collected.extend_from_slice(data);
+    }
+    Ok(collected.into())
+}
+
 /// Waits until `deadline`.
 pub(crate) async fn wait_until(clock: Clock, deadline: Time) {
     smol::Timer::after(deadline.since(clock.now()).into()).await;
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -1,10 +1,15 @@
 //! Responses that the gateway itself creates.
 
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
 use bytes::Bytes;
 use compact_str::CompactString;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
+use hyper::body::{Frame, SizeHint};
 use hyper::{Response, StatusCode};
+use intake::Request;
 use rand::Rng;
 use units::Span;
 
@@ -30,6 +35,8 @@
 const STOPPING_DELAY: Span = Span::from_ms(10);
 /// Retry delay if another host holds tokens: it releases them when the program is idle there.
 const BUDGET_HELD_DELAY: Span = Span::from_ms(700);
+/// Retry delay while requests of callers take all the memory: about the duration of a turn.
+const OVERLOADED_DELAY: Span = Span::from_ms(500);
 /// Shortest retry delay beyond an account's limit: most of its other requests return as well.
 const OVER_LIMIT_DELAY_MIN: Span = Span::from_ms(500);
 /// Shortest retry delay after another attempt of a suspect request.
@@ -83,6 +90,8 @@
     /// Did not run: earlier attempts of the request crashed the endpoints that ran them, and another
     /// attempt has not ended yet. Holds the time after which to try again.
     SuspectReserved(Span),
+    /// Did not run: requests of callers take all the memory that they may.
+    Overloaded,
     /// Did not run: the deadline has passed.
     DeadlinePassed,
     /// May have run: the connection to the endpoint was lost, or its response was unusable.
@@ -117,6 +126,7 @@
             | Refusal::EndpointsLimited(_)
             | Refusal::Quarantined
             | Refusal::SuspectReserved(_)
+            | Refusal::Overloaded
             | Refusal::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -145,6 +155,7 @@
             Refusal::EndpointsLimited(_) => "endpoints-limited",
             Refusal::Quarantined => "quarantined",
             Refusal::SuspectReserved(_) => "suspect-reserved",
+            Refusal::Overloaded => "overloaded",
             Refusal::DeadlinePassed => "no-time-left",
             Refusal::EndpointFailed => "endpoint-broke-off",
             Refusal::EndpointTimedOut => "endpoint-timed-out",
@@ -164,6 +175,7 @@
             Refusal::BudgetHeld => BUDGET_HELD_DELAY,
             Refusal::SuspectReserved(delay) => *delay.max(&SUSPECT_RESERVED_DELAY_MIN),
             Refusal::EndpointsLimited(delay) => *delay,
+            Refusal::Overloaded => OVERLOADED_DELAY,
             Refusal::OverLimit(delay) => *delay.max(&OVER_LIMIT_DELAY_MIN),
             _ => return None,
         };
@@ -229,6 +241,43 @@
         .insert(hyper::header::CONNECTION, value);
 }
 
+/// A body that keeps the request in the host's ledger until it has been sent or dropped.
+struct Held {
+    body: Body,
+    _request: Request,
+}
+
+impl hyper::body::Body for Held {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Keeps `request` until the body of its answer has been sent or dropped.
+pub(crate) fn hold_request(response: Response<Body>, request: Request) -> Response<Body> {
+    response.map(|body| {
+        let held = Held {
+            body,
+            _request: request,
+        };
+        held.boxed_unsync()
+    })
+}
+
 /// Returns a body of known length.
 pub(crate) fn full_body(bytes: Bytes) -> Body {
     Full::new(bytes)
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -10,12 +10,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
+use intake::{Gate, Limits, Metered};
 use slog::{Logger, info, warn};
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use telemetry::Metrics;
-use units::{Incarnation, Span};
+use units::{Bytes, Incarnation, Span};
 use wire::{Identity, Key, Role};
 
 use crate::accept::serve;
@@ -28,7 +29,7 @@
 use crate::losses;
 use crate::peers::{self, Context, Peer};
 use crate::propagation;
-use crate::reply::{Body, full_body};
+use crate::reply::{Body, full_body, hold_request};
 use crate::sniff::Sniffer;
 use crate::state::Shared;
 use crate::stop::{DRAIN_TIME, Stop};
@@ -48,8 +49,18 @@
 const PEER_FEED_WAIT: Span = Span::from_ms(10_000);
 /// How long the feed of losses waits for changes: they are rare.
 const LOSS_FEED_WAIT: Span = Span::from_ms(3_000);
-/// Longest head that is read; the limit that operators set is lower.
-const HEAD_MAX_BYTES: usize = 64 << 10;
+/// Longest head that is read as long as no environment is in force.
+const DEFAULT_HEAD_BYTES: u64 = 16 << 10;
+/// What is read of a longer head than the environment allows, so that it is refused as too long.
+const HEAD_SLACK_BYTES: u64 = 8 << 10;
+
+/// Longest head of a request to the status address.
+const STATUS_HEAD_BYTES: usize = 8 << 10;
+/// Limits for the connections to the status address: the balancer opens one a second, operators some.
+const STATUS_LIMITS: Limits = Limits {
+    memory: Bytes(4 << 20),
+    connections: 64,
+};
 
 /// Inputs that control a running gateway.
 pub struct Control {
@@ -274,6 +285,9 @@
             .set_gauge("programs", shared.programs.count() as i64);
         let connections = shared.connections.load(Ordering::Acquire);
         shared.metrics.set_gauge("connections", connections as i64);
+        shared
+            .metrics
+            .set_gauge("intake-bytes", shared.gate.used().0 as i64);
     }
 }
 
@@ -322,53 +336,87 @@
     let shared = guard.0.clone();
     // On failure, answers are only slower.
     drop(stream.set_nodelay(true));
-    let idle = shared
-        .environment()
-        .map_or(DEFAULT_IDLE_TIMEOUT, |environment| {
-            environment.limits.idle_timeout.into()
-        });
-    let sniffer = Sniffer::new(stream);
+    let environment = shared.environment();
+    let limits = environment.as_ref().map(|environment| environment.limits);
+    let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout.into());
+    let head_max = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_head.0);
+    let Ok(admitted) = shared.gate.open() else {
+        shared.metrics.count("connections-refused");
+        info!(shared.log, "connection refused"; "held_bytes" => shared.gate.used().0);
+        return;
+    };
+    let sniffer = Sniffer::new(Metered::new(stream, admitted.clone()));
     let head_state = sniffer.head_state();
     let handler = service_fn(|request: Request<Incoming>| {
         let (shared, head_state) = (shared.clone(), head_state.clone());
-        async move { Ok::<_, std::convert::Infallible>(serve(shared, request, head_state).await) }
+        let held = admitted.request();
+        async move {
+            let response = serve(shared, request, head_state, held).await;
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(idle + IDLE_SLACK)
-        .max_buf_size(HEAD_MAX_BYTES)
+        .max_buf_size((head_max + HEAD_SLACK_BYTES) as usize)
         .serve_connection(FuturesIo::new(sniffer), handler);
     let mut connection = std::pin::pin!(connection);
     let drained = async {
         // The channel is closed when the gateway accepts no more connections.
         let _ = drained.recv().await;
-        None
+        false
     };
-    let served = async { Some(connection.as_mut().await) };
-    // An error means that the caller disconnected or sent no HTTP, or that its answer was aborted.
-    if served.or(drained).await.is_none() {
+    let served = async {
+        // An error means that the caller disconnected or sent no HTTP, or that its answer was aborted.
+        drop(connection.as_mut().await);
+        true
+    };
+    let evicted = || async {
+        admitted.evicted().await;
+        shared.metrics.count("connections-evicted");
+        info!(shared.log, "connection gave way to others";
+            "held_bytes" => shared.gate.used().0);
+        true
+    };
+    if !served.or(evicted()).or(drained).await {
         connection.as_mut().graceful_shutdown();
-        drop(connection.await);
+        let served = async {
+            drop(connection.await);
+            true
+        };
+        served.or(evicted()).await;
     }
 }
 
 async fn serve_status(shared: Arc<Shared>, listener: TcpListener) {
+    let gate = Arc::new(Gate::new(STATUS_LIMITS, shared.clock));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             smol::Timer::after(Duration::from_millis(20)).await;
             continue;
         };
+        let Ok(admitted) = gate.open() else {
+            continue;
+        };
         let shared = shared.clone();
         let task = async move {
+            let stream = Metered::new(stream, admitted.clone());
             let handler = service_fn(|request: Request<Incoming>| {
+                let held = admitted.request();
                 let response = status_response(&shared, request.uri().path());
+                let response = hold_request(response, held);
                 async move { Ok::<_, std::convert::Infallible>(response) }
             });
             let connection = http1::Builder::new()
-                .serve_connection(FuturesIo::new(stream), handler)
-                .await;
-            // After an error, the client repeats its request.
-            drop(connection);
+                .timer(SmolTimer::new())
+                .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+                .max_buf_size(STATUS_HEAD_BYTES)
+                .serve_connection(FuturesIo::new(stream), handler);
+            let served = async {
+                // After an error, the client repeats its request.
+                drop(connection.await);
+            };
+            served.or(admitted.evicted()).await;
         };
         smol::spawn(task).detach();
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,11 +7,12 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use compact_str::CompactString;
 use event_listener::Event;
+use intake::{Gate, Limits};
 use policy::{Balancer, Candidate, IdleLimit, Sender, TransferCost};
 use slog::{Logger, info};
 use store::api::Row;
 use telemetry::Metrics;
-use units::{Clock, Incarnation, Span, Time, Zone};
+use units::{Bytes, Clock, Incarnation, Span, Time, Zone};
 
 use crate::buffers::Buffers;
 use crate::caps::Caps;
@@ -38,6 +39,13 @@
 /// Transfer cost per request sent to another availability zone: the round trip.
 const CROSS_ZONE_COST_PER_REQUEST: Span = Span::from_ms(2);
 
+/// Share of the host's memory, as a divisor, for what callers make it hold: others are for answers of
+/// endpoints, turns in memory and the process itself.
+const INTAKE_MEMORY_DIVISOR: u64 = 4;
+/// Share of the descriptors, as a divisor, for connections of callers: each may need one to an
+/// endpoint.
+const INTAKE_DESCRIPTORS_DIVISOR: usize = 2;
+
 /// State of a gateway process.
 pub(crate) struct Shared {
     pub(crate) adapter: Adapter,
@@ -55,6 +63,8 @@
     pub(crate) crashes: Crashes,
     pub(crate) streams: Arc<Streams>,
     pub(crate) buffers: Buffers,
+    /// What callers make this host hold.
+    pub(crate) gate: Arc<Gate>,
     stop: OnceLock<Stop>,
     /// Notified when the stop is requested.
     stop_requested: Event,
@@ -102,6 +112,7 @@
             crashes: Crashes::default(),
             streams: Arc::new(Streams::new(rows.clone(), clock, log.clone())),
             buffers: Buffers::default(),
+            gate: Arc::new(Gate::new(intake_limits(&settings), clock)),
             adapter,
             settings: ArcSwap::from_pointee(settings),
             log,
@@ -168,6 +179,7 @@
 
     /// Replaces the settings. Listeners keep the addresses that they were bound to at the start.
     pub(crate) fn replace_settings(&self, settings: settings::Gateway) {
+        self.gate.set_limits(intake_limits(&settings));
         self.settings.store(Arc::new(settings));
         self.sync_balancer();
     }
@@ -281,6 +293,14 @@
     }
 }
 
+/// Returns the limits for what callers make a host hold.
+fn intake_limits(settings: &settings::Gateway) -> Limits {
+    Limits {
+        memory: Bytes(settings.memory.0 / INTAKE_MEMORY_DIVISOR),
+        connections: settings.descriptors / INTAKE_DESCRIPTORS_DIVISOR,
+    }
+}
+
 /// Describes an endpoint to the load balancer.
 fn candidate(
     member: &Member,
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -112,8 +112,13 @@
         Some(previous) if route.retains_turns => shared.histories.load_transcript(previous).await?,
         _ => Transcript::default(),
     };
-    let mut text = transcript.text;
-    text.extend_from_slice(&body);
+    let text = if transcript.text.is_empty() {
+        body.clone()
+    } else {
+        let mut text = transcript.text;
+        text.extend_from_slice(&body);
+        text.freeze()
+    };
     let engine = environment
         .services
         .get(service)
@@ -135,5 +140,5 @@
             retention: route.retention,
         }),
     };
-    Ok((text.freeze(), Some(turn)))
+    Ok((text, Some(turn)))
 }
--- /dev/null
+++ b/crates/intake/src/ledger.rs
@@ -0,0 +1,246 @@
+//! Decides which connection gives way when the shared limit is reached.
+
+use std::collections::HashMap;
+
+use units::{Bytes, Time};
+
+/// Memory of an open connection without a request: buffers, and the state of its task.
+const CONNECTION_BYTES: u64 = 32 << 10;
+/// Requests up to this size are ordinary; larger ones leave room for them.
+const ORDINARY_MAX_BYTES: u64 = 64 << 10;
+/// Share of the memory, in quarters, that larger requests may take together while they are served.
+const LARGE_QUARTERS: u64 = 3;
+
+/// Limits for all connections together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Memory that they may hold.
+    pub memory: Bytes,
+    /// Number of connections.
+    pub connections: usize,
+}
+
+/// Identifies a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ConnectionId(u64);
+
+/// The limit is reached, and no other connection gives way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Full;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Waits for a request.
+    Idle,
+    /// A request arrives.
+    Reading,
+    /// A complete request is served; it may run, so it is never broken off here.
+    Serving,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    phase: Phase,
+    /// Begin of the phase.
+    since: Time,
+    bytes: u64,
+    /// Memory of a larger request that is being served.
+    large: u64,
+}
+
+impl Holder {
+    fn idle(now: Time) -> Self {
+        Holder {
+            phase: Phase::Idle,
+            since: now,
+            bytes: CONNECTION_BYTES,
+            large: 0,
+        }
+    }
+
+    /// Returns what holding the connection has cost so far, in bytes times microseconds. An ordinary
+    /// request arrives within milliseconds and costs little.
+    fn cost(&self, now: Time) -> u128 {
+        u128::from(self.bytes) * u128::from(now.since(self.since).0 + 1)
+    }
+
+    fn can_give_way(&self) -> bool {
+        self.phase != Phase::Serving
+    }
+}
+
+/// What the connections of a host hold.
+///
+/// The load that this answers: any number of callers that send large bodies, or many small ones, and
+/// do not end them, beside ordinary callers. When the limit is reached, the connection gives way whose
+/// unfinished request has held the most memory for the longest time.
+#[derive(Debug)]
+pub struct Ledger {
+    limits: Limits,
+    holders: HashMap<ConnectionId, Holder>,
+    used: u64,
+    /// Part of `used` that larger requests hold while they are served.
+    large: u64,
+    next_id: u64,
+}
+
+impl Ledger {
+    /// Creates the ledger of a host without connections.
+    pub fn new(limits: Limits) -> Self {
+        Ledger {
+            limits,
+            holders: HashMap::new(),
+            used: 0,
+            large: 0,
+            next_id: 0,
+        }
+    }
+
+    /// Replaces the limits.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Returns the memory in use.
+    pub fn used(&self) -> Bytes {
+        Bytes(self.used)
+    }
+
+    /// Opens a connection; adds those that give way to `evicted`.
+    ///
+    /// # Errors
+    /// If the limits are reached and none gives way.
+    pub fn open(
+        &mut self,
+        now: Time,
+        evicted: &mut Vec<ConnectionId>,
+    ) -> Result<ConnectionId, Full> {
+        while self.holders.len() >= self.limits.connections {
+            self.evict(None, now, evicted)?;
+        }
+        self.make_room(CONNECTION_BYTES, None, now, evicted)?;
+        let id = ConnectionId(self.next_id);
+        self.next_id += 1;
+        self.holders.insert(id, Holder::idle(now));
+        self.used += CONNECTION_BYTES;
+        Ok(id)
+    }
+
+    /// Records that `bytes` more of a request were read; adds the connections that give way to
+    /// `evicted`.
+    ///
+    /// # Errors
+    /// If the connection itself is the one that gives way, or has already.
+    pub fn read(
+        &mut self,
+        id: ConnectionId,
+        bytes: u64,
+        now: Time,
+        evicted: &mut Vec<ConnectionId>,
+    ) -> Result<(), Full> {
+        let holder = self.holders.get_mut(&id).ok_or(Full)?;
+        if holder.phase == Phase::Idle {
+            holder.phase = Phase::Reading;
+            holder.since = now;
+        }
+        self.make_room(bytes, Some(id), now, evicted)?;
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.bytes += bytes;
+            self.used += bytes;
+        }
+        Ok(())
+    }
+
+    /// Records that a request is complete and takes `bytes` while it is served. A single one is never
+    /// refused for its size.
+    ///
+    /// # Errors
+    /// If the requests that are served leave no room for it, or the connection has given way.
+    pub fn serve(
+        &mut self,
+        id: ConnectionId,
+        bytes: u64,
+        now: Time,
+        evicted: &mut Vec<ConnectionId>,
+    ) -> Result<(), Full> {
+        let holder = *self.holders.get(&id).ok_or(Full)?;
+        let is_large = bytes > ORDINARY_MAX_BYTES;
+        let large_max = self.limits.memory.0 / 4 * LARGE_QUARTERS;
+        if is_large && self.large > 0 && self.large + bytes > large_max {
+            return Err(Full);
+        }
+        let total = bytes + CONNECTION_BYTES;
+        let missing = total.saturating_sub(holder.bytes);
+        if self.make_room(missing, Some(id), now, evicted).is_err() && self.is_serving() {
+            return Err(Full);
+        }
+        if let Some(holder) = self.holders.get_mut(&id) {
+            self.used = self.used - holder.bytes + total;
+            *holder = Holder {
+                phase: Phase::Serving,
+                since: now,
+                bytes: total,
+                large: if is_large { bytes } else { 0 },
+            };
+            self.large += holder.large;
+        }
+        Ok(())
+    }
+
+    /// Records that a request has ended; the connection waits for the next one.
+    pub fn finish(&mut self, id: ConnectionId, now: Time) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            let ended = *holder;
+            *holder = Holder::idle(now);
+            self.used = self.used - ended.bytes + CONNECTION_BYTES;
+            self.large -= ended.large;
+        }
+    }
+
+    /// Closes a connection.
+    pub fn close(&mut self, id: ConnectionId) {
+        if let Some(holder) = self.holders.remove(&id) {
+            self.used -= holder.bytes;
+            self.large -= holder.large;
+        }
+    }
+
+    fn is_serving(&self) -> bool {
+        let mut holders = self.holders.values();
+        holders.any(|holder| holder.phase == Phase::Serving)
+    }
+
+    /// Has connections give way until there is room for `bytes`.
+    fn make_room(
+        &mut self,
+        bytes: u64,
+        asking: Option<ConnectionId>,
+        now: Time,
+        evicted: &mut Vec<ConnectionId>,
+    ) -> Result<(), Full> {
+        while self.used + bytes > self.limits.memory.0 {
+            self.evict(asking, now, evicted)?;
+        }
+        Ok(())
+    }
+
+    /// Closes the connection that has cost the most, unless it is `asking`.
+    fn evict(
+        &mut self,
+        asking: Option<ConnectionId>,
+        now: Time,
+        evicted: &mut Vec<ConnectionId>,
+    ) -> Result<(), Full> {
+        let holders = self.holders.iter();
+        let candidates = holders.filter(|(_, holder)| holder.can_give_way());
+        let costliest = candidates.max_by_key(|(id, holder)| (holder.cost(now), **id));
+        let (id, _) = costliest.ok_or(Full)?;
+        let id = *id;
+        if Some(id) == asking {
+            return Err(Full);
+        }
+        self.close(id);
+        evicted.push(id);
+        Ok(())
+    }
+}
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use units::{Host, Rate, Region, Span, Zone};
+use units::{Bytes, Host, Rate, Region, Span, Zone};
 
 use crate::error::Result;
 use crate::process::{ADDRESS_FORMAT, NAME_FORMAT, Platform, Secret, read_file};
@@ -13,6 +13,14 @@
 const STOP_DEFAULT_SECONDS: Rate = Rate(8.0);
 const STOP_MAX_SECONDS: Rate = Rate(3_600.0);
 
+/// Default and bounds of the key `memory-megabytes`.
+const MEMORY_DEFAULT_MEGABYTES: Rate = Rate(88.0);
+const MEMORY_MIN_MEGABYTES: Rate = Rate(32.0);
+const MEMORY_MAX_MEGABYTES: Rate = Rate(1_000_000.0);
+/// Default and bounds of the key `descriptors`.
+const DESCRIPTORS_DEFAULT: Rate = Rate(4_096.0);
+const DESCRIPTORS_MIN: Rate = Rate(256.0);
+const DESCRIPTORS_MAX: Rate = Rate(10_000_000.0);
 /// Maximum of the key `processor-cores`.
 const PROCESSOR_MAX_CORES: Rate = Rate(1_000.0);
 
@@ -35,6 +43,10 @@
     pub key: Secret,
     /// Processor time that the host has, in thousandths of a core; 0 if unknown.
     pub processor: u32,
+    /// Memory of the host.
+    pub memory: Bytes,
+    /// Descriptors that the process may open.
+    pub descriptors: usize,
     /// Time from the stop signal until the process is killed.
     pub stop_within: Span,
     /// Region of each availability zone.
@@ -68,6 +80,18 @@
             STOP_DEFAULT_SECONDS,
             Rate(1.0)..=STOP_MAX_SECONDS,
         )?;
+        let megabytes = gateway.get_in_range(
+            "memory-megabytes",
+            "32 to 1000000",
+            MEMORY_DEFAULT_MEGABYTES,
+            MEMORY_MIN_MEGABYTES..=MEMORY_MAX_MEGABYTES,
+        )?;
+        let descriptors = gateway.get_in_range(
+            "descriptors",
+            "256 to 10000000",
+            DESCRIPTORS_DEFAULT,
+            DESCRIPTORS_MIN..=DESCRIPTORS_MAX,
+        )?;
         let cores = gateway.get_in_range(
             "processor-cores",
             "0 to 1000",
@@ -88,6 +112,8 @@
             status_address,
             peer_address,
             key: Secret::new(key),
+            memory: Bytes((megabytes.0 * 1_048_576.0) as u64),
+            descriptors: descriptors.0 as usize,
             processor: (cores.0 * 1e3) as u32,
             stop_within: Span((seconds.0 * 1e6) as u64),
             zones,
--- a/tests/all/gateway/cluster.rs
+++ b/tests/all/gateway/cluster.rs
@@ -264,14 +264,19 @@
 
     /// Sends a signal to a gateway.
     pub fn signal(&self, index: u16, signal: Signal) {
-        let child = self.gateways[usize::from(index)].child.as_ref().unwrap();
-        kill(Pid::from_raw(child.id() as i32), signal).unwrap();
+        kill(Pid::from_raw(self.process_id(index) as i32), signal).unwrap();
+    }
+
+    /// Returns the identifier of a gateway's process.
+    pub fn process_id(&self, index: u16) -> u32 {
+        let child = self.gateways[usize::from(index)].child.as_ref();
+        child.unwrap().id()
     }
 
     /// Returns the peak of the resident memory of a gateway's process, in bytes.
     pub fn peak_memory_bytes(&self, index: u16) -> u64 {
-        let child = self.gateways[usize::from(index)].child.as_ref().unwrap();
-        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+        let path = format!("/proc/{}/status", self.process_id(index));
+        let status = std::fs::read_to_string(path).unwrap();
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let kilobytes: u64 = peak
             .unwrap()
@@ -282,23 +287,6 @@
         kilobytes << 10
     }
 
-    /// Returns the number of open descriptors of a gateway's process.
-    pub fn descriptors(&self, index: u16) -> usize {
-        let child = self.gateways[usize::from(index)].child.as_ref().unwrap();
-        let open = std::fs::read_dir(format!("/proc/{}/fd", child.id()));
-        open.unwrap().count()
-    }
-
-    /// Returns the processor time that a gateway's process has used, in ticks of the kernel.
-    pub fn processor_ticks(&self, index: u16) -> u64 {
-        let child = self.gateways[usize::from(index)].child.as_ref().unwrap();
-        let text = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap();
-        // The name of the program, in parentheses, may have spaces.
-        let fields = text.rsplit(')').next().unwrap().split(' ');
-        let times = fields.skip(12).take(2);
-        times.map(|ticks| ticks.parse::<u64>().unwrap()).sum()
-    }
-
     /// Kills a gateway with SIGKILL and waits for its end.
     pub fn kill(&mut self, index: u16) {
         self.signal(index, Signal::SIGKILL);
--- a/tests/crowd/site.rs
+++ b/tests/crowd/site.rs
@@ -91,15 +91,31 @@
     /// Waits until the gateway has read what the crowd sent, as far as it reads it: it uses no more
     /// processor time.
     fn wait_until_idle(&self) {
-        let mut before = self.cluster.processor_ticks(0);
+        let mut before = self.processor_ticks();
         eventually(READ_TIMEOUT, "the gateway is idle", || {
             std::thread::sleep(IDLE_INTERVAL);
-            let used = self.cluster.processor_ticks(0) - before;
+            let used = self.processor_ticks() - before;
             before += used;
             used <= IDLE_TICKS_MAX
         });
     }
 
+    /// Returns the number of open descriptors of the gateway's process.
+    fn descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.cluster.process_id(0));
+        std::fs::read_dir(path).unwrap().count()
+    }
+
+    /// Returns the processor time that the gateway's process has used, in ticks of the kernel.
+    fn processor_ticks(&self) -> u64 {
+        let path = format!("/proc/{}/stat", self.cluster.process_id(0));
+        let text = std::fs::read_to_string(path).unwrap();
+        // The name of the program, in parentheses, may have spaces.
+        let fields = text.rsplit(')').next().unwrap().split(' ');
+        let times = fields.skip(12).take(2);
+        times.map(|ticks| ticks.parse::<u64>().unwrap()).sum()
+    }
+
     /// Checks that the gateway runs within its bounds.
     #[track_caller]
     pub fn check_bounds(&self) {
@@ -111,7 +127,7 @@
             memory >> 20,
             MEMORY_MAX_BYTES >> 20
         );
-        let descriptors = self.cluster.descriptors(0);
+        let descriptors = self.descriptors();
         println!("{} MiB at most, {descriptors} descriptors", memory >> 20);
         assert!(
             descriptors <= DESCRIPTORS_MAX,
