--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -320,9 +320,11 @@
             return AttemptOutcome::NotRun;
         }
         let promises_not_run = matches!(status.as_u16(), 402 | 408 | 421 | 429 | 503);
-        if promises_not_run || (status.is_success() && !meta.sealed) {
+        let is_final = (200..600).contains(&status.as_u16());
+        if promises_not_run || !is_final || (status.is_success() && !meta.sealed) {
             // The caller would take the status as proof that the request did not run; a success
-            // that is not sealed is not the endpoint's own answer.
+            // that is not sealed is not the endpoint's own answer, and a status outside the classes
+            // of final ones is no answer.
             received.placement.fault = Fault::Failed;
             self.log_failed_attempt(&received.placement, "unusable response", status.as_str());
             return AttemptOutcome::Unknown(Refusal::EndpointFailed);
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -46,6 +46,9 @@
     NoAnswer,
     /// Executes the request and sends bytes that are no HTTP response.
     Garbage,
+    /// Executes the request and answers with a complete message that has this status line after its
+    /// version, and closes the connection.
+    StatusLine(&'static str),
     /// Executes the request and answers with the identifier of another request.
     WrongId,
     /// Executes the request and sends the answer twice, if it is a plain answer.
@@ -319,6 +322,16 @@
             wait(stream, state, id, NEVER).await?;
             return None;
         }
+        Fault::StatusLine(line) => {
+            let body = format!("answer to {id}");
+            let headers = format!(
+                "Response-Seal: sealed\r\nContent-Length: {}\r\n",
+                body.len()
+            );
+            let whole = head(200, id, &headers).replacen("200 Status", line, 1);
+            write(stream, &format!("{whole}{body}")).await?;
+            return None;
+        }
         Fault::Garbage => return write(stream, "no answer at all\r\n\r\n").await,
         Fault::EndlessHead | Fault::EndlessBody | Fault::EndlessEvents => {
             lock(state).endless_answers += 1;
--- a/tests/all/gateway/faults.rs
+++ b/tests/all/gateway/faults.rs
@@ -46,6 +46,24 @@
     assert_eq!(answer.header("request-id"), Some("r1"));
 }
 
+// A status that is none reached the caller as an answer.
+cases!(check_response;
+    status_000_of_a_safe_call: Case { path: SAFE, fault: Fault::StatusLine("000 Status"), runs: 2, status: 502 },
+    status_000: Case { path: ORDER, fault: Fault::StatusLine("000 Status"), runs: 1, status: 502 },
+    status_000_of_a_turn: Case { path: PLAIN_TURN, fault: Fault::StatusLine("000 Status"), runs: 1, status: 502 },
+    status_099: Case { path: ORDER, fault: Fault::StatusLine("099 Status"), runs: 1, status: 502 },
+    status_600: Case { path: ORDER, fault: Fault::StatusLine("600 Status"), runs: 1, status: 502 },
+    status_600_of_a_safe_call: Case { path: SAFE, fault: Fault::StatusLine("600 Status"), runs: 2, status: 502 },
+    status_600_of_a_turn: Case { path: PLAIN_TURN, fault: Fault::StatusLine("600 Status"), runs: 1, status: 502 },
+    status_999: Case { path: ORDER, fault: Fault::StatusLine("999 Status"), runs: 1, status: 502 },
+    status_101: Case { path: ORDER, fault: Fault::StatusLine("101 Status"), runs: 1, status: 502 },
+    status_103_without_a_final_one: Case { path: ORDER, fault: Fault::StatusLine("103 Status"), runs: 1, status: 502 },
+    status_of_four_digits: Case { path: ORDER, fault: Fault::StatusLine("2000 Status"), runs: 1, status: 502 },
+    status_of_two_digits: Case { path: ORDER, fault: Fault::StatusLine("20"), runs: 1, status: 502 },
+    status_that_is_missing: Case { path: ORDER, fault: Fault::StatusLine(""), runs: 1, status: 502 },
+    status_without_a_reason: Case { path: ORDER, fault: Fault::StatusLine("200"), runs: 1, status: 200 },
+);
+
 cases!(check_response;
     safe_refused: Case { path: SAFE, fault: Fault::Refused, runs: 0, status: 503 },
     safe_reset: Case { path: SAFE, fault: Fault::Reset, runs: 2, status: 502 },
