--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -41,16 +41,18 @@
     /// Set when the request is sent.
     pub(crate) endpoint_start: Option<EndpointStart>,
     pub(crate) sent_at: Time,
-    pub(crate) has_first_token: bool,
+    /// Time from sending to the first token.
+    pub(crate) first_token: Option<Span>,
     pub(crate) fault: Fault,
 }
 
 impl Placement {
     /// Records the time of the first token, or of the answer of a plain service.
     pub(crate) fn record_first_token(&mut self) {
-        if !std::mem::replace(&mut self.has_first_token, true) {
+        if self.first_token.is_none() {
             let now = self.shared.clock.now();
             let latency = now.since(self.sent_at);
+            self.first_token = Some(latency);
             self.shared
                 .balancer()
                 .record_first_token(&self.choice, latency, now);
@@ -62,7 +64,7 @@
     fn drop(&mut self) {
         let now = self.shared.clock.now();
         let mut balancer = self.shared.balancer();
-        balancer.finish(&self.choice, self.has_first_token, self.fault, now);
+        balancer.finish(&self.choice, self.first_token.is_some(), self.fault, now);
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -329,7 +329,7 @@
             endpoint_start: None,
             choice,
             sent_at: now,
-            has_first_token: false,
+            first_token: None,
             fault: Fault::None,
         })
     }
@@ -421,6 +421,7 @@
             "expected_ms" => placement.choice.expected.as_ms(),
             "missing" => placement.choice.missing.0,
             "compared" => placement.choice.compared,
+            "first_ms" => placement.first_token.map(Span::as_ms),
             "sent_ms" => placement.sent_at.since(self.started).as_ms(),
             "took_ms" => elapsed.as_ms(), "left_ms" => self.deadline.since(now).as_ms());
     }
