--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::call::{Directives, NamedLimit, ResponseMeta};
 use crate::crashes::{self, EndpointStart, LossKind};
 use crate::exchange::{BUFFERED_MAX_BYTES, DEADLINE_SLACK, Exchange};
-use crate::prompt::{chunks, queue_urgency};
+use crate::prompt::{chunks, urgency};
 use crate::relay::collect;
 use crate::reply::Refusal;
 use crate::state::Shared;
@@ -239,8 +239,15 @@
         let directives = Directives {
             endpoint: &choice.id,
             remaining: self.deadline.since(self.shared.clock.now()),
-            urgency: is_model
-                .then(|| queue_urgency(&self.route, self.account.as_ref(), &self.call)),
+            urgency: is_model.then(|| {
+                let account = self.account.as_ref();
+                let urgency = urgency(&self.route, account, &self.call, choice.missing);
+                if self.shared.settings().long_prompts_yield {
+                    urgency.level()
+                } else {
+                    urgency.without_yielding().level()
+                }
+            }),
             pin: None,
             sender: self.sender(),
         };
--- a/crates/gateway/src/programs.rs
+++ b/crates/gateway/src/programs.rs
@@ -371,6 +371,10 @@
             let refusal = match state.ledger.admit(need, budget) {
                 Admission::Admitted => None,
                 Admission::NeedsGrant => break,
+                // A program that loops without end asks again and again.
+                Admission::Spent if state.ledger.is_spent_for_good(need, budget) => {
+                    Some(Refusal::BudgetSpent)
+                }
                 Admission::Spent | Admission::Held if !state.is_account_current => {
                     return Step::Read;
                 }
--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -1,17 +1,29 @@
 //! Computes the queue rank of a request and the chunks of its prompt for load balancing.
 
 use clients::Account;
-use policy::Chunk;
+use policy::{Chunk, PREFILL_US_PER_TOKEN, Urgency};
+use units::Tokens;
 
 use crate::call::Call;
 use crate::environment::Route;
 
-/// Returns the rank of a request in an endpoint's queue: by the rank of its client account or else of
-/// its route, and within a rank, requests of running programs before those of new ones.
-pub(crate) fn queue_urgency(route: &Route, account: Option<&Account>, call: &Call) -> u8 {
+/// Returns what decides on the rank of a request in an engine's queue. The priority of its client
+/// account goes before that of its route.
+pub(crate) fn urgency(
+    route: &Route,
+    account: Option<&Account>,
+    call: &Call,
+    unread: Tokens,
+) -> Urgency {
     let rank = account.and_then(|account| account.rank);
-    let rank = rank.unwrap_or(route.rank);
-    (2 * rank.min(3) + u8::from(call.is_first_turn()) + 1).min(9)
+    Urgency {
+        rank: rank.unwrap_or(route.rank),
+        is_new: call.is_first_turn(),
+        unread,
+        read_us_per_token: PREFILL_US_PER_TOKEN,
+        objective: route.objective,
+        finish_within: call.finish_within,
+    }
 }
 
 /// Returns the prompt's parts, each identified together with all parts before it.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 mod reservation;
 mod route;
 mod settings;
+mod urgency;
 
 pub use admit::AdmissionControl;
 pub use fleet::{EndpointInfo, Fleet, Usage};
@@ -22,8 +23,12 @@
 pub use idle::IdleLimit;
 pub use limit::{Limit, LimitChange, Sender, Share, Target};
 pub use order::{Rank, RankFactors};
-pub use place::{Balancer, Candidate, Choice, Chunk, Demand, Fault, Observation, TransferCost};
+pub use place::{
+    Balancer, Candidate, Choice, Chunk, Demand, Fault, Observation, PREFILL_US_PER_TOKEN,
+    TransferCost,
+};
 pub use quarantine::{Admission, LOSSES_MAX, Listing, Loss, Probe, Quarantine, Suspect, Verdict};
 pub use reservation::{Hold, Reservations};
 pub use route::{Reason, Request, Ticket};
 pub use settings::{Order, Routing, Settings};
+pub use urgency::Urgency;
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -25,7 +25,9 @@
 mod parts;
 mod ranking;
 
-use self::endpoint::{Endpoint, PREFILL_US_PER_TOKEN};
+pub use self::endpoint::PREFILL_US_PER_TOKEN;
+
+use self::endpoint::Endpoint;
 use self::index::Index;
 use self::parts::SharedParts;
 use self::ranking::{Ranked, Ranking};
--- a/crates/policy/src/place/endpoint.rs
+++ b/crates/policy/src/place/endpoint.rs
@@ -9,7 +9,7 @@
 
 /// Prefill time of a token in microseconds: about 30 tokens a millisecond, the rate of the slower
 /// engines.
-pub(super) const PREFILL_US_PER_TOKEN: f64 = 34.0;
+pub const PREFILL_US_PER_TOKEN: f64 = 34.0;
 /// Weight of the prefill time of uncached tokens. It is above 1 because reading them again delays
 /// all other requests of the endpoint, and because noise in the observed delays at peak load would
 /// otherwise move programs away from their cached prompts.
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -5,6 +5,7 @@
 
 use units::{Bytes, Host, Rate, Region, Span, Zone};
 
+use crate::document::SWITCH;
 use crate::error::Result;
 use crate::process::{ADDRESS_FORMAT, NAME_FORMAT, Platform, Secret, read_file};
 use crate::reader::{HEX_FORMAT, Reader};
@@ -47,6 +48,8 @@
     pub memory: Bytes,
     /// Descriptors that the process may open.
     pub descriptors: usize,
+    /// Whether long prompts that have time yield in the queues of engines.
+    pub long_prompts_yield: bool,
     /// Time from the stop signal until the process is killed.
     pub stop_within: Span,
     /// Region of each availability zone.
@@ -80,6 +83,7 @@
             STOP_DEFAULT_SECONDS,
             Rate(1.0)..=STOP_MAX_SECONDS,
         )?;
+        let long_prompts_yield = gateway.get_choice("long-prompts-yield", &SWITCH)?;
         let megabytes = gateway.get_in_range(
             "memory-megabytes",
             "32 to 1000000",
@@ -112,6 +116,7 @@
             status_address,
             peer_address,
             key: Secret::new(key),
+            long_prompts_yield: long_prompts_yield.unwrap_or(false),
             memory: Bytes((megabytes.0 * 1_048_576.0) as u64),
             descriptors: descriptors.0 as usize,
             processor: (cores.0 * 1e3) as u32,
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -161,6 +161,13 @@
         Admission::Spent
     }
 
+    /// Whether no later version of the account can admit a turn that needs `need` tokens: what is
+    /// certainly handed out only grows.
+    pub fn is_spent_for_good(&self, need: Tokens, budget: Tokens) -> bool {
+        let used = self.account.used_by_others(self.holder).plus(self.used);
+        used.plus(need) > budget
+    }
+
     /// Ends a reservation of `reserved` tokens, of which `used` were handed out.
     pub fn settle(&mut self, reserved: Tokens, used: Tokens) {
         self.reserved = self.reserved.minus(reserved);
--- a/crates/turns/tests/ledger.rs
+++ b/crates/turns/tests/ledger.rs
@@ -268,6 +268,22 @@
     assert_eq!(ledger.admit(Tokens(901), BUDGET), Admission::Spent);
 }
 
+// A program that loops without end cost a read of the store for each refused turn.
+#[test]
+fn a_budget_is_spent_for_good_by_what_was_handed_out_only() {
+    let mut ledger = ledger_with_grant(600);
+    assert_eq!(ledger.admit(Tokens(600), BUDGET), Admission::Admitted);
+    // The running turn may use fewer tokens than it has reserved.
+    assert_eq!(ledger.admit(Tokens(500), BUDGET), Admission::Spent);
+    assert!(!ledger.is_spent_for_good(Tokens(500), BUDGET));
+    ledger.settle(Tokens(600), Tokens(600));
+    assert!(ledger.is_spent_for_good(Tokens(500), BUDGET));
+    assert!(!ledger.is_spent_for_good(Tokens(400), BUDGET));
+    ledger.refresh(granted_to_another(900, 100), 2);
+    assert!(ledger.is_spent_for_good(Tokens(400), BUDGET));
+    assert!(!ledger.is_spent_for_good(Tokens(300), BUDGET));
+}
+
 /// An idle host with a grant, and whether it settles without being asked.
 macro_rules! idle_cases {
     ($($name:ident: $granted:literal granted, $used:literal used, $others:literal to others => $settles:literal;)*) => {
