tests: environments of gateways never share an address

Trace: the logs of two of its three gateways are empty. The last part of an environment's address repeated after a hundred environments; the 126th began while the 26th, a soak, still ran, so its gateways could not bind and the test saw those of the other. The check is as strict as before.

--- a/tests/all/gateway/cluster.rs
+++ b/tests/all/gateway/cluster.rs
@@ -114,7 +114,10 @@
         let gateways = layout.near + layout.far;
         let number = CLUSTER_COUNT.fetch_add(1, Ordering::Relaxed);
         let [low, high, ..] = std::process::id().to_le_bytes();
-        let address = Ipv4Addr::new(127, 1 + high % 250, low, 251 - (number % 100) as u8);
+        // Environments may run for as long as a hundred others take, so an address is not used again.
+        let [second, last] = [number / 100, number % 100].map(|part| part as u8);
+        let second = 1 + high.wrapping_add(second.wrapping_mul(97)) % 250;
+        let address = Ipv4Addr::new(127, second, low, 251 - last);
         let any_port = SocketAddr::new(address.into(), 0);
         let store = platform::start(any_port, Vec::new()).unwrap();
         let start_workers = |name: &str, events: u64| -> Vec<Worker> {
