--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -77,6 +77,8 @@
     Host,
     /// A header that has to hold a number does not; the text says which value it is.
     Number(&'static str),
+    /// The identifier of the program is malformed.
+    Program,
     /// The identifier of the previous turn is malformed.
     PreviousTurn,
     /// The identifier of the resumed attempt is malformed.
@@ -89,6 +91,7 @@
             Malformed::Id => f.write_str("the request id is missing or malformed"),
             Malformed::Host => f.write_str("the host is missing"),
             Malformed::Number(field) => write!(f, "{field} is not a number"),
+            Malformed::Program => f.write_str("the program id is malformed"),
             Malformed::PreviousTurn => f.write_str("the previous turn is malformed"),
             Malformed::ResumedAttempt => f.write_str("the resumed attempt is malformed"),
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -11,6 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use intake::{Gate, Limits, Metered};
+use settings::Machine;
 use slog::{Logger, info, warn};
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
@@ -66,6 +67,8 @@
 pub struct Control {
     /// Path of the settings file.
     pub settings_file: String,
+    /// What the machine has.
+    pub machine: Machine,
     /// Resolves when the gateway is to stop.
     pub stop: Pin<Box<dyn Future<Output = ()> + Send>>,
     /// Receives a message whenever the settings are to be read again.
@@ -84,7 +87,14 @@
 ) -> Result<()> {
     let metrics = Metrics::new("gateway").map_err(|error| Error::Metrics(error.to_string()))?;
     let incarnation = Incarnation::random(&mut rand::rng());
-    let shared = Arc::new(Shared::new(adapter, settings, log, metrics, incarnation));
+    let shared = Arc::new(Shared::new(
+        adapter,
+        settings,
+        control.machine,
+        log,
+        metrics,
+        incarnation,
+    ));
     smol::block_on(run_until_stopped(shared, incarnation, control))
 }
 
@@ -210,7 +220,7 @@
         incarnation,
         address: settings.peer_address,
         zone: settings.zone.clone(),
-        processor: settings.processor,
+        processor: shared.machine.processor,
     };
     let ctx = Context {
         own: own.clone(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use event_listener::Event;
 use intake::{Gate, Limits};
 use policy::{Balancer, Candidate, IdleLimit, Sender, TransferCost};
+use settings::Machine;
 use slog::{Logger, info};
 use store::api::Row;
 use telemetry::Metrics;
@@ -52,6 +53,7 @@
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
     pub(crate) clock: Clock,
+    pub(crate) machine: Machine,
     /// Identifies this start of the process.
     pub(crate) incarnation: Incarnation,
     pub(crate) rows: Arc<Rows>,
@@ -80,6 +82,7 @@
     pub(crate) fn new(
         adapter: Adapter,
         settings: settings::Gateway,
+        machine: Machine,
         log: Logger,
         metrics: Metrics,
         incarnation: Incarnation,
@@ -112,8 +115,9 @@
             crashes: Crashes::default(),
             streams: Arc::new(Streams::new(rows.clone(), clock, log.clone())),
             buffers: Buffers::default(),
-            gate: Arc::new(Gate::new(intake_limits(&settings), clock)),
+            gate: Arc::new(Gate::new(intake_limits(machine), clock)),
             adapter,
+            machine,
             settings: ArcSwap::from_pointee(settings),
             log,
             metrics,
@@ -179,7 +183,6 @@
 
     /// Replaces the settings. Listeners keep the addresses that they were bound to at the start.
     pub(crate) fn replace_settings(&self, settings: settings::Gateway) {
-        self.gate.set_limits(intake_limits(&settings));
         self.settings.store(Arc::new(settings));
         self.sync_balancer();
     }
@@ -294,10 +297,10 @@
 }
 
 /// Returns the limits for what callers make a host hold.
-fn intake_limits(settings: &settings::Gateway) -> Limits {
+fn intake_limits(machine: Machine) -> Limits {
     Limits {
-        memory: Bytes(settings.memory.0 / INTAKE_MEMORY_DIVISOR),
-        connections: settings.descriptors / INTAKE_DESCRIPTORS_DIVISOR,
+        memory: Bytes(machine.memory.0 / INTAKE_MEMORY_DIVISOR),
+        connections: machine.descriptors / INTAKE_DESCRIPTORS_DIVISOR,
     }
 }
 
--- a/crates/intake/src/gate.rs
+++ b/crates/intake/src/gate.rs
@@ -1,7 +1,6 @@
 //! The connections of a process, and what each of them holds.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender};
@@ -17,7 +16,6 @@
 #[derive(Debug)]
 pub struct Gate {
     state: Mutex<State>,
-    evictions: AtomicU64,
     clock: Clock,
 }
 
@@ -36,26 +34,15 @@
                 ledger: Ledger::new(limits),
                 signals: HashMap::new(),
             }),
-            evictions: AtomicU64::new(0),
             clock,
         }
     }
 
-    /// Replaces the limits.
-    pub fn set_limits(&self, limits: Limits) {
-        self.lock().ledger.set_limits(limits);
-    }
-
     /// Returns the memory in use.
     pub fn used(&self) -> Bytes {
         self.lock().ledger.used()
     }
 
-    /// Returns the number of connections that gave way so far.
-    pub fn evictions(&self) -> u64 {
-        self.evictions.load(Ordering::Relaxed)
-    }
-
     /// Admits a connection.
     ///
     /// # Errors
@@ -85,9 +72,6 @@
         for id in &evicted {
             state.signals.remove(id);
         }
-        drop(state);
-        self.evictions
-            .fetch_add(evicted.len() as u64, Ordering::Relaxed);
         result.map_err(|Full| Overloaded)
     }
 }
--- a/crates/intake/src/ledger.rs
+++ b/crates/intake/src/ledger.rs
@@ -96,11 +96,6 @@
         }
     }
 
-    /// Replaces the limits.
-    pub fn set_limits(&mut self, limits: Limits) {
-        self.limits = limits;
-    }
-
     /// Returns the memory in use.
     pub fn used(&self) -> Bytes {
         Bytes(self.used)
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -14,16 +14,27 @@
 const STOP_DEFAULT_SECONDS: Rate = Rate(8.0);
 const STOP_MAX_SECONDS: Rate = Rate(3_600.0);
 
-/// Default and bounds of the key `memory-megabytes`.
-const MEMORY_DEFAULT_MEGABYTES: Rate = Rate(88.0);
-const MEMORY_MIN_MEGABYTES: Rate = Rate(32.0);
-const MEMORY_MAX_MEGABYTES: Rate = Rate(1_000_000.0);
-/// Default and bounds of the key `descriptors`.
-const DESCRIPTORS_DEFAULT: Rate = Rate(4_096.0);
-const DESCRIPTORS_MIN: Rate = Rate(256.0);
-const DESCRIPTORS_MAX: Rate = Rate(10_000_000.0);
-/// Maximum of the key `processor-cores`.
-const PROCESSOR_MAX_CORES: Rate = Rate(1_000.0);
+/// What the machine has that a process runs on; the one who starts the process knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Machine {
+    /// Memory.
+    pub memory: Bytes,
+    /// Descriptors that the process may open.
+    pub descriptors: usize,
+    /// Processor time in thousandths of a core; 0 if unknown.
+    pub processor: u32,
+}
+
+impl Default for Machine {
+    /// The smallest machine in use.
+    fn default() -> Self {
+        Machine {
+            memory: Bytes(88 << 20),
+            descriptors: 4_096,
+            processor: 0,
+        }
+    }
+}
 
 /// Settings of a gateway process.
 #[derive(Clone, Debug)]
@@ -42,12 +53,6 @@
     pub peer_address: SocketAddr,
     /// Secret key that all gateways of the environment share.
     pub key: Secret,
-    /// Processor time that the host has, in thousandths of a core; 0 if unknown.
-    pub processor: u32,
-    /// Memory of the host.
-    pub memory: Bytes,
-    /// Descriptors that the process may open.
-    pub descriptors: usize,
     /// Whether long prompts that have time yield in the queues of engines.
     pub long_prompts_yield: bool,
     /// Time from the stop signal until the process is killed.
@@ -84,24 +89,6 @@
             Rate(1.0)..=STOP_MAX_SECONDS,
         )?;
         let long_prompts_yield = gateway.get_choice("long-prompts-yield", &SWITCH)?;
-        let megabytes = gateway.get_in_range(
-            "memory-megabytes",
-            "32 to 1000000",
-            MEMORY_DEFAULT_MEGABYTES,
-            MEMORY_MIN_MEGABYTES..=MEMORY_MAX_MEGABYTES,
-        )?;
-        let descriptors = gateway.get_in_range(
-            "descriptors",
-            "256 to 10000000",
-            DESCRIPTORS_DEFAULT,
-            DESCRIPTORS_MIN..=DESCRIPTORS_MAX,
-        )?;
-        let cores = gateway.get_in_range(
-            "processor-cores",
-            "0 to 1000",
-            Rate(0.0),
-            Rate(0.0)..=PROCESSOR_MAX_CORES,
-        )?;
         gateway.check_unknown_keys()?;
         let zones = reader
             .required("zones")?
@@ -117,9 +104,6 @@
             peer_address,
             key: Secret::new(key),
             long_prompts_yield: long_prompts_yield.unwrap_or(false),
-            memory: Bytes((megabytes.0 * 1_048_576.0) as u64),
-            descriptors: descriptors.0 as usize,
-            processor: (cores.0 * 1e3) as u32,
             stop_within: Span((seconds.0 * 1e6) as u64),
             zones,
             platform,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use document::{Account, Class, Document, Limits, Model, Policy, Service};
 pub use error::{Error, Problem, Result};
-pub use gateway::Gateway;
+pub use gateway::{Gateway, Machine};
 pub use process::{
     Admin, Endpoint, EndpointKind, Entry, LogFormat, Platform, Process, Secret, Sidecar, Timing,
     unusable_address,
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -17,7 +17,7 @@
 
 enum Command {
     Entry(serve::Options),
-    Gateway(serve::Options),
+    Gateway(gateway::Options),
     Sidecar(serve::Options),
     Ctl(ctl::Options),
 }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -8,11 +8,16 @@
     pub(crate) settings: String,
 }
 
+/// Returns the parser of the settings file.
+pub(crate) fn settings_file() -> impl Parser<String> {
+    long("settings")
+        .help("INI file with the process's settings")
+        .argument("FILE")
+}
+
 /// Returns the parser of the subcommand `name`.
 pub(crate) fn options(name: &'static str, description: &'static str) -> impl Parser<Options> {
-    let settings = long("settings")
-        .help("INI file with the process's settings")
-        .argument("FILE");
+    let settings = settings_file();
     construct!(Options { settings })
         .to_options()
         .descr(description)
