requests that wait for credit are answered also if limits end meanwhile

Found while reading the diff: a request that waited when a version without limits came in force waited until its deadline.

--- a/crates/gateway/src/caps.rs
+++ b/crates/gateway/src/caps.rs
@@ -148,19 +148,18 @@
         }
     }
 
-    /// Obtains credit for as long as the process runs; does nothing while no account has a limit.
+    /// Obtains credit for as long as the process runs; does nothing while no account has a limit and no
+    /// request waits from the time when one had.
     pub(crate) async fn run(self: Arc<Self>) {
         loop {
             let wanted = self.wanted.listen();
-            let has_limits = self.has_limits.load(Ordering::Acquire);
-            let has_waiting = has_limits && self.has_waiting();
-            if !has_waiting {
+            if !self.has_waiting() {
                 let interval = async {
                     smol::Timer::after(MESSAGE_INTERVAL).await;
                 };
                 wanted.or(interval).await;
             }
-            if has_limits {
+            if self.has_limits.load(Ordering::Acquire) || self.has_waiting() {
                 self.exchange_all().await;
             }
         }
