--- a/review/kit-2/long_conversation.rs
+++ b/review/kit-2/long_conversation.rs
@@ -17,7 +17,7 @@
 const MEMORY_MB: u32 = 88;
 const LIMIT_KB: u64 = MEMORY_MB as u64 * 1_024;
 /// Programs that have a long conversation each.
-const PROGRAMS: usize = 12;
+const PROGRAMS: usize = 16;
 /// Turns of a conversation. Their text is inside `MaxBodyBytes`, and its 176,000 tokens fit into an
 /// engine of the sheet.
 const TURNS: usize = 4;
--- a/review/kit-2/stand.rs
+++ b/review/kit-2/stand.rs
@@ -397,9 +397,19 @@
     changed: Condvar,
     started: Instant,
     pub refused: AtomicU64,
+    outage: Mutex<Option<Outage>>,
     record: Arc<Record>,
 }
 
+/// What of the store answers with 503 and does nothing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outage {
+    /// All of it.
+    Whole,
+    /// This many of a hundred parts; never the part without a name.
+    Parts(u64),
+}
+
 const TRANSACTION_BYTES: usize = 1_000_000;
 const ANSWER_BYTES: usize = 1_000_000;
 const TRANSACTION_ENTRIES: usize = 100;
@@ -420,6 +430,7 @@
             changed: Condvar::new(),
             started: Instant::now(),
             refused: AtomicU64::new(0),
+            outage: Mutex::new(None),
             record,
         });
         let serving = store.clone();
@@ -436,6 +447,26 @@
         self.changed.notify_all();
     }
 
+    /// Begins or ends an outage.
+    pub fn set_outage(&self, outage: Option<Outage>) {
+        self.record.line(&format!("store: outage {outage:?}"));
+        *self.outage.lock().unwrap() = outage;
+    }
+
+    /// Whether a call that concerns `part` is answered with 503.
+    fn is_down(&self, part: &str) -> bool {
+        match *self.outage.lock().unwrap() {
+            None => false,
+            Some(Outage::Whole) => true,
+            Some(Outage::Parts(share)) => {
+                let hash = part.bytes().fold(7u64, |hash, byte| {
+                    hash.wrapping_mul(0x100_0000_01b3) ^ u64::from(byte)
+                });
+                !part.is_empty() && (hash.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) % 100 < share
+            }
+        }
+    }
+
     fn answer(&self, request: &Message, stream: &mut TcpStream) -> bool {
         thread::sleep(ANSWER_TIME);
         let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
@@ -444,6 +475,15 @@
             .filter_map(|pair| pair.split_once('='))
             .map(|(name, value)| (name.to_owned(), unescape(value)))
             .collect();
+        let part = query.get("part").cloned().unwrap_or_default();
+        let is_down = match path {
+            "/-/rows-feed" => self.is_down(""),
+            "/-/rows-get" => self.is_down(&part),
+            _ => self.is_down(&first_part(&request.body)),
+        };
+        if is_down {
+            return write_answer(stream, "503 Service Unavailable", "", b"").is_ok();
+        }
         let (status, body) = match (request.method(), path) {
             ("POST", "/-/rows-tx") => self.transact(&request.body),
             ("GET", "/-/rows-get") => self.read(&query),
@@ -603,6 +643,13 @@
     )
 }
 
+/// Returns the part that a transaction names first; all its entries have the same one.
+fn first_part(body: &[u8]) -> String {
+    let text = String::from_utf8_lossy(&body[..body.len().min(4_096)]);
+    let part = text.split("\"part\":\"").nth(1);
+    part.and_then(|rest| rest.split('"').next()).unwrap_or("").to_owned()
+}
+
 fn unescape(text: &str) -> String {
     let (bytes, mut plain, mut at) = (text.as_bytes(), Vec::new(), 0);
     while at < bytes.len() {
@@ -643,10 +690,13 @@
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
+/// Time until the head of a stream, with its first event: the aim of the sheet's fastest kind.
+const FIRST_EVENT: Duration = Duration::from_millis(250);
+
 /// How a worker answers.
 #[derive(Clone, Copy)]
 pub enum Answer {
-    /// A stream of this many events, one each 10 ms.
+    /// A stream of this many events, the first after [`FIRST_EVENT`], then one each 10 ms.
     Stream(u32),
     /// A body of this many bytes.
     Plain(usize),
@@ -705,6 +755,7 @@
                     "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\n\
                      Transfer-Encoding: chunked\r\n\r\n"
                 );
+                thread::sleep(FIRST_EVENT);
                 let mut sent = stream.write_all(head.as_bytes()).is_ok();
                 for number in 1..=count {
                     thread::sleep(Duration::from_millis(10));
