--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without
 # the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/release/balsamhold ] && [ -x target/review-2/slow_readers ] || exit 2
-exec target/review-2/slow_readers review/9
+[ -x target/release/balsamhold ] && [ -x target/review-2/long_conversation ] || exit 2
+exec target/review-2/long_conversation review/9
