--- a/review/kit-2/stand.rs
+++ b/review/kit-2/stand.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -313,16 +313,48 @@
     stream.write_all(&bytes)
 }
 
+/// A listener with its channels.
+#[derive(Clone)]
+pub struct Server {
+    address: SocketAddr,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+    has_ended: Arc<AtomicBool>,
+}
+
+impl Server {
+    /// Ends the listener and all channels at once, as the end of a process does.
+    pub fn crash(&self) {
+        self.has_ended.store(true, Ordering::Release);
+        // Wakes the listener, which then ends.
+        let _ = TcpStream::connect(self.address);
+        for stream in self.streams.lock().unwrap().iter() {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
 /// Serves each channel of `listener` with a thread of its own; `handle` returns whether the channel
 /// stays open.
 pub fn serve(
     listener: TcpListener,
     handle: impl Fn(&Message, &mut TcpStream) -> bool + Send + Sync + 'static,
-) {
+) -> Server {
     let handle = Arc::new(handle);
+    let server = Server {
+        address: listener.local_addr().unwrap(),
+        streams: Arc::default(),
+        has_ended: Arc::default(),
+    };
+    let served = server.clone();
     thread::spawn(move || {
         for stream in listener.incoming() {
+            if served.has_ended.load(Ordering::Acquire) {
+                return;
+            }
             let Ok(mut stream) = stream else { continue };
+            if let Ok(copy) = stream.try_clone() {
+                served.streams.lock().unwrap().push(copy);
+            }
             let handle = handle.clone();
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
@@ -336,6 +368,7 @@
             });
         }
     });
+    server
 }
 
 // ---------------------------------------------------------------- the record
@@ -467,6 +500,14 @@
         }
     }
 
+    /// Removes a row without a part, in place of the operator or a worker.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.version += 1;
+        rows.set((table.into(), String::new(), key.into()), None);
+        self.changed.notify_all();
+    }
+
     fn answer(&self, request: &Message, stream: &mut TcpStream) -> bool {
         thread::sleep(ANSWER_TIME);
         let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
@@ -715,7 +756,7 @@
     id: &str,
     answer: Answer,
     runs: &Runs,
-) {
+) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().unwrap();
     let entry = format!(
@@ -766,7 +807,7 @@
                 sent && stream.write_all(b"0\r\n\r\n").is_ok()
             }
         }
-    });
+    })
 }
 
 // ---------------------------------------------------------------- gateways
