--- a/crates/clients/src/account.rs
+++ b/crates/clients/src/account.rs
@@ -79,6 +79,11 @@
         self.accounts.len()
     }
 
+    /// Whether an account with this name is listed.
+    pub fn contains(&self, name: &str) -> bool {
+        self.accounts.contains_key(name)
+    }
+
     /// Returns the account that holds the key with this digest.
     pub fn by_key(&self, key: &Digest) -> Option<&Account> {
         self.accounts.get(self.keys.get(key)?)
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -1,4 +1,5 @@
-//! Client accounts: their keys, and the limits that all hosts together keep.
+//! Client accounts: their keys, the identifiers that their callers choose, and the limits that all
+//! hosts together keep.
 //!
 //! The requests of an account come through all hosts, a few through each, and those of one program
 //! through one or two at a time. So a limit is kept in one place: a host, the [`Meter`] of the account,
@@ -13,6 +14,7 @@
 mod credit;
 mod error;
 mod meter;
+pub mod owner;
 
 pub use account::{Account, Accounts, Limit};
 pub use credit::{Credit, Standing};
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use clients::owner::Owner;
 use clients::{Account, Standing};
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::http::request::Parts;
@@ -16,7 +17,7 @@
 
 use crate::call::Call;
 use crate::environment::{Environment, Repeat};
-use crate::exchange::{Exchange, scoped_id};
+use crate::exchange::Exchange;
 use crate::prompt::unit_hash;
 use crate::reply::{Body, Refusal, close_connection, hold_request, refusal_response};
 use crate::sniff::HeadState;
@@ -114,7 +115,7 @@
 async fn accept(
     shared: Arc<Shared>,
     head: Parts,
-    mut call: Call,
+    call: Call,
     body: Incoming,
     head_state: &HeadState,
     held: &intake::Request,
@@ -142,9 +143,9 @@
     held.serve(memory).map_err(|_| Refusal::Overloaded)?;
     // The gateway may have begun to stop while the body arrived.
     let deadline = shared.limit_deadline(requested_deadline)?;
-    call.program = call.program.map(|id| scoped_id(account.as_ref(), &id));
-    let previous = call.previous_turn;
-    call.previous_turn = previous.map(|id| scoped_id(account.as_ref(), &id));
+    let owner = account.as_ref().map_or(Owner::Anonymous, |account| {
+        Owner::Account(account.name.clone())
+    });
     if let Some(account) = &account {
         let standing = if route.repeat == Repeat::Stream && call.is_first_turn() {
             Standing::New
@@ -155,9 +156,10 @@
         caps.admit(account, environment.version, standing, deadline)
             .await?;
     }
-    let split_key = call.program.as_ref().unwrap_or(&call.id);
+    let program = call.program.as_ref().map(|id| owner.id(id));
+    let split_key = program.as_ref().map(ToCompactString::to_compact_string);
     let service = route
-        .select_service(unit_hash(split_key))
+        .select_service(unit_hash(split_key.as_ref().unwrap_or(&call.id)))
         .ok_or(Refusal::NoEndpoint)?
         .clone();
     let exchange = Exchange {
@@ -168,6 +170,8 @@
         reservation: None,
         call,
         account,
+        owner,
+        program,
         head,
         started,
         deadline,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use clients::Account;
-use compact_str::{CompactString, ToCompactString, format_compact};
+use clients::owner::{Id, Owner};
+use compact_str::{CompactString, ToCompactString};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
@@ -45,6 +46,9 @@
     pub(crate) call: Call,
     /// The client account that sent the request.
     pub(crate) account: Option<Account>,
+    /// Owner of the identifiers in the request.
+    pub(crate) owner: Owner,
+    pub(crate) program: Option<Id>,
     /// Identifies the request over all attempts of its caller.
     pub(crate) suspect: Suspect,
     /// Whether the request is in quarantine, and sent once to learn whether it still has to be.
@@ -91,7 +95,7 @@
     fn log_suspect(&self, admission: Admission) {
         let losses = self.shared.crashes.quarantine().losses_of(self.suspect);
         info!(self.shared.log, "request has losses"; "request" => %self.call.id,
-            "program" => self.program(), "fingerprint" => %self.suspect.whole,
+            "program" => %self.logged_program(), "fingerprint" => %self.suspect.whole,
             "beginning" => %self.suspect.beginning, "losses" => losses,
             "admission" => ?admission);
     }
@@ -148,7 +152,7 @@
             }
             if waited {
                 info!(self.shared.log, "request waited for the store"; "request" => %self.call.id,
-                    "program" => self.call.program.as_deref().unwrap_or(""),
+                    "program" => %self.logged_program(),
                     "back" => !is_unavailable,
                     "waited_ms" => now.since(self.started).as_ms());
             }
@@ -165,13 +169,18 @@
         }
     }
 
-    /// Returns the identifier of the request's turn among the turns of all accounts.
-    pub(crate) fn turn_id(&self) -> CompactString {
-        scoped_id(self.account.as_ref(), &self.call.id)
+    /// Returns the name of the request's program; empty if it has none.
+    pub(crate) fn program_name(&self) -> CompactString {
+        let name = |id: &Id| id.name(&self.environment.accounts).as_str().into();
+        self.program.as_ref().map(name).unwrap_or_default()
     }
 
-    pub(crate) fn program(&self) -> &str {
-        self.call.program.as_deref().unwrap_or("")
+    /// Returns the request's program for a line of the log.
+    pub(crate) fn logged_program(&self) -> CompactString {
+        let program = self.program.as_ref();
+        program
+            .map(ToCompactString::to_compact_string)
+            .unwrap_or_default()
     }
 
     /// Opens the turn if the request is one, chooses an endpoint and reserves the turn's tokens.
@@ -182,6 +191,7 @@
             &self.environment,
             &self.route,
             &self.call,
+            &self.owner,
             &self.service,
             body,
         );
@@ -294,7 +304,9 @@
         let now = self.shared.clock.now();
         let chunks = chunks(&self.call);
         let object = self.call.object.as_ref().filter(|_| self.route.sticky);
-        let key = object.or(self.call.program.as_ref());
+        let program = self.program.as_ref();
+        let program = program.map(ToCompactString::to_compact_string);
+        let key = object.or(program.as_ref());
         let is_suspect = self.shared.crashes.quarantine().losses_of(self.suspect) > 0;
         let hash_key = if is_suspect {
             // All hosts choose the same endpoint for one suspect, and others for other suspects.
@@ -409,7 +421,7 @@
             .metrics
             .record_seconds("request", elapsed.as_secs_f64());
         info!(shared.log, "request ended"; "request" => %self.call.id, "outcome" => outcome,
-            "program" => self.call.program.as_deref().unwrap_or(""),
+            "account" => %self.owner, "program" => %self.logged_program(),
             "previous_turn" => self.call.previous_turn.as_deref().unwrap_or(""),
             "fingerprint" => %self.suspect.whole,
             "route" => %self.route.name, "service" => %self.service,
@@ -427,15 +439,6 @@
     }
 }
 
-/// Returns an identifier that a caller chose, made unique among all accounts: the turns and programs of
-/// another account do not exist for a caller.
-pub(crate) fn scoped_id(account: Option<&Account>, id: &CompactString) -> CompactString {
-    match account {
-        Some(account) => format_compact!("{}/{id}", account.name),
-        None => id.clone(),
-    }
-}
-
 fn loss_kind(refusal: &Refusal) -> LossKind {
     match refusal {
         Refusal::EndpointTimedOut => LossKind::TimedOut,
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -3,12 +3,13 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use compact_str::CompactString;
+use clients::Accounts;
+use clients::owner::{Id, Name};
 use futures_util::future::join_all;
 use slog::{Logger, info, warn};
 use store::Outcome;
 use store::api::Transaction;
-use turns::{CHAIN_SLACK, History, Transcript, Turn, TurnKey, WriteTimes};
+use turns::{CHAIN_SLACK, History, ReadTurn, Transcript, Turn, TurnKey, WriteTimes};
 use units::{Clock, Span, Time};
 
 use crate::control::retry_pause;
@@ -37,7 +38,7 @@
 
 /// A turn that this host wrote and has to drop later.
 struct WrittenTurn {
-    id: CompactString,
+    id: Id,
     key: TurnKey,
     /// Version of the rows as this host wrote them; another host may write them again.
     version: u64,
@@ -45,6 +46,16 @@
     expires_at: Time,
 }
 
+/// A turn to write while `accounts` are listed.
+#[derive(Clone, Copy)]
+struct Write<'a> {
+    id: &'a Id,
+    turn: &'a Turn,
+    accounts: &'a Accounts,
+    /// Whether no turn with this identifier may be stored before. Else the same turn is.
+    is_new: bool,
+}
+
 impl Histories {
     pub(crate) fn new(rows: Arc<Rows>, clock: Clock, log: Logger) -> Self {
         Histories {
@@ -57,19 +68,23 @@
         }
     }
 
-    /// Loads the text of a turn and of all turns before it.
+    /// Loads the text of a turn and of all turns before it, while `accounts` are listed.
     ///
     /// # Errors
     /// [`Refusal::UnknownTurn`] only if a read of the store shows that a turn does not exist, else
     /// [`Refusal::StoreUnavailable`].
-    pub(crate) async fn load_transcript(&self, id: &CompactString) -> Result<Transcript, Refusal> {
+    pub(crate) async fn load_transcript(
+        &self,
+        id: &Id,
+        accounts: &Accounts,
+    ) -> Result<Transcript, Refusal> {
         // The last turn names the others, so two rounds of reads find them all.
         for _ in 0..2 {
             let missing = match self.memory().transcript(id) {
                 Ok(transcript) => return Ok(transcript),
                 Err(missing) => missing,
             };
-            let reads = missing.iter().map(|turn| self.read(turn));
+            let reads = missing.iter().map(|turn| self.read(turn, accounts));
             for read in join_all(reads).await {
                 read?;
             }
@@ -79,14 +94,38 @@
             .map_err(|_| Refusal::StoreUnavailable)
     }
 
-    /// Reads a turn into memory from the first of its partitions that has it.
-    async fn read(&self, id: &CompactString) -> Result<(), Refusal> {
+    /// Whether a turn is in memory, and thus committed.
+    pub(crate) fn is_in_memory(&self, id: &Id) -> bool {
+        self.memory().get(id).is_some()
+    }
+
+    /// Reads a turn into memory. It may stand under the name that it had while other accounts were
+    /// listed.
+    async fn read(&self, id: &Id, accounts: &Accounts) -> Result<(), Refusal> {
+        let name = id.name(accounts);
+        let mut read = self.read_name(id, &name, true).await;
+        if matches!(read, Err(Refusal::UnknownTurn))
+            && let Some(other) = id.other_name(accounts)
+        {
+            read = self.read_name(id, &other, false).await;
+        }
+        self.memory().insert(id, read?, self.clock.now());
+        Ok(())
+    }
+
+    /// Reads a turn from the first of the partitions of a name that has it. `is_own` states that rows
+    /// of releases that did not write the owner belong to this one.
+    async fn read_name(&self, id: &Id, name: &Name, is_own: bool) -> Result<Turn, Refusal> {
         let mut refusal = Refusal::UnknownTurn;
-        for key in TurnKey::candidates(id) {
+        for key in TurnKey::candidates(name) {
             match self.read_partition(id, &key).await {
-                Ok(Some(turn)) => {
-                    self.memory().insert(id, turn, self.clock.now());
-                    return Ok(());
+                Ok(Some((read, _))) => {
+                    let owner = read.owner.as_ref();
+                    if owner.map_or(is_own, |owner| owner == id.owner()) {
+                        return Ok(read.turn);
+                    }
+                    info!(self.log, "turn belongs to another owner"; "turn" => %name,
+                        "owner" => owner.map(ToString::to_string));
                 }
                 Ok(None) => {}
                 // A partition that cannot be read may have the turn.
@@ -96,12 +135,13 @@
         Err(refusal)
     }
 
-    /// Reads a turn from one partition; repeats the read once if the response is lost.
+    /// Reads a turn from one partition, with the version of its rows; repeats the read once if the
+    /// response is lost.
     async fn read_partition(
         &self,
-        id: &CompactString,
+        id: &Id,
         key: &TurnKey,
-    ) -> Result<Option<Turn>, Refusal> {
+    ) -> Result<Option<(ReadTurn, u64)>, Refusal> {
         let mut result = self.rows.read(&key.partition, &key.first, &key.end).await;
         if result.is_err() && !self.rows.is_unavailable(&key.partition) {
             result = self.rows.read(&key.partition, &key.first, &key.end).await;
@@ -111,27 +151,31 @@
                 "error" => %error);
             Refusal::StoreUnavailable
         })?;
-        let version = page.rows.iter().map(|row| row.version).min();
-        let earliest = version.and_then(|version| self.rows.ages().earliest_write_time(version));
+        let versions = || page.rows.iter().map(|row| row.version);
+        let earliest = versions().min();
+        let earliest = earliest.and_then(|version| self.rows.ages().earliest_write_time(version));
         if let Some(earliest) = earliest {
             self.write_times().record(id, earliest);
         }
-        Turn::from_rows(&page.rows).map_err(|error| {
+        let read = Turn::from_rows(&page.rows, id.owner()).map_err(|error| {
             warn!(self.log, "turn cannot be decoded"; "turn" => %id, "error" => %error,
                 "store_version" => page.version);
             Refusal::StoreUnavailable
-        })
+        })?;
+        Ok(read.zip(versions().max()))
     }
 
     /// Commits a turn, and rewrites those turns before it whose rows would be dropped earlier.
     /// Returns when all of them are durable, however long that takes.
     ///
     /// # Errors
-    /// If a turn cannot be encoded.
+    /// [`Refusal::TurnExists`] if another turn with this identifier is stored, and
+    /// [`Refusal::EndpointFailed`] if a turn cannot be encoded.
     pub(crate) async fn commit(
         &self,
-        id: &CompactString,
+        id: &Id,
         turn: Turn,
+        accounts: &Accounts,
         retention: Span,
     ) -> Result<(), Refusal> {
         for previous in self.due_for_rewrite(&turn.predecessors) {
@@ -142,14 +186,26 @@
                 continue;
             };
             info!(self.log, "retention of turn extended"; "turn" => %previous, "for" => %id);
-            self.write(&previous, &old, retention).await?;
+            let write = Write {
+                id: &previous,
+                turn: &old,
+                accounts,
+                is_new: false,
+            };
+            self.write(write, retention).await?;
         }
-        self.write(id, &turn, retention).await?;
+        let write = Write {
+            id,
+            turn: &turn,
+            accounts,
+            is_new: true,
+        };
+        self.write(write, retention).await?;
         self.memory().insert(id, turn, self.clock.now());
         Ok(())
     }
 
-    fn due_for_rewrite(&self, predecessors: &[CompactString]) -> Vec<CompactString> {
+    fn due_for_rewrite(&self, predecessors: &[Id]) -> Vec<Id> {
         let now = self.clock.now();
         self.write_times()
             .due_for_rewrite(predecessors, now)
@@ -159,23 +215,42 @@
     }
 
     /// Writes the rows of a turn; returns when they are durable.
-    async fn write(&self, id: &CompactString, turn: &Turn, retention: Span) -> Result<(), Refusal> {
-        let keys = TurnKey::candidates(id);
+    async fn write(&self, write: Write<'_>, retention: Span) -> Result<(), Refusal> {
+        let Write {
+            id, turn, accounts, ..
+        } = write;
+        let name = id.name(accounts);
+        let keys = TurnKey::candidates(&name);
         // One partition is enough; the second is used while the first is unavailable.
         for key in keys.iter().cycle() {
-            let transaction = turn.write_transaction(key).map_err(|error| {
-                warn!(self.log, "turn cannot be encoded"; "turn" => %id, "error" => %error);
+            let transaction = turn.write_transaction(key, id.owner(), accounts);
+            let mut transaction = transaction.map_err(|error| {
+                warn!(self.log, "turn cannot be encoded"; "turn" => %name, "error" => %error);
                 Refusal::EndpointFailed
             })?;
+            if write.is_new {
+                transaction = transaction.with_check(&key.row(0), 0);
+            }
             match self.rows.write(&key.partition, &transaction).await {
                 Ok(Outcome::Committed(version)) => {
                     self.record_written(id, key, version, retention);
                     break;
                 }
-                // The transaction has no check that could fail.
-                Ok(Outcome::Conflict(_)) => {}
+                // An earlier attempt of this write whose response was lost, or another turn.
+                Ok(Outcome::Conflict(_)) => match self.read_partition(id, key).await {
+                    Ok(Some((read, version))) if read.turn == *turn => {
+                        self.record_written(id, key, version, retention);
+                        break;
+                    }
+                    Ok(Some(_)) => {
+                        warn!(self.log, "another turn has the identifier"; "turn" => %name,
+                            "part" => %key.partition.name);
+                        return Err(Refusal::TurnExists);
+                    }
+                    Ok(None) | Err(_) => {}
+                },
                 Err(error) => {
-                    info!(self.log, "turn not written yet"; "turn" => %id,
+                    info!(self.log, "turn not written yet"; "turn" => %name,
                         "part" => %key.partition.name, "error" => %error);
                 }
             }
@@ -189,7 +264,7 @@
         Ok(())
     }
 
-    fn record_written(&self, id: &CompactString, key: &TurnKey, version: u64, retention: Span) {
+    fn record_written(&self, id: &Id, key: &TurnKey, version: u64, retention: Span) {
         let now = self.clock.now();
         self.write_times().record(id, now);
         let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/programs.rs
+++ b/crates/gateway/src/programs.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use clients::owner::Name;
 use compact_str::CompactString;
 use slog::{Logger, info, warn};
 use store::api::{Row, Transaction};
@@ -50,12 +51,12 @@
     incarnation: Incarnation,
     clock: Clock,
     log: Logger,
-    programs: Mutex<HashMap<CompactString, Arc<Program>>>,
+    programs: Mutex<HashMap<Name, Arc<Program>>>,
 }
 
 /// One program, as this host serves it.
 pub(crate) struct Program {
-    id: CompactString,
+    name: Name,
     key: AccountKey,
     rows: Arc<Rows>,
     peers: Peers,
@@ -163,14 +164,14 @@
         }
     }
 
-    /// Returns the program with this identifier; creates it if this host does not serve it yet.
-    pub(crate) fn open(&self, id: &CompactString, retention: Span) -> Arc<Program> {
+    /// Returns the program with this name; creates it if this host does not serve it yet.
+    pub(crate) fn open(&self, name: &Name, retention: Span) -> Arc<Program> {
         let now = self.clock.now();
         let mut programs = self.programs.lock().unwrap_or_else(PoisonError::into_inner);
-        let program = programs.entry(id.clone()).or_insert_with(|| {
+        let program = programs.entry(name.clone()).or_insert_with(|| {
             Arc::new(Program {
-                id: id.clone(),
-                key: AccountKey::new(id),
+                name: name.clone(),
+                key: AccountKey::new(name),
                 rows: self.rows.clone(),
                 peers: self.peers.clone(),
                 clock: self.clock,
@@ -187,10 +188,10 @@
 
     /// Settles this host's grant of a program's budget; waits for the write, at most for
     /// [`SETTLE_WAIT_MAX`].
-    pub(crate) async fn settle(&self, id: &CompactString) {
+    pub(crate) async fn settle(&self, name: &Name) {
         let program = {
             let programs = self.programs.lock().unwrap_or_else(PoisonError::into_inner);
-            programs.get(id).cloned()
+            programs.get(name).cloned()
         };
         let Some(program) = program else {
             return;
@@ -429,11 +430,11 @@
     async fn ask_holders(&self, holders: &[Incarnation]) {
         let started = self.clock.now();
         let relay = Relay::Settle {
-            program: self.id.clone(),
+            program: self.name.clone(),
         };
         let request = self.peers.request_return(&relay, holders, SETTLE_WAIT_MAX);
         request.await;
-        info!(self.log, "grants of other hosts requested"; "program" => %self.id,
+        info!(self.log, "grants of other hosts requested"; "program" => %self.name,
             "hosts" => holders.len(),
             "took_ms" => self.clock.now().since(started).as_ms());
     }
@@ -459,7 +460,7 @@
             state.release_spare = false;
             drop(state);
             if !waiting.is_empty() {
-                info!(self.log, "turns refused, store unavailable"; "program" => %self.id,
+                info!(self.log, "turns refused, store unavailable"; "program" => %self.name,
                     "turns" => waiting.len(), "error" => %error);
             }
             for waiting in waiting {
@@ -486,7 +487,7 @@
             (state.ledger.version(), unsettled)
         };
         if let Some(host) = unsettled {
-            info!(self.log, "account not dropped"; "program" => %self.id,
+            info!(self.log, "account not dropped"; "program" => %self.name,
                 "row_version" => version, "unsettled" => %host);
             return;
         }
@@ -507,7 +508,7 @@
             }
             Err(_) => "unknown",
         };
-        info!(self.log, "account expired"; "program" => %self.id, "row_version" => version,
+        info!(self.log, "account expired"; "program" => %self.name, "row_version" => version,
             "outcome" => outcome);
     }
 }
@@ -557,7 +558,7 @@
         let held_ms = self
             .held
             .map_or(0, |held| program.clock.now().since(held.since).as_ms());
-        info!(program.log, "turn exceeds the budget"; "program" => %program.id,
+        info!(program.log, "turn exceeds the budget"; "program" => %program.name,
             "code" => refusal.code(), "need" => need.0, "budget" => budget.0,
             "own_taken" => self.ledger.taken().0, "others_granted" => granted_to_others.0,
             "others_used" => used_by_others.0, "row_version" => self.ledger.version(),
@@ -581,8 +582,10 @@
         let mut transaction = Transaction::default().with_check(key, plan.version);
         match plan.account.encode() {
             Ok(bytes) => transaction = transaction.with_write(key, bytes),
-            Err(error) => warn!(program.log, "account cannot be encoded"; "program" => %program.id,
-                "error" => %error),
+            Err(error) => {
+                warn!(program.log, "account cannot be encoded"; "program" => %program.name,
+                "error" => %error)
+            }
         }
         let pending = PendingWrite {
             released: spare.minus(plan.grant.granted.minus(plan.grant.taken)),
@@ -608,7 +611,7 @@
         match result {
             Ok(Outcome::Committed(version)) => {
                 if pending.released > Tokens(0) {
-                    info!(program.log, "spare tokens released"; "program" => %program.id,
+                    info!(program.log, "spare tokens released"; "program" => %program.name,
                         "tokens" => pending.released.0, "row_version" => version);
                 }
                 self.ledger.record_commit(pending.plan, version);
@@ -660,8 +663,10 @@
                 self.ledger.refresh(account, row.version);
             }
             // Without a grant, this host hands out no tokens until the row can be decoded again.
-            Err(error) => warn!(program.log, "account cannot be decoded"; "program" => %program.id,
-                "row_version" => row.version, "error" => %error),
+            Err(error) => {
+                warn!(program.log, "account cannot be decoded"; "program" => %program.name,
+                "row_version" => row.version, "error" => %error)
+            }
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -199,10 +199,9 @@
         }
         let events = std::mem::take(&mut self.events);
         if let Some(turn) = &self.turn {
-            let turn_id = self.exchange.turn_id();
             let commit = turn.commit(
                 shared,
-                &turn_id,
+                &self.exchange.environment.accounts,
                 &self.placement.choice.id,
                 events.into_data(),
             );
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -61,6 +61,8 @@
     StaleEnvironment,
     /// The request continues a turn that does not exist.
     UnknownTurn,
+    /// Another turn with this identifier is stored.
+    TurnExists,
     /// The request has no key of a client account.
     UnknownKey,
     /// Did not run: the client account has used up its limit. Holds the time after which a request may
@@ -110,6 +112,7 @@
             Refusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::NoRoute | Refusal::UnknownTurn => StatusCode::NOT_FOUND,
+            Refusal::TurnExists => StatusCode::CONFLICT,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
             Refusal::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
@@ -142,6 +145,7 @@
             Refusal::NoRoute => "no-route",
             Refusal::StaleEnvironment => "environment-stale",
             Refusal::UnknownTurn => "no-turn",
+            Refusal::TurnExists => "turn-exists",
             Refusal::UnknownKey => "unknown-key",
             Refusal::OverLimit(_) => "over-limit",
             Refusal::BudgetSpent => "budget-spent",
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -27,12 +27,15 @@
         }
         let resumed = self.call.resumed_attempt.as_ref();
         let resumed = resumed.ok_or(Refusal::StreamNotKept)?;
-        let origin = self.shared.streams.find(resumed).await?;
+        let accounts = &self.environment.accounts;
+        let stream = self.owner.id(resumed);
+        let origin = self.shared.streams.find(&stream, accounts).await?;
+        let program = self.program_name();
         let release = origin
             .as_ref()
-            .and_then(|origin| origin.release_for(&self.service, self.program()));
+            .and_then(|origin| origin.release_for(&self.service, &program));
         info!(self.shared.log, "resumption requested"; "request" => %self.call.id,
-            "resumed_attempt" => %resumed, "program" => self.program(),
+            "resumed_attempt" => %resumed, "program" => %program,
             "origin" => ?origin, "release" => ?release);
         let (Some(origin), Some(release)) = (&origin, release) else {
             return Err(Refusal::StreamNotKept);
@@ -119,10 +122,12 @@
             let origin = Origin {
                 service: self.service.clone(),
                 release: placement.choice.release.clone(),
-                program: self.program().into(),
+                program: self.program_name(),
                 endpoint: placement.choice.id.clone(),
             };
-            self.shared.streams.begin(&self.call.id, origin);
+            let stream = self.owner.id(&self.call.id);
+            let name = stream.name(&self.environment.accounts);
+            self.shared.streams.begin(&name, origin);
         }
         Ok(())
     }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -6,7 +6,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use compact_str::CompactString;
+use clients::Accounts;
+use clients::owner::{Id, Name, Owner};
 use rand::Rng;
 use slog::{Logger, info, warn};
 use store::api::Transaction;
@@ -36,14 +37,14 @@
 /// The latest streams that began at this host.
 #[derive(Default)]
 struct Recent {
-    origins: HashMap<CompactString, Origin>,
-    order: VecDeque<(Time, CompactString)>,
+    origins: HashMap<Name, Origin>,
+    order: VecDeque<(Time, Name)>,
 }
 
 /// Streams whose rows are not written yet, in the order in which they began.
 #[derive(Default)]
 struct Unwritten {
-    streams: VecDeque<(Time, CompactString)>,
+    streams: VecDeque<(Time, Name)>,
     is_task_running: bool,
 }
 
@@ -67,12 +68,12 @@
         }
     }
 
-    /// Records the origin of the stream that the attempt `id` began.
-    pub(crate) fn begin(self: &Arc<Self>, id: &CompactString, origin: Origin) {
+    /// Records the origin of the stream that the attempt `name` began.
+    pub(crate) fn begin(self: &Arc<Self>, name: &Name, origin: Origin) {
         let now = self.clock.now();
-        self.remember(id, origin, now);
+        self.remember(name, origin, now);
         let mut unwritten = self.unwritten();
-        unwritten.streams.push_back((now, id.clone()));
+        unwritten.streams.push_back((now, name.clone()));
         if unwritten.streams.len() > UNWRITTEN_MAX {
             unwritten.streams.pop_front();
         }
@@ -114,7 +115,7 @@
     }
 
     /// Takes the next streams to write that may still be resumed; `None` ends the task.
-    fn take_batch(&self) -> Option<Vec<(Time, CompactString)>> {
+    fn take_batch(&self) -> Option<Vec<(Time, Name)>> {
         let now = self.clock.now();
         let mut unwritten = self.unwritten();
         unwritten
@@ -127,24 +128,24 @@
 
     /// Returns a batch that was not written to the front of the queue, the latest streams first if it
     /// does not fit.
-    fn put_back(&self, batch: Vec<(Time, CompactString)>) {
+    fn put_back(&self, batch: Vec<(Time, Name)>) {
         let mut unwritten = self.unwritten();
         let room = UNWRITTEN_MAX.saturating_sub(unwritten.streams.len());
         let kept = batch.into_iter().rev().take(room);
         kept.for_each(|stream| unwritten.streams.push_front(stream));
     }
 
-    fn transaction(&self, batch: &[(Time, CompactString)]) -> Transaction {
+    fn transaction(&self, batch: &[(Time, Name)]) -> Transaction {
         let recent = self.recent();
         let origins = batch
             .iter()
-            .filter_map(|(_, id)| Some((id, recent.origins.get(id)?)));
+            .filter_map(|(_, name)| Some((name, recent.origins.get(name)?)));
         origins.fold(
             Transaction::default(),
-            |writes, (id, origin)| match origin.encode() {
-                Ok(value) => writes.with_write(&StreamKey::new(id).key, value),
+            |writes, (name, origin)| match origin.encode() {
+                Ok(value) => writes.with_write(&StreamKey::new(name).key, value),
                 Err(error) => {
-                    warn!(self.log, "origin of stream cannot be encoded"; "request" => %id,
+                    warn!(self.log, "origin of stream cannot be encoded"; "stream" => %name,
                         "error" => %error);
                     writes
                 }
@@ -152,36 +153,52 @@
         )
     }
 
-    /// Returns the origin of the stream that the attempt `id` began; `None` if none is recorded.
+    /// Returns the origin of the stream that the attempt `id` began, while `accounts` are listed; `None`
+    /// if none is recorded.
     ///
     /// # Errors
     /// [`Refusal::StoreUnavailable`] if the row cannot be read.
-    pub(crate) async fn find(&self, id: &CompactString) -> Result<Option<Origin>, Refusal> {
-        if let Some(origin) = self.recent().origins.get(id) {
+    pub(crate) async fn find(
+        &self,
+        id: &Id,
+        accounts: &Accounts,
+    ) -> Result<Option<Origin>, Refusal> {
+        let name = id.name(accounts);
+        if let Some(origin) = self.recent().origins.get(&name) {
             return Ok(Some(origin.clone()));
         }
-        let key = StreamKey::new(id);
+        let origin = self.read(&StreamKey::new(&name)).await?;
+        if origin.is_some() || *id.owner() == Owner::Anonymous {
+            return Ok(origin);
+        }
+        // Rows of earlier releases state the owner only in the name of the program.
+        let origin = self.read(&StreamKey::unowned(id)).await?;
+        Ok(origin.filter(|origin| !origin.program.is_empty()))
+    }
+
+    /// Reads the origin of a stream from its row.
+    async fn read(&self, key: &StreamKey) -> Result<Option<Origin>, Refusal> {
         let end = key_after(&key.key);
         let mut result = self.rows.read(&key.partition, &key.key, &end).await;
         if result.is_err() && !self.rows.is_unavailable(&key.partition) {
             result = self.rows.read(&key.partition, &key.key, &end).await;
         }
         let page = result.map_err(|error| {
-            info!(self.log, "origin of stream not read"; "stream" => %id,
+            info!(self.log, "origin of stream not read"; "row" => %key.key,
                 "part" => %key.partition.name, "error" => %error);
             Refusal::StoreUnavailable
         })?;
-        Origin::from_rows(&key, &page.rows).or_else(|error| {
-            warn!(self.log, "origin of stream cannot be decoded"; "stream" => %id,
+        Origin::from_rows(key, &page.rows).or_else(|error| {
+            warn!(self.log, "origin of stream cannot be decoded"; "row" => %key.key,
                 "error" => %error, "store_version" => page.version);
             Ok(None)
         })
     }
 
-    fn remember(&self, id: &CompactString, origin: Origin, now: Time) {
+    fn remember(&self, name: &Name, origin: Origin, now: Time) {
         let mut recent = self.recent();
-        if recent.origins.insert(id.clone(), origin).is_none() {
-            recent.order.push_back((now, id.clone()));
+        if recent.origins.insert(name.clone(), origin).is_none() {
+            recent.order.push_back((now, name.clone()));
         }
         while let Some((began, _)) = recent.order.front()
             && (recent.order.len() > RECENT_MAX || now.since(*began) > RETENTION)
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use clients::Accounts;
+use clients::owner::{Id, Owner};
 use compact_str::CompactString;
 use turns::{Transcript, Turn};
 use units::{Span, Tokens};
@@ -25,7 +27,8 @@
 /// What is stored of a turn beside its endpoint and its output, and for how long.
 #[derive(Clone, Debug)]
 pub(crate) struct TurnRecord {
-    predecessors: Vec<CompactString>,
+    id: Id,
+    predecessors: Vec<Id>,
     input: Bytes,
     retention: Span,
 }
@@ -35,7 +38,7 @@
     pub(crate) async fn commit(
         &self,
         shared: &Shared,
-        id: &CompactString,
+        accounts: &Accounts,
         endpoint: &CompactString,
         output: Bytes,
     ) -> Result<(), Refusal> {
@@ -48,7 +51,10 @@
             input: record.input.clone(),
             output,
         };
-        shared.histories.commit(id, turn, record.retention).await
+        let commit = shared
+            .histories
+            .commit(&record.id, turn, accounts, record.retention);
+        commit.await
     }
 }
 
@@ -95,21 +101,31 @@
 /// Returns the body to send and, if the call is a turn of a program, the open turn.
 ///
 /// # Errors
-/// If the previous turns cannot be loaded; the turn must not run.
+/// If the previous turns cannot be loaded, or a turn with this identifier is stored; the turn must not
+/// run.
 pub(crate) async fn open(
     shared: &Shared,
     environment: &Environment,
     route: &Route,
     call: &Call,
+    owner: &Owner,
     service: &str,
     body: Bytes,
 ) -> Result<(Bytes, Option<OpenTurn>), Refusal> {
     let is_turn = route.repeat == Repeat::Stream;
-    let (Some(id), true) = (&call.program, is_turn) else {
+    let (Some(program), true) = (&call.program, is_turn) else {
         return Ok((body, None));
     };
+    let (id, histories, accounts) = (owner.id(&call.id), &shared.histories, &environment.accounts);
+    if route.retains_turns && histories.is_in_memory(&id) {
+        return Err(Refusal::TurnExists);
+    }
     let transcript = match &call.previous_turn {
-        Some(previous) if route.retains_turns => shared.histories.load_transcript(previous).await?,
+        Some(previous) if route.retains_turns => {
+            histories
+                .load_transcript(&owner.id(previous), accounts)
+                .await?
+        }
         _ => Transcript::default(),
     };
     let text = if transcript.text.is_empty() {
@@ -129,12 +145,15 @@
         None => (Tokens(0), Tokens(u64::MAX)),
     };
     let turn = OpenTurn {
-        program: shared.programs.open(id, route.retention),
+        program: shared
+            .programs
+            .open(&owner.id(program).name(accounts), route.retention),
         previous_endpoint: transcript.endpoint,
         need,
         budget,
         event_tokens: engine.map_or(1, |engine| engine.event_tokens),
         record: route.retains_turns.then_some(TurnRecord {
+            id,
             predecessors: transcript.turns,
             input: body,
             retention: route.retention,
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -96,6 +96,17 @@
         self.set(row_key, Some(value.to_vec()));
     }
 
+    /// Writes a row of a partition, in place of a process of the system.
+    pub fn put_in(&mut self, partition: &store::Partition, key: &str, value: &[u8]) {
+        let row_key = RowKey {
+            table: partition.table.to_string(),
+            partition: partition.name.to_string(),
+            key: key.into(),
+        };
+        self.version += 1;
+        self.set(row_key, Some(value.to_vec()));
+    }
+
     /// Deletes a row without a partition, in place of an operator or endpoint.
     pub fn delete_row(&mut self, table: &str, key: &str) {
         let row_key = RowKey {
--- a/crates/turns/src/account.rs
+++ b/crates/turns/src/account.rs
@@ -5,6 +5,7 @@
 use units::{Incarnation, Tokens};
 
 use crate::error::{Error, Result};
+use crate::row::decode;
 
 /// The part of a program's budget that one host may hand out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,9 +118,3 @@
             .filter(move |grant| grant.holder != holder)
     }
 }
-
-/// Decodes a value; returns it with its length in bytes.
-fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<(T, usize)> {
-    bincode::serde::decode_from_slice(bytes, bincode::config::standard())
-        .map_err(|error| Error::Decode(error.to_compact_string()))
-}
--- a/crates/turns/src/chain.rs
+++ b/crates/turns/src/chain.rs
@@ -3,6 +3,8 @@
 use std::collections::{HashMap, VecDeque};
 
 use bytes::{Bytes, BytesMut};
+use clients::Accounts;
+use clients::owner::{Id, Owner};
 use compact_str::{CompactString, ToCompactString};
 use serde::{Deserialize, Serialize};
 use store::api::{Row, Transaction};
@@ -10,6 +12,7 @@
 
 use crate::error::{Error, Result};
 use crate::key::TurnKey;
+use crate::row::decode;
 
 /// Maximum bytes of a turn in one row: the value, with a header and in base64, stays under 64 KiB.
 const ROW_MAX_BYTES: usize = 47 << 10;
@@ -17,8 +20,8 @@
 /// A turn whose answer is complete.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Turn {
-    /// Identifiers of the earlier turns of the chain, the oldest first.
-    pub predecessors: Vec<CompactString>,
+    /// The earlier turns of the chain, the oldest first.
+    pub predecessors: Vec<Id>,
     /// The endpoint that ran the turn, which probably has all of the chain's text in memory.
     pub endpoint: CompactString,
     /// The body that the caller sent.
@@ -36,21 +39,36 @@
     output: Vec<u8>,
 }
 
+/// A turn as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReadTurn {
+    /// The turn.
+    pub turn: Turn,
+    /// Whose turn it is; `None` in rows of releases that did not write it.
+    pub owner: Option<Owner>,
+}
+
 impl Turn {
-    /// Returns the transaction that writes the rows of this turn. It needs no condition: a turn is
-    /// always written with the same content, so a repeated or delayed write changes nothing.
+    /// Returns the transaction that writes the rows of this turn of `owner`, while `accounts` are
+    /// listed. It has no condition.
     ///
     /// # Errors
     /// If the turn cannot be encoded.
-    pub fn write_transaction(&self, key: &TurnKey) -> Result<Transaction> {
+    pub fn write_transaction(
+        &self,
+        key: &TurnKey,
+        owner: &Owner,
+        accounts: &Accounts,
+    ) -> Result<Transaction> {
+        let names = self.predecessors.iter().map(|id| id.name(accounts));
         let stored = StoredTurn {
-            predecessors: self.predecessors.clone(),
+            predecessors: names.map(|name| name.as_str().into()).collect(),
             endpoint: self.endpoint.clone(),
             input: self.input.to_vec(),
             output: self.output.to_vec(),
         };
-        let config = bincode::config::standard();
-        let bytes = bincode::serde::encode_to_vec(&stored, config)
+        // Releases that do not know the owner ignore what follows the turn.
+        let bytes = bincode::serde::encode_to_vec((&stored, owner), bincode::config::standard())
             .map_err(|error| Error::Decode(error.to_compact_string()))?;
         let row_count = bytes.len().div_ceil(ROW_MAX_BYTES);
         let mut transaction = Transaction::default();
@@ -63,11 +81,12 @@
         Ok(transaction)
     }
 
-    /// Decodes a turn from all its rows in the order of their keys; `None` if there are no rows.
+    /// Decodes a turn of `owner` from all its rows in the order of their keys; `None` if there are no
+    /// rows.
     ///
     /// # Errors
-    /// If a row is missing or the turn cannot be decoded.
-    pub fn from_rows(rows: &[Row]) -> Result<Option<Self>> {
+    /// If a row is missing, the turn cannot be decoded or it continues a turn of another owner.
+    pub fn from_rows(rows: &[Row], owner: &Owner) -> Result<Option<ReadTurn>> {
         let Some(first) = rows.first() else {
             return Ok(None);
         };
@@ -79,14 +98,22 @@
         }
         let bytes = rows.iter().flat_map(|row| &row.value.0[4..]);
         let bytes: Vec<u8> = bytes.copied().collect();
-        let config = bincode::config::standard();
-        let (stored, _): (StoredTurn, _) = bincode::serde::decode_from_slice(&bytes, config)
-            .map_err(|error| Error::Decode(error.to_compact_string()))?;
-        Ok(Some(Turn {
-            predecessors: stored.predecessors,
-            endpoint: stored.endpoint,
-            input: stored.input.into(),
-            output: stored.output.into(),
+        let (stored, length): (StoredTurn, usize) = decode(&bytes)?;
+        let stored_owner = match &bytes[length..] {
+            [] => None,
+            rest => Some(decode(rest)?.0),
+        };
+        let predecessors = stored.predecessors.iter().map(|name| owner.parse(name));
+        Ok(Some(ReadTurn {
+            turn: Turn {
+                predecessors: predecessors
+                    .collect::<Option<_>>()
+                    .ok_or(Error::OtherOwner)?,
+                endpoint: stored.endpoint,
+                input: stored.input.into(),
+                output: stored.output.into(),
+            },
+            owner: stored_owner,
         }))
     }
 
@@ -98,8 +125,8 @@
 /// The text of the turns before a new turn.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Transcript {
-    /// Identifiers of these turns, the oldest first.
-    pub turns: Vec<CompactString>,
+    /// These turns, the oldest first.
+    pub turns: Vec<Id>,
     /// The endpoint that ran the last of them.
     pub endpoint: CompactString,
     /// Input and output of each turn, in order.
@@ -111,8 +138,8 @@
 /// Some committed turns may be missing; turns that are not committed are never included.
 #[derive(Debug)]
 pub struct History {
-    turns: HashMap<CompactString, Turn>,
-    order: VecDeque<(Time, CompactString)>,
+    turns: HashMap<Id, Turn>,
+    order: VecDeque<(Time, Id)>,
     size_bytes: usize,
     size_max_bytes: usize,
     age_max: Span,
@@ -131,7 +158,7 @@
     }
 
     /// Adds a committed turn, and evicts the oldest turns that exceed the limits.
-    pub fn insert(&mut self, id: &CompactString, turn: Turn, now: Time) {
+    pub fn insert(&mut self, id: &Id, turn: Turn, now: Time) {
         self.size_bytes += turn.size_bytes();
         if let Some(old) = self.turns.insert(id.clone(), turn) {
             self.size_bytes -= old.size_bytes();
@@ -151,18 +178,15 @@
     }
 
     /// Returns a turn, if it is in memory.
-    pub fn get(&self, id: &str) -> Option<&Turn> {
+    pub fn get(&self, id: &Id) -> Option<&Turn> {
         self.turns.get(id)
     }
 
     /// Returns the text up to and including a turn.
     ///
     /// # Errors
-    /// Identifiers of turns that are not in memory and have to be read first.
-    pub fn transcript(
-        &self,
-        id: &CompactString,
-    ) -> std::result::Result<Transcript, Vec<CompactString>> {
+    /// The turns that are not in memory and have to be read first.
+    pub fn transcript(&self, id: &Id) -> std::result::Result<Transcript, Vec<Id>> {
         let Some(last) = self.turns.get(id) else {
             return Err(vec![id.clone()]);
         };
@@ -170,7 +194,7 @@
         let mut turns = last.predecessors.clone();
         turns.push(id.clone());
         let missing = turns.iter().filter(|id| !self.turns.contains_key(*id));
-        let missing: Vec<CompactString> = missing.cloned().collect();
+        let missing: Vec<Id> = missing.cloned().collect();
         if !missing.is_empty() {
             return Err(missing);
         }
--- a/crates/turns/src/error.rs
+++ b/crates/turns/src/error.rs
@@ -11,6 +11,8 @@
     Decode(CompactString),
     /// Some of a turn's rows are missing.
     Incomplete,
+    /// The turn continues a turn of another owner.
+    OtherOwner,
 }
 
 impl fmt::Display for Error {
@@ -18,6 +20,7 @@
         match self {
             Error::Decode(kind) => write!(f, "row cannot be decoded: {kind}"),
             Error::Incomplete => f.write_str("a row of the turn is missing"),
+            Error::OtherOwner => f.write_str("the turn continues a turn of another owner"),
         }
     }
 }
--- a/crates/turns/src/key.rs
+++ b/crates/turns/src/key.rs
@@ -3,6 +3,7 @@
 //! An account is located by its program, a turn by its own identifier, as a program may continue
 //! from a turn of another program.
 
+use clients::owner::{Id, Name};
 use compact_str::{CompactString, format_compact};
 use store::Partition;
 
@@ -34,7 +35,8 @@
 
 impl AccountKey {
     /// Returns the location of the account of `program`.
-    pub fn new(program: &str) -> Self {
+    pub fn new(program: &Name) -> Self {
+        let program = program.as_str();
         AccountKey {
             partition: partition(ACCOUNTS, partition_index(program)),
             key: key_form(program),
@@ -55,7 +57,8 @@
 
 impl TurnKey {
     /// Returns the locations where a turn may be stored, in the order in which they are tried.
-    pub fn candidates(turn: &str) -> [Self; 2] {
+    pub fn candidates(turn: &Name) -> [Self; 2] {
+        let turn = turn.as_str();
         let first = partition_index(turn);
         // Partitions fail alone or together with others, so any other one serves as the second.
         [first, (first + PARTITIONS / 2 + 1) % PARTITIONS].map(|part| Self::new(turn, part))
@@ -88,10 +91,19 @@
 
 impl StreamKey {
     /// Returns the location of the row of the stream that the attempt `id` began.
-    pub fn new(id: &str) -> Self {
+    pub fn new(id: &Name) -> Self {
         StreamKey {
             partition: Self::partition(),
-            key: key_form(id),
+            key: key_form(id.as_str()),
+        }
+    }
+
+    /// Returns the location at which releases before [`Name`] wrote the row. They had the same one for
+    /// all owners.
+    pub fn unowned(id: &Id) -> Self {
+        StreamKey {
+            partition: Self::partition(),
+            key: key_form(id.unowned()),
         }
     }
 
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -25,11 +25,12 @@
 mod ledger;
 mod lifetime;
 mod origin;
+mod row;
 mod write_times;
 
 pub use account::{Account, Grant};
 pub use age::VersionAges;
-pub use chain::{History, Transcript, Turn};
+pub use chain::{History, ReadTurn, Transcript, Turn};
 pub use error::{Error, Result};
 pub use events::{EventBatch, EventSplitter};
 pub use key::{ACCOUNTS, AccountKey, STREAMS, StreamKey, TURNS, TurnKey, partitions};
--- a/crates/turns/src/origin.rs
+++ b/crates/turns/src/origin.rs
@@ -19,7 +19,7 @@
     pub service: CompactString,
     /// Release of the endpoint's software.
     pub release: CompactString,
-    /// Program that the stream belongs to; empty for none.
+    /// Name of the program that the stream belongs to, with its owner; empty for none.
     pub program: CompactString,
     /// Identifier of the endpoint that began the stream; empty in rows of older releases.
     pub endpoint: CompactString,
--- a/crates/turns/src/write_times.rs
+++ b/crates/turns/src/write_times.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 
-use compact_str::CompactString;
+use clients::owner::Id;
 use units::{Span, Time};
 
 /// Time for which rows of turns stay beyond the retention of turns: chains that end within it, as
@@ -22,24 +22,20 @@
 /// Times of the last write of turns that this host wrote or read.
 #[derive(Clone, Debug, Default)]
 pub struct WriteTimes {
-    written_at: HashMap<CompactString, Time>,
+    written_at: HashMap<Id, Time>,
 }
 
 impl WriteTimes {
     /// Records that a turn's rows were written at `written_at` or later.
-    pub fn record(&mut self, id: &CompactString, written_at: Time) {
+    pub fn record(&mut self, id: &Id, written_at: Time) {
         let latest = self.written_at.entry(id.clone()).or_insert(written_at);
         *latest = written_at.max(*latest);
     }
 
     /// Returns the `turns` that must be written again before another turn continues their chain;
     /// these include turns without a recorded write.
-    pub fn due_for_rewrite<'a>(
-        &self,
-        turns: &'a [CompactString],
-        now: Time,
-    ) -> Vec<&'a CompactString> {
-        let is_recent = |id: &&CompactString| {
+    pub fn due_for_rewrite<'a>(&self, turns: &'a [Id], now: Time) -> Vec<&'a Id> {
+        let is_recent = |id: &&Id| {
             let written_at = self.written_at.get(*id);
             written_at.is_some_and(|written_at| now.since(*written_at) < REWRITE_AGE)
         };
--- a/crates/turns/tests/origin.rs
+++ b/crates/turns/tests/origin.rs
@@ -1,10 +1,16 @@
 //! Which release a resumed stream may go on at.
 
+use clients::Accounts;
+use clients::owner::Owner;
 use compact_str::{CompactString, format_compact};
 use proptest::prelude::*;
 use store::api::{Row, Value};
 use turns::{Origin, StreamKey};
 
+fn key(id: &str) -> StreamKey {
+    StreamKey::new(&Owner::Anonymous.id(id).name(&Accounts::default()))
+}
+
 fn origin(service: &str, release: &str, program: &str) -> Origin {
     Origin {
         service: service.into(),
@@ -16,7 +22,7 @@
 
 /// Rows of a partition, as a host that writes the origin of a stream leaves them.
 fn write(rows: &mut Vec<Row>, id: &str, origin: &Origin) {
-    let StreamKey { key, .. } = StreamKey::new(id);
+    let StreamKey { key, .. } = key(id);
     let value = Value(origin.encode().expect("plain data encodes"));
     rows.retain(|row| row.key != key);
     rows.push(Row {
@@ -38,7 +44,7 @@
 
 #[test]
 fn row_of_an_older_release_names_no_endpoint() {
-    let key = StreamKey::new("stream");
+    let key = key("stream");
     let value = ("models", "v1", "program");
     let value = bincode::serde::encode_to_vec(value, bincode::config::standard());
     let row = Row {
@@ -56,7 +62,7 @@
 
 #[test]
 fn row_that_cannot_be_decoded_names_no_release() {
-    let key = StreamKey::new("stream");
+    let key = key("stream");
     let row = Row {
         key: key.key.clone(),
         version: 1,
@@ -82,7 +88,7 @@
             }
         }
         for (number, program) in resumed {
-            let key = StreamKey::new(&format!("stream-{number}"));
+            let key = key(&format!("stream-{number}"));
             let found = Origin::from_rows(&key, &rows).expect("rows decode");
             let program = format_compact!("p{program}");
             let release = found.as_ref().and_then(|origin| origin.release_for("models", &program));
@@ -96,7 +102,7 @@
 
     #[test]
     fn any_identifier_has_a_row_of_its_own(first in ".{1,200}", second in ".{1,200}") {
-        let [first_key, second_key] = [&first, &second].map(|id| StreamKey::new(id));
+        let [first_key, second_key] = [&first, &second].map(|id| key(id));
         prop_assert!(first_key.key.len() <= 200);
         prop_assert_eq!(first == second, first_key == second_key);
     }
--- a/crates/turns/tests/write_times.rs
+++ b/crates/turns/tests/write_times.rs
@@ -2,13 +2,17 @@
 
 use std::collections::HashMap;
 
-use compact_str::{CompactString, format_compact};
+use clients::owner::{Id, Owner};
 use proptest::prelude::*;
 use turns::{CHAIN_SLACK, WriteTimes};
 use units::{Span, Time};
 
 const RETENTION: Span = Span::from_ms(60_000);
 
+fn id(text: &str) -> Id {
+    Owner::Anonymous.id(text)
+}
+
 fn at(ms: u64) -> Time {
     Time(0).after(Span::from_ms(ms))
 }
@@ -16,14 +20,14 @@
 #[test]
 fn a_turn_without_a_recorded_write_is_rewritten() {
     let write_times = WriteTimes::default();
-    let chain = [CompactString::from("a")];
+    let chain = [id("a")];
     assert_eq!(write_times.due_for_rewrite(&chain, at(0)), [&chain[0]]);
 }
 
 #[test]
 fn a_short_chain_is_written_once() {
     let mut write_times = WriteTimes::default();
-    let chain: Vec<CompactString> = (0..20).map(|turn| format_compact!("t{turn}")).collect();
+    let chain: Vec<Id> = (0..20).map(|turn| id(&format!("t{turn}"))).collect();
     for (turn, id) in chain.iter().enumerate() {
         let now = at(turn as u64 * 2_000);
         assert!(write_times.due_for_rewrite(&chain[..turn], now).is_empty());
@@ -40,8 +44,8 @@
     ) {
         let mut hosts = [WriteTimes::default(), WriteTimes::default()];
         // When each turn was last written.
-        let mut rows: HashMap<CompactString, Time> = HashMap::new();
-        let mut chain: Vec<CompactString> = Vec::new();
+        let mut rows: HashMap<Id, Time> = HashMap::new();
+        let mut chain: Vec<Id> = Vec::new();
         let mut now = 0;
         for (step, (host, pause)) in steps.into_iter().enumerate() {
             now += pause;
@@ -55,9 +59,9 @@
                     hosts[host].record(id, Time(written.0.saturating_sub(5_000_000)));
                 }
             }
-            let rewritten: Vec<CompactString> =
+            let rewritten: Vec<Id> =
                 hosts[host].due_for_rewrite(&chain, at(now)).into_iter().cloned().collect();
-            let turn = format_compact!("t{step}");
+            let turn = id(&format!("t{step}"));
             for id in rewritten.into_iter().chain([turn.clone()]) {
                 hosts[host].record(&id, at(now));
                 rows.insert(id, at(now));
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -1,5 +1,6 @@
 //! Calls to the store that a peer makes for a process to which the store is unavailable.
 
+use clients::owner::Name;
 use clients::{Granted, Want};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -47,8 +48,8 @@
     /// handed out and reserved, and no more is granted to it. Peers of earlier releases cannot decode
     /// this call and close the stream.
     Settle {
-        /// Identifier of the program.
-        program: CompactString,
+        /// The program.
+        program: Name,
     },
     /// Obtains credit for requests of client accounts, and attaches the host to the peer's meter. Peers
     /// of earlier releases cannot decode this call and close the stream.
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod limit;
 mod odd_entries;
 mod outage;
+mod owners;
 mod resume;
 mod routes;
 mod soak;
