--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -7,9 +7,11 @@
 use clients::{Account, Standing};
 use compact_str::{CompactString, ToCompactString};
 use http_body_util::BodyExt;
+use http_io::Segments;
 use hyper::body::{Body as _, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use memory::{Charge, Full, hold};
 use policy::Suspect;
 use slog::info;
 use smol::future::FutureExt;
@@ -31,8 +33,6 @@
 const BEGINNING_BYTES: usize = 256;
 /// Memory of a request that is served, in lengths of its body: the body, and what is written from it.
 const BODY_COPIES: u64 = 2;
-/// The same of a turn that is retained: also its text with that of the turns before it, and its rows.
-const RETAINED_COPIES: u64 = 4;
 /// Age above which an environment may lack routes; an environment that is followed is younger.
 const ENVIRONMENT_AGE_MAX: Span = Span::from_ms(2_000);
 /// Timeout of a caller that does not state one.
@@ -54,6 +54,8 @@
         Ok(call) => Ok(call),
         Err(error) => Err((CompactString::default(), Refusal::Malformed(error))),
     };
+    // Memory of the answer, until it has been sent.
+    let mut answer = None;
     let mut response = match call {
         Ok(call) => {
             let timeout = call.timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
@@ -62,11 +64,11 @@
             let account = account_name(&shared, &call);
             let accepting = accept(
                 shared.clone(),
-                head,
+                (head, body),
                 call,
-                body,
                 &head_state,
                 &held,
+                &mut answer,
                 started,
             );
             let result = accepting.await;
@@ -90,7 +92,7 @@
     if shared.is_draining() || is_chunked {
         close_connection(&mut response);
     }
-    hold_request(response, held)
+    hold_request(response, held, answer)
 }
 
 fn log_refusal(
@@ -109,16 +111,17 @@
         "retry_ms" => delay.map_or(0, Span::as_ms),
         "environment" => shared.environment().map_or(0, |environment| environment.version),
         "store_away" => shared.rows.is_all_unavailable(),
+        "held_bytes" => shared.limiter.charged().0,
         "after_ms" => shared.clock.now().since(started).as_ms());
 }
 
 async fn accept(
     shared: Arc<Shared>,
-    head: Parts,
+    (head, body): (Parts, Incoming),
     call: Call,
-    body: Incoming,
     head_state: &HeadState,
     held: &intake::Request,
+    answer: &mut Option<Charge>,
     started: Time,
 ) -> Result<Response<Body>, Refusal> {
     let environment = shared.environment().ok_or(Refusal::Starting)?;
@@ -134,13 +137,14 @@
     let limit = environment.limits.max_body.0 as usize;
     let body = read_body(&shared, body, limit, deadline).await?;
     head_state.expect_next_head();
-    let copies = if route.retains_turns {
-        RETAINED_COPIES
+    let memory = units::Bytes(body.len() as u64 * BODY_COPIES);
+    held.serve(memory).map_err(|_| Refusal::Overloaded)?;
+    *answer = Some(reserve_answer(&shared)?);
+    let body = if route.retains_turns {
+        hold_body(&shared, body)?
     } else {
-        BODY_COPIES
+        body
     };
-    let memory = units::Bytes(body.len() as u64 * copies);
-    held.serve(memory).map_err(|_| Refusal::Overloaded)?;
     // The gateway may have begun to stop while the body arrived.
     let deadline = shared.limit_deadline(requested_deadline)?;
     let owner = account.as_ref().map_or(Owner::Anonymous, |account| {
@@ -181,6 +185,26 @@
     exchange.run(body).await
 }
 
+/// Charges memory for the body of a turn that is retained, as it stays after its request.
+///
+/// # Errors
+/// If there is no room for it.
+fn hold_body(shared: &Shared, body: Bytes) -> Result<Bytes, Refusal> {
+    let charge = shared.limiter.charge(units::Bytes(body.len() as u64));
+    Ok(hold(body, charge.map_err(|Full| Refusal::Overloaded)?))
+}
+
+/// Reserves memory for the answer to a request.
+///
+/// # Errors
+/// If there is none. Answers that callers do not read then give way to later requests.
+fn reserve_answer(shared: &Shared) -> Result<Charge, Refusal> {
+    shared.buffers.reserve().map_err(|Full| {
+        shared.gate.evict_stalled();
+        Refusal::Overloaded
+    })
+}
+
 /// Returns the name of the account that holds the key of a request.
 fn account_name(shared: &Shared, call: &Call) -> Option<CompactString> {
     let environment = shared.environment()?;
@@ -259,11 +283,13 @@
     }
 }
 
-/// Collects a body in one piece: chunks may be as small as a byte, and each would keep a buffer.
+/// Collects a body: chunks may be as small as a byte, and each would keep a buffer.
 async fn collect_body(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let announced = body.size_hint().upper().unwrap_or(limit as u64);
-    let most = usize::try_from(announced).map_or(limit, |bytes| bytes.min(limit));
-    let mut collected: Vec<u8> = Vec::new();
+    let announced = body
+        .size_hint()
+        .exact()
+        .map_or(limit, |bytes| bytes as usize);
+    let mut collected = Segments::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::BodyIncomplete)?;
         let Some(data) = frame.data_ref() else {
@@ -272,15 +298,9 @@
         if collected.len() + data.len() > limit {
             return Err(Refusal::TooLarge);
         }
-        let length = collected.len() + data.len();
-        if length > collected.capacity() {
-            // No more than the body may need: many bodies may stop short of their end.
-            let capacity = (2 * length).min(most.max(length));
-            collected.reserve_exact(capacity - collected.len());
-        }
-        collected.extend_from_slice(data);
+        collected.push(data, announced.saturating_sub(collected.len()));
     }
-    Ok(collected.into())
+    Ok(collected.into_bytes())
 }
 
 /// Waits until `deadline`.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use http_io::{BufferedRequest, Lease, Pool, SendError};
+use http_io::{BufferedRequest, Lease, Payload, Pool, SendError};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use policy::{Choice, Fault, LimitChange};
@@ -91,7 +89,7 @@
 impl Exchange {
     pub(crate) async fn attempt(
         &self,
-        body: &Bytes,
+        body: &Payload,
         mut placement: Placement,
         deadline: Time,
     ) -> AttemptOutcome {
@@ -198,7 +196,7 @@
     /// Sends the request on an idle connection of the pool, or on a new one.
     async fn send_once(
         &self,
-        body: &Bytes,
+        body: &Payload,
         choice: &Choice,
         pool: &Pool,
     ) -> Result<(Response<Incoming>, Lease), SendError> {
@@ -230,7 +228,7 @@
         Ok((response, lease))
     }
 
-    fn build_request(&self, body: &Bytes, choice: &Choice) -> BufferedRequest {
+    fn build_request(&self, body: &Payload, choice: &Choice) -> BufferedRequest {
         let is_model = self
             .environment
             .services
@@ -251,7 +249,7 @@
             pin: None,
             sender: self.sender(),
         };
-        let mut request = Request::new(Full::new(body.clone()));
+        let mut request = Request::new(body.clone());
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         *request.headers_mut() = self
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 use clients::Account;
 use clients::owner::{Id, Owner};
 use compact_str::{CompactString, ToCompactString};
+use http_io::Payload;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
@@ -227,7 +228,7 @@
     /// attempt that may have run is followed by another one only if the route is idempotent.
     async fn send(
         &self,
-        body: &Bytes,
+        body: &Payload,
         first: Placement,
         preference: &Preference,
     ) -> Result<Reply, Refusal> {
@@ -281,7 +282,7 @@
     /// the store.
     async fn place(
         &self,
-        body: &Bytes,
+        body: &Payload,
         preference: &Preference,
         tried: &[CompactString],
     ) -> Result<Placement, Refusal> {
@@ -297,7 +298,7 @@
 
     fn choose(
         &self,
-        body: &Bytes,
+        body: &Payload,
         preference: &Preference,
         tried: &[CompactString],
     ) -> Result<Placement, Refusal> {
@@ -318,7 +319,7 @@
             service: &self.service,
             release: preference.release.as_deref(),
             chunks: &chunks,
-            bytes: body.len() as u64,
+            bytes: body.len(),
             last_endpoint: preference.last_endpoint.as_deref().unwrap_or(""),
             hash_key,
             is_suspect,
@@ -454,7 +455,7 @@
 /// A request that is ready to be sent.
 struct Prepared {
     /// Body for the endpoint; for a turn with previous turns, their text comes first.
-    body: Bytes,
+    body: Payload,
     /// Placement at the endpoint that gets the first attempt.
     first: Placement,
     preference: Preference,
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -1,20 +1,26 @@
 //! The stored turns of programs, in memory and in the store.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use clients::Accounts;
 use clients::owner::{Id, Name};
-use futures_util::future::join_all;
+use futures_util::FutureExt;
+use futures_util::future::{BoxFuture, WeakShared, try_join_all};
+use memory::{Cache, Charge, Full, Limiter, hold};
 use slog::{Logger, info, warn};
-use store::Outcome;
+use smol::lock::Semaphore;
 use store::api::Transaction;
-use turns::{CHAIN_SLACK, History, ReadTurn, Transcript, Turn, TurnKey, WriteTimes};
-use units::{Clock, Span, Time};
+use store::{Outcome, Page, key_after};
+use turns::{
+    CHAIN_SLACK, History, ReadTurn, Transcript, Turn, TurnKey, WriteTimes, text_max_bytes,
+};
+use units::{Bytes, Clock, Span, Time};
 
 use crate::control::retry_pause;
+use crate::environment::Environment;
 use crate::reply::Refusal;
-use crate::rows::Rows;
+use crate::rows::{PAGE_ROWS_MAX, Rows};
 
 /// Most text of turns that is kept in memory: a fraction of the memory of the smallest host that a
 /// gateway runs on (88 MB).
@@ -25,6 +31,17 @@
 /// Most turns whose rows one call of [`Histories::drop_expired`] drops.
 const TURNS_PER_DROP_MAX: usize = 32;
 
+/// Most reads of first rows at a time: each may bring a whole row.
+const READS_MAX: usize = 32;
+/// Most reads and writes of turns with several rows at a time: each holds several times the text.
+const TRANSFERS_MAX: usize = 4;
+/// Text above which a turn has, or may have, several rows.
+const LONG_BYTES: usize = 40 << 10;
+/// Memory of a turn beside its text: identifiers and entries of tables.
+const TURN_BYTES: usize = 512;
+/// Memory for writing a turn beside its text, in lengths of it: its rows and the request.
+const WRITE_COPIES: usize = 4;
+
 /// Cache and store of the turns that this host reads and writes.
 pub(crate) struct Histories {
     rows: Arc<Rows>,
@@ -34,8 +51,17 @@
     /// Turns that this host wrote, in the order of the writes.
     written: Mutex<VecDeque<WrittenTurn>>,
     write_times: Mutex<WriteTimes>,
+    limiter: Arc<Limiter>,
+    /// Turns that are being read, for the requests that need the same ones.
+    loads: Mutex<HashMap<Id, WeakShared<Load>>>,
+    /// Reads of first rows under way.
+    reads: Semaphore,
+    /// Reads and writes of long turns under way.
+    transfers: Semaphore,
 }
 
+type Load = BoxFuture<'static, Result<Turn, Refusal>>;
+
 /// A turn that this host wrote and has to drop later.
 struct WrittenTurn {
     id: Id,
@@ -56,8 +82,27 @@
     is_new: bool,
 }
 
+/// Attaches the charge for a turn that was read to its text.
+fn hold_turn(turn: Turn, mut charge: Charge) -> Turn {
+    let bytes = (turn.size_bytes() + TURN_BYTES) as u64;
+    charge.resize_anyway(Bytes(bytes));
+    let charge = Arc::new(charge);
+    Turn {
+        input: hold(turn.input, charge.clone()),
+        output: hold(turn.output, charge),
+        ..turn
+    }
+}
+
+impl Cache for Histories {
+    fn evict(&self, bytes: Bytes) -> bool {
+        let evicted = self.memory().evict(bytes.0 as usize);
+        !evicted.is_empty()
+    }
+}
+
 impl Histories {
-    pub(crate) fn new(rows: Arc<Rows>, clock: Clock, log: Logger) -> Self {
+    pub(crate) fn new(rows: Arc<Rows>, limiter: Arc<Limiter>, clock: Clock, log: Logger) -> Self {
         Histories {
             rows,
             clock,
@@ -65,33 +110,56 @@
             memory: Mutex::new(History::new(MEMORY_MAX_BYTES, MEMORY_RETENTION)),
             written: Mutex::default(),
             write_times: Mutex::default(),
+            limiter,
+            loads: Mutex::default(),
+            reads: Semaphore::new(READS_MAX),
+            transfers: Semaphore::new(TRANSFERS_MAX),
         }
     }
 
-    /// Loads the text of a turn and of all turns before it, while `accounts` are listed.
+    /// Loads the text of a turn and of all turns before it.
     ///
     /// # Errors
-    /// [`Refusal::UnknownTurn`] only if a read of the store shows that a turn does not exist, else
-    /// [`Refusal::StoreUnavailable`].
+    /// [`Refusal::UnknownTurn`] only if a read of the store shows that a turn does not exist,
+    /// [`Refusal::Overloaded`] if there is no memory for the text, else [`Refusal::StoreUnavailable`].
     pub(crate) async fn load_transcript(
-        &self,
+        self: &Arc<Self>,
         id: &Id,
-        accounts: &Accounts,
+        environment: &Arc<Environment>,
     ) -> Result<Transcript, Refusal> {
-        // The last turn names the others, so two rounds of reads find them all.
-        for _ in 0..2 {
-            let missing = match self.memory().transcript(id) {
-                Ok(transcript) => return Ok(transcript),
-                Err(missing) => missing,
-            };
-            let reads = missing.iter().map(|turn| self.read(turn, accounts));
-            for read in join_all(reads).await {
-                read?;
-            }
+        if let Ok(transcript) = self.memory().transcript(id) {
+            return Ok(transcript);
+        }
+        // The last turn names the others.
+        let last = self.load(id, environment).await?;
+        let before = last.predecessors.iter();
+        let before = try_join_all(before.map(|id| self.load(id, environment))).await?;
+        Ok(Transcript::new(id, before.iter(), &last))
+    }
+
+    /// Loads a turn. Requests that need the same one share what is loaded.
+    async fn load(
+        self: &Arc<Self>,
+        id: &Id,
+        environment: &Arc<Environment>,
+    ) -> Result<Turn, Refusal> {
+        if let Some(turn) = self.memory().get(id) {
+            return Ok(turn.clone());
         }
-        self.memory()
-            .transcript(id)
-            .map_err(|_| Refusal::StoreUnavailable)
+        let load = {
+            let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+            let under_way = loads.get(id).and_then(WeakShared::upgrade);
+            under_way.unwrap_or_else(|| {
+                let (histories, id, environment) = (self.clone(), id.clone(), environment.clone());
+                let key = id.clone();
+                let read = async move { histories.read(&id, &environment.accounts).await };
+                let load = read.boxed().shared();
+                loads.retain(|_, load| load.upgrade().is_some());
+                loads.extend(load.downgrade().map(|load| (key, load)));
+                load
+            })
+        };
+        load.await
     }
 
     /// Whether a turn is in memory, and thus committed.
@@ -101,7 +169,7 @@
 
     /// Reads a turn into memory. It may stand under the name that it had while other accounts were
     /// listed.
-    async fn read(&self, id: &Id, accounts: &Accounts) -> Result<(), Refusal> {
+    async fn read(&self, id: &Id, accounts: &Accounts) -> Result<Turn, Refusal> {
         let name = id.name(accounts);
         let mut read = self.read_name(id, &name, true).await;
         if matches!(read, Err(Refusal::UnknownTurn))
@@ -109,8 +177,9 @@
         {
             read = self.read_name(id, &other, false).await;
         }
-        self.memory().insert(id, read?, self.clock.now());
-        Ok(())
+        let turn = read?;
+        self.remember(id, turn.clone());
+        Ok(turn)
     }
 
     /// Reads a turn from the first of the partitions of a name that has it. `is_own` states that rows
@@ -135,34 +204,83 @@
         Err(refusal)
     }
 
-    /// Reads a turn from one partition, with the version of its rows; repeats the read once if the
-    /// response is lost.
+    /// Reads a turn from one partition, with the version of its rows. Only the first row, which states
+    /// how many there are, is read before there is memory for the turn.
     async fn read_partition(
         &self,
         id: &Id,
         key: &TurnKey,
     ) -> Result<Option<(ReadTurn, u64)>, Refusal> {
-        let mut result = self.rows.read(&key.partition, &key.first, &key.end).await;
-        if result.is_err() && !self.rows.is_unavailable(&key.partition) {
-            result = self.rows.read(&key.partition, &key.first, &key.end).await;
+        let reading = self.reads.acquire().await;
+        let mut page = self.read_rows(id, key, &key.first, 1).await?;
+        drop(reading);
+        let Some(first) = page.rows.first() else {
+            return Ok(None);
+        };
+        let text_max = text_max_bytes(first).map_err(|error| self.undecodable(id, &error))?;
+        let text = self.limiter.charge(Bytes(text_max as u64));
+        let text = text.map_err(|Full| self.overloaded(id, text_max))?;
+        let _transfer = match page.has_more {
+            true => Some(self.transfers.acquire().await),
+            false => None,
+        };
+        while let (true, Some(last)) = (page.has_more, page.rows.last()) {
+            let from = key_after(&last.key);
+            let next = self.read_rows(id, key, &from, PAGE_ROWS_MAX).await?;
+            page.has_more = next.has_more;
+            page.rows.extend(next.rows);
         }
-        let page = result.map_err(|error| {
-            info!(self.log, "turn not read"; "turn" => %id, "part" => %key.partition.name,
-                "error" => %error);
-            Refusal::StoreUnavailable
-        })?;
         let versions = || page.rows.iter().map(|row| row.version);
         let earliest = versions().min();
         let earliest = earliest.and_then(|version| self.rows.ages().earliest_write_time(version));
         if let Some(earliest) = earliest {
             self.write_times().record(id, earliest);
         }
-        let read = Turn::from_rows(&page.rows, id.owner()).map_err(|error| {
-            warn!(self.log, "turn cannot be decoded"; "turn" => %id, "error" => %error,
-                "store_version" => page.version);
-            Refusal::StoreUnavailable
-        })?;
-        Ok(read.zip(versions().max()))
+        let newest = versions().max();
+        let read = Turn::from_rows(&page.rows, id.owner());
+        let read = read.map_err(|error| self.undecodable(id, &error))?;
+        let read = read.map(|read| ReadTurn {
+            turn: hold_turn(read.turn, text),
+            ..read
+        });
+        Ok(read.zip(newest))
+    }
+
+    /// Reads at most `limit` rows of a turn; repeats the read once if the response is lost.
+    async fn read_rows(
+        &self,
+        id: &Id,
+        key: &TurnKey,
+        from: &str,
+        limit: usize,
+    ) -> Result<Page, Refusal> {
+        let read = || self.rows.read_page(&key.partition, from, &key.end, limit);
+        let mut result = read().await;
+        let is_lost = result
+            .as_ref()
+            .is_err_and(|error| !matches!(error, store::Error::NoMemory));
+        if is_lost && !self.rows.is_unavailable(&key.partition) {
+            result = read().await;
+        }
+        result.map_err(|error| {
+            info!(self.log, "turn not read"; "turn" => %id, "part" => %key.partition.name,
+                "error" => %error);
+            match error {
+                store::Error::NoMemory => Refusal::Overloaded,
+                _ => Refusal::StoreUnavailable,
+            }
+        })
+    }
+
+    fn undecodable(&self, id: &Id, error: &turns::Error) -> Refusal {
+        warn!(self.log, "turn cannot be decoded"; "turn" => %id, "error" => %error);
+        Refusal::StoreUnavailable
+    }
+
+    fn overloaded(&self, id: &Id, bytes: usize) -> Refusal {
+        info!(self.log, "no memory for a turn"; "turn" => %id, "bytes" => bytes,
+            "charged" => self.limiter.charged().0);
+        Refusal::Overloaded
     }
 
     /// Commits a turn, and rewrites those turns before it whose rows would be dropped earlier.
@@ -201,10 +319,16 @@
             is_new: true,
         };
         self.write(write, retention).await?;
-        self.memory().insert(id, turn, self.clock.now());
+        self.remember(id, turn);
         Ok(())
     }
 
+    fn remember(&self, id: &Id, turn: Turn) {
+        // What is evicted releases its memory, which needs the lock that is held in this line only.
+        let evicted = self.memory().insert(id, turn, self.clock.now());
+        drop(evicted);
+    }
+
     fn due_for_rewrite(&self, predecessors: &[Id]) -> Vec<Id> {
         let now = self.clock.now();
         self.write_times()
@@ -223,6 +347,13 @@
         let keys = TurnKey::candidates(&name);
         // One partition is enough; the second is used while the first is unavailable.
         for key in keys.iter().cycle() {
+            let transfer = match turn.size_bytes() {
+                bytes if bytes > LONG_BYTES => Some(self.transfers.acquire().await),
+                _ => None,
+            };
+            // The turn has run, so it is stored also if there is no room.
+            let bytes = Bytes((turn.size_bytes() * WRITE_COPIES) as u64);
+            let charge = self.limiter.charge_anyway(bytes);
             let transaction = turn.write_transaction(key, id.owner(), accounts);
             let mut transaction = transaction.map_err(|error| {
                 warn!(self.log, "turn cannot be encoded"; "turn" => %name, "error" => %error);
@@ -254,6 +385,8 @@
                         "part" => %key.partition.name, "error" => %error);
                 }
             }
+            charge.close();
+            drop(transfer);
             if keys
                 .iter()
                 .all(|key| self.rows.is_unavailable(&key.partition))
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,18 +5,20 @@
 //! aborted.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
-use http_io::{Lease, Pool};
+use http_io::{Lease, Payload, Pool, Segments};
 use hyper::StatusCode;
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
+use memory::hold;
 use policy::Fault;
 use slog::info;
 use smol::future::FutureExt;
 use turns::EventSplitter;
-use units::Time;
+use units::{Span, Time};
 
 use crate::accept::expire;
 use crate::attempt::Placement;
@@ -29,7 +31,13 @@
 use crate::state::Shared;
 use crate::turn::AdmittedTurn;
 
-/// Reads a complete body of at most `limit` bytes until `deadline`.
+/// Time between two tries to find memory for an answer.
+const MEMORY_POLL: Duration = Duration::from_millis(10);
+/// Longest time that an answer waits for memory, while others are read or give way.
+const MEMORY_WAIT_MAX: Span = Span::from_ms(250);
+
+/// Reads a complete body of at most `limit` bytes until `deadline`. Its memory is charged until the
+/// last of it is dropped.
 ///
 /// # Errors
 /// [`Refusal::EndpointFailed`] if the body is truncated, exceeds `limit` or finds no memory,
@@ -39,26 +47,52 @@
     body: &mut Incoming,
     limit: usize,
     deadline: Time,
-) -> Result<Bytes, Refusal> {
+) -> Result<Payload, Refusal> {
     let read = async {
-        let mut bytes = Vec::new();
+        let announced = body.size_hint().exact();
+        let expected = announced.map_or(limit, |bytes| limit.min(bytes as usize));
+        let mut answer = Segments::new();
         let mut buffer = shared.buffers.open();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Refusal::EndpointFailed)?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            bytes.extend_from_slice(&data);
-            if bytes.len() > limit || !buffer.resize(bytes.capacity()) {
+            if answer.len() + data.len() > limit {
                 return Err(Refusal::EndpointFailed);
             }
+            let held = answer.capacity_after(data.len()) + read_buffer_bytes(answer.len());
+            let give_up_at = shared.clock.now().after(MEMORY_WAIT_MAX);
+            while !buffer.resize(held) {
+                shared.gate.evict_stalled();
+                if shared.clock.now() >= give_up_at {
+                    return Err(Refusal::EndpointFailed);
+                }
+                smol::Timer::after(MEMORY_POLL).await;
+            }
+            answer.push(&data, expected.saturating_sub(answer.len()));
         }
-        Ok(bytes.into())
+        let answer = answer.into_payload();
+        // A smaller buffer always finds room.
+        buffer.resize(answer.len() as usize);
+        Ok(hold_payload(answer, buffer))
     };
     read.or(expire(shared, deadline, Refusal::EndpointTimedOut))
         .await
 }
 
+/// Returns the memory that the connection holds for reading an answer of this length.
+fn read_buffer_bytes(length: usize) -> usize {
+    length.min(http_io::READ_BUFFER_MAX_BYTES)
+}
+
+/// Attaches the memory of an answer to all of its pieces.
+fn hold_payload(answer: Payload, buffer: Buffer) -> Payload {
+    let buffer = Arc::new(buffer);
+    let pieces = answer.into_iter();
+    pieces.map(|piece| hold(piece, buffer.clone())).collect()
+}
+
 /// Events of a stream beyond twice those of the most tokens that the request may generate. A stream
 /// with more is no answer to it.
 const EXTRA_EVENTS: u64 = 16;
@@ -203,7 +237,7 @@
                 shared,
                 &self.exchange.environment.accounts,
                 &self.placement.choice.id,
-                events.into_data(),
+                self.hold_output(events),
             );
             let expire = expire(shared, deadline, Refusal::EndpointTimedOut);
             if let Err(refusal) = commit.or(expire).await {
@@ -215,6 +249,14 @@
         StreamEnd::Complete
     }
 
+    /// Returns the data of all events, which stays in memory after the stream.
+    fn hold_output(&self, events: EventSplitter) -> Bytes {
+        let output = events.into_data();
+        let limiter = &self.exchange.shared.limiter;
+        let charge = limiter.charge_anyway(units::Bytes(output.len() as u64));
+        hold(output, charge)
+    }
+
     /// Investigates whether the endpoint crashed, if it may have.
     fn investigate(&self, reason: &str) {
         let kind = match reason {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -1,17 +1,19 @@
 //! Responses that the gateway itself creates.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Frame, SizeHint};
+use http_io::Payload;
+use hyper::body::{Body as _, Frame, SizeHint};
 use hyper::{Response, StatusCode};
 use intake::Request;
+use memory::Charge;
 use rand::Rng;
-use units::Span;
+use units::{Bytes as Size, Span};
 
 use crate::call::Malformed;
 use crate::dialect::Dialect;
@@ -218,7 +220,7 @@
         refusal.code(),
         refusal.ran()
     );
-    let mut response = Response::new(full_body(json.into()));
+    let mut response = Response::new(full_body(Bytes::from(json)));
     *response.status_mut() = refusal.status();
     let headers = response.headers_mut();
     headers.extend(dialect.correlation_headers(id));
@@ -248,7 +250,11 @@
 /// A body that keeps the request in the host's ledger until it has been sent or dropped.
 struct Held {
     body: Body,
-    _request: Request,
+    request: Request,
+    /// Memory of the answer.
+    _charge: Option<Charge>,
+    /// Whether the whole body is in memory.
+    is_complete: bool,
 }
 
 impl hyper::body::Body for Held {
@@ -259,7 +265,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if self.is_complete {
+            self.request.progress();
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -271,20 +281,31 @@
     }
 }
 
-/// Keeps `request` until the body of its answer has been sent or dropped.
-pub(crate) fn hold_request(response: Response<Body>, request: Request) -> Response<Body> {
+/// Keeps `request`, and the memory of its answer, until the body of the answer has been sent or dropped.
+pub(crate) fn hold_request(
+    response: Response<Body>,
+    mut request: Request,
+    charge: Option<Charge>,
+) -> Response<Body> {
     response.map(|body| {
+        let length = body.size_hint().exact();
+        if let Some(length) = length {
+            request.send(Size(length));
+        }
         let held = Held {
             body,
-            _request: request,
+            request,
+            _charge: charge,
+            is_complete: length.is_some(),
         };
         held.boxed_unsync()
     })
 }
 
 /// Returns a body of known length.
-pub(crate) fn full_body(bytes: Bytes) -> Body {
-    Full::new(bytes)
+pub(crate) fn full_body(payload: impl Into<Payload>) -> Body {
+    payload
+        .into()
         .map_err(|never| match never {})
         .boxed_unsync()
 }
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -4,13 +4,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use event_listener::Event;
+use memory::{Charge, Full, Limiter};
 use slog::{Logger, info, warn};
 use smol::future::FutureExt;
 use store::api::Transaction;
 use store::{Error, Feed, Outcome, Page, Partition, Progress, Result, Table, key_after};
 use telemetry::Metrics;
 use turns::VersionAges;
-use units::{Clock, Incarnation, Span, Time};
+use units::{Bytes, Clock, Incarnation, Span, Time};
 use wire::{Relay, Relayed};
 
 use crate::availability::{Availability, AvailabilityChange};
@@ -18,7 +19,7 @@
 use crate::peers::Peers;
 
 /// Most rows that one read requests.
-const PAGE_ROWS_MAX: usize = 500;
+pub(crate) const PAGE_ROWS_MAX: usize = 500;
 /// Time after which a request that waits for the store tries again without a notification: nothing
 /// reports that a partition is available again until some request calls it.
 const RECHECK_INTERVAL: Span = Span::from_ms(250);
@@ -27,6 +28,8 @@
 const RELAYED_FEED_WAIT: Span = Span::from_ms(500);
 /// Time between tests of the direct path while a peer makes a call.
 const DIRECT_TEST_INTERVAL: Span = Span::from_ms(500);
+/// Memory of a write for a peer, in lengths of its values: they and the request.
+const WRITE_COPIES: usize = 3;
 /// How long a feed waits for an unavailable store before a peer is called as well.
 const PEER_DELAY: Span = Span::from_ms(300);
 
@@ -42,6 +45,7 @@
     available: Event,
     /// Versions of the store that responses have reported, with the time of each.
     ages: Mutex<VersionAges>,
+    limiter: Arc<Limiter>,
     metrics: Metrics,
     clock: Clock,
 }
@@ -78,6 +82,8 @@
     ) -> bool {
         let change = match result {
             Ok(_) => self.availability().record_response(partition, latency, now),
+            // The store has answered.
+            Err(Error::NoMemory) => self.availability().record_response(partition, latency, now),
             Err(_) => self.availability().record_failure(partition, now),
         };
         let (path, table, name) = (self.name, partition.table.as_str(), partition.name.as_str());
@@ -103,6 +109,7 @@
     pub(crate) fn new(
         table: Arc<dyn Table>,
         peers: Peers,
+        limiter: Arc<Limiter>,
         clock: Clock,
         metrics: Metrics,
         log: &Logger,
@@ -115,6 +122,7 @@
             relayed: Path::new("peers", now, log),
             available: Event::new(),
             ages: Mutex::default(),
+            limiter,
             metrics,
             clock,
         }
@@ -225,33 +233,36 @@
 
     /// Reads all rows from `from` to `to`, page by page.
     pub(crate) async fn read(&self, partition: &Partition, from: &str, to: &str) -> Result<Page> {
-        let mut pages = self.read_page(partition, from, to).await?;
+        let mut pages = self.read_page(partition, from, to, PAGE_ROWS_MAX).await?;
         while pages.has_more {
             let Some(last) = pages.rows.last() else {
                 break;
             };
-            let page = self.read_page(partition, &key_after(&last.key), to).await?;
+            let from = key_after(&last.key);
+            let page = self.read_page(partition, &from, to, PAGE_ROWS_MAX).await?;
             pages.has_more = page.has_more;
             pages.rows.extend(page.rows);
         }
         Ok(pages)
     }
 
-    /// Reads the first rows from `from` to `to`.
+    /// Reads the first rows from `from` to `to`, at most `limit` of them.
     pub(crate) async fn read_page(
         &self,
         partition: &Partition,
         from: &str,
         to: &str,
+        limit: usize,
     ) -> Result<Page> {
+        let limit = limit.min(PAGE_ROWS_MAX);
         let progress = self.progress();
-        let read = self.read_table(partition, (from, to), PAGE_ROWS_MAX, &progress);
+        let read = self.read_table(partition, (from, to), limit, &progress);
         let direct = (read, &progress);
         let relay = || Relay::Read {
             partition: partition.clone(),
             from: from.into(),
             to: to.into(),
-            limit: PAGE_ROWS_MAX as u32,
+            limit: limit as u32,
         };
         match self.call(partition, direct, relay).await? {
             Via::Direct(page) | Via::Peer(Relayed::Page(page)) => {
@@ -267,7 +278,7 @@
     pub(crate) async fn feed(&self, table: &str, version: u64, wait: Span) -> Result<Feed> {
         let partition = Partition::new(table, "");
         if !self.direct.availability().is_unavailable(&partition) {
-            let progress = self.progress();
+            let progress = self.progress().with_priority();
             let feed = self.feed_direct(&partition, version, wait, &progress);
             let result = feed.await;
             if result.is_ok() || !self.direct.availability().is_unavailable(&partition) {
@@ -289,7 +300,7 @@
         };
         let direct = async {
             loop {
-                let progress = self.progress();
+                let progress = self.progress().with_priority();
                 let feed = self.feed_direct(&partition, version, wait, &progress);
                 let result = feed.await;
                 if result.is_ok() || has_peer_failed.load(Ordering::Acquire) {
@@ -373,11 +384,31 @@
 
     /// Makes a call for a peer; never forwards it to another peer.
     pub(crate) async fn serve_peer(&self, relay: Relay) -> Relayed {
-        let result = match relay {
+        self.serve_relay(relay).await.unwrap_or_else(|error| {
+            if error.is_uncertain() {
+                Relayed::Uncertain
+            } else {
+                Relayed::Unavailable
+            }
+        })
+    }
+
+    /// Charges the memory for a write that a peer requests, which the peer may request of others.
+    fn charge_write(&self, transaction: &Transaction) -> Result<Charge> {
+        let values = transaction.writes.iter();
+        let values = values.filter_map(|write| write.value.as_ref());
+        let bytes: usize = values.map(|value| value.0.len()).sum();
+        let charge = self.limiter.charge(Bytes((bytes * WRITE_COPIES) as u64));
+        charge.map_err(|Full| Error::NoMemory)
+    }
+
+    async fn serve_relay(&self, relay: Relay) -> Result<Relayed> {
+        match relay {
             Relay::Write {
                 partition,
                 transaction,
             } => {
+                let _charge = self.charge_write(&transaction)?;
                 let progress = self.progress();
                 let call = self.write_table(&partition, &transaction);
                 self.call_direct(&partition, (call, &progress))
@@ -405,14 +436,7 @@
             Relay::Environment { .. } | Relay::Settle { .. } | Relay::Acquire { .. } => {
                 Err(unavailable())
             }
-        };
-        result.unwrap_or_else(|error| {
-            if error.is_uncertain() {
-                Relayed::Uncertain
-            } else {
-                Relayed::Unavailable
-            }
-        })
+        }
     }
 
     async fn serve_feed(&self, table: &str, version: u64, wait: Span) -> Result<Relayed> {
@@ -482,8 +506,9 @@
         result
     }
 
+    /// Returns the progress of a call whose response needs memory.
     fn progress(&self) -> Progress {
-        Progress::new(self.clock)
+        Progress::new(self.clock).with_charge(self.limiter.charge_anyway(Bytes(0)))
     }
 
     async fn with_timeout<T>(
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -298,6 +298,9 @@
         shared
             .metrics
             .set_gauge("intake-bytes", shared.gate.used().0 as i64);
+        shared
+            .metrics
+            .set_gauge("held-bytes", shared.limiter.charged().0 as i64);
     }
 }
 
@@ -414,7 +417,7 @@
             let handler = service_fn(|request: Request<Incoming>| {
                 let held = admitted.request();
                 let response = status_response(&shared, request.uri().path());
-                let response = hold_request(response, held);
+                let response = hold_request(response, held, None);
                 async move { Ok::<_, std::convert::Infallible>(response) }
             });
             let connection = http1::Builder::new()
@@ -452,7 +455,7 @@
         }
         _ => (StatusCode::NOT_FOUND, Vec::new()),
     };
-    let mut response = Response::new(full_body(body.into()));
+    let mut response = Response::new(full_body(bytes::Bytes::from(body)));
     *response.status_mut() = status;
     response
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,12 +2,13 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::AtomicUsize;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use compact_str::CompactString;
 use event_listener::Event;
 use intake::{Gate, Limits};
+use memory::Limiter;
 use policy::{Balancer, Candidate, IdleLimit, Sender, TransferCost};
 use settings::Machine;
 use slog::{Logger, info};
@@ -40,9 +41,11 @@
 /// Transfer cost per request sent to another availability zone: the round trip.
 const CROSS_ZONE_COST_PER_REQUEST: Span = Span::from_ms(2);
 
-/// Share of the host's memory, as a divisor, for what callers make it hold: others are for answers of
-/// endpoints, turns in memory and the process itself.
+/// Share of the host's memory, as a divisor, for connections of callers and their requests.
 const INTAKE_MEMORY_DIVISOR: u64 = 4;
+/// Share of the host's memory, in eighths, for what else it holds: turns, answers of endpoints, and
+/// what it reads from the store and peers. The remainder is for the process itself.
+const HELD_MEMORY_EIGHTHS: u64 = 3;
 /// Share of the descriptors, as a divisor, for connections of callers: each may need one to an
 /// endpoint.
 const INTAKE_DESCRIPTORS_DIVISOR: usize = 2;
@@ -61,9 +64,11 @@
     pub(crate) replica: Arc<Replica>,
     pub(crate) programs: Arc<Programs>,
     pub(crate) caps: Arc<Caps>,
-    pub(crate) histories: Histories,
+    pub(crate) histories: Arc<Histories>,
     pub(crate) crashes: Crashes,
     pub(crate) streams: Arc<Streams>,
+    /// Limits the memory of all that is held beside that.
+    pub(crate) limiter: Arc<Limiter>,
     pub(crate) buffers: Buffers,
     /// What callers make this host hold.
     pub(crate) gate: Arc<Gate>,
@@ -90,15 +95,21 @@
         let clock = Clock::new();
         let peers = Peers::new();
         let table = adapter.table.clone();
+        let limiter = Arc::new(Limiter::new(held_limit(machine)));
         let rows = Arc::new(Rows::new(
             table,
             peers.clone(),
+            limiter.clone(),
             clock,
             metrics.clone(),
             &log,
         ));
+        let histories = Histories::new(rows.clone(), limiter.clone(), clock, log.clone());
+        let histories = Arc::new(histories);
+        let cache: Weak<Histories> = Arc::downgrade(&histories);
+        limiter.set_cache(cache);
         Shared {
-            histories: Histories::new(rows.clone(), clock, log.clone()),
+            histories,
             programs: Arc::new(Programs::new(
                 rows.clone(),
                 peers.clone(),
@@ -114,7 +125,8 @@
             )),
             crashes: Crashes::default(),
             streams: Arc::new(Streams::new(rows.clone(), clock, log.clone())),
-            buffers: Buffers::default(),
+            buffers: Buffers::new(limiter.clone()),
+            limiter,
             gate: Arc::new(Gate::new(intake_limits(machine), clock)),
             adapter,
             machine,
@@ -304,6 +316,11 @@
     }
 }
 
+/// Returns the limit for what a host holds beside that.
+fn held_limit(machine: Machine) -> Bytes {
+    Bytes(machine.memory.0 / 8 * HELD_MEMORY_EIGHTHS)
+}
+
 /// Describes an endpoint to the load balancer.
 fn candidate(
     member: &Member,
--- a/crates/gateway/src/sweep.rs
+++ b/crates/gateway/src/sweep.rs
@@ -21,6 +21,7 @@
 
 use crate::losses;
 use crate::peers::{self, Peer};
+use crate::rows::PAGE_ROWS_MAX;
 use crate::state::Shared;
 
 /// Time between two partitions, for all hosts together: a partition holds some hundred kilobytes,
@@ -101,7 +102,11 @@
 async fn sweep(shared: &Shared, own: &Peer, partition: &Partition, newest_expired: u64) {
     let mut from = String::new();
     loop {
-        let page = match shared.rows.read_page(partition, &from, "").await {
+        let page = match shared
+            .rows
+            .read_page(partition, &from, "", PAGE_ROWS_MAX)
+            .await
+        {
             Ok(page) => page,
             Err(error) => {
                 info!(shared.log, "partition not swept"; "table" => %partition.table,
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -6,6 +6,7 @@
 use clients::Accounts;
 use clients::owner::{Id, Owner};
 use compact_str::CompactString;
+use http_io::Payload;
 use turns::{Transcript, Turn};
 use units::{Span, Tokens};
 
@@ -105,16 +106,16 @@
 /// run.
 pub(crate) async fn open(
     shared: &Shared,
-    environment: &Environment,
+    environment: &Arc<Environment>,
     route: &Route,
     call: &Call,
     owner: &Owner,
     service: &str,
     body: Bytes,
-) -> Result<(Bytes, Option<OpenTurn>), Refusal> {
+) -> Result<(Payload, Option<OpenTurn>), Refusal> {
     let is_turn = route.repeat == Repeat::Stream;
     let (Some(program), true) = (&call.program, is_turn) else {
-        return Ok((body, None));
+        return Ok((body.into(), None));
     };
     let (id, histories, accounts) = (owner.id(&call.id), &shared.histories, &environment.accounts);
     if route.retains_turns && histories.is_in_memory(&id) {
@@ -123,18 +124,12 @@
     let transcript = match &call.previous_turn {
         Some(previous) if route.retains_turns => {
             histories
-                .load_transcript(&owner.id(previous), accounts)
+                .load_transcript(&owner.id(previous), environment)
                 .await?
         }
         _ => Transcript::default(),
     };
-    let text = if transcript.text.is_empty() {
-        body.clone()
-    } else {
-        let mut text = transcript.text;
-        text.extend_from_slice(&body);
-        text.freeze()
-    };
+    let text: Payload = transcript.text.into_iter().chain([body.clone()]).collect();
     let engine = environment
         .services
         .get(service)
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,13 +9,17 @@
 mod client;
 mod error;
 mod limit;
+mod payload;
 mod pool;
+mod segments;
 mod server;
 mod stream;
 
 pub use client::Client;
 pub use error::{Error, Result};
 pub use limit::Events;
-pub use pool::{BufferedRequest, Lease, Pool, SendError};
+pub use payload::Payload;
+pub use pool::{BufferedRequest, Lease, Pool, READ_BUFFER_MAX_BYTES, SendError};
+pub use segments::Segments;
 pub use server::{read_body, read_response, serve};
 pub use stream::{BodySender, attach_token, streamed_body};
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -8,8 +8,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
@@ -19,13 +17,17 @@
 use smol_hyper::rt::FuturesIo;
 use units::{Span, Time};
 
-/// Maximum size of the buffer of a connection, and so of the head of a response.
-const BUFFER_MAX_BYTES: usize = 64 << 10;
+use crate::payload::Payload;
+
+/// Maximum size of each buffer of a connection, and so of the head of a response.
+const BUFFER_MAX_BYTES: usize = 32 << 10;
+/// Most memory that a connection holds for reading a response.
+pub const READ_BUFFER_MAX_BYTES: usize = BUFFER_MAX_BYTES;
 /// Maximum number of idle connections in a pool.
 const IDLE_CONNECTIONS_MAX: usize = 64;
 
 /// A request with a complete body in memory.
-pub type BufferedRequest = Request<Full<Bytes>>;
+pub type BufferedRequest = Request<Payload>;
 
 /// Reason why a request has no response.
 #[derive(Debug)]
@@ -39,7 +41,7 @@
 /// A connection in use by one request.
 #[derive(Debug)]
 pub struct Lease {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Payload>,
     _driver: Task<()>,
     /// Idle time of the connection before this request; `None` for a new connection.
     pub idle_time: Option<Span>,
--- a/crates/intake/src/gate.rs
+++ b/crates/intake/src/gate.rs
@@ -4,10 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender};
-use units::{Bytes, Clock};
+use units::{Bytes, Clock, Span, Time};
 
 use crate::ledger::{ConnectionId, Full, Ledger, Limits};
 
+/// Shortest time between two records of the progress of an answer.
+const PROGRESS_INTERVAL: Span = Span::from_ms(100);
+
 /// Callers hold too much; the request was not served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Overloaded;
@@ -43,6 +46,13 @@
         self.lock().ledger.used()
     }
 
+    /// Closes the connection whose unread answer costs the most; returns whether there is one. Its memory
+    /// is released when its task has ended.
+    pub fn evict_stalled(&self) -> bool {
+        let evict = self.apply(|ledger, now, evicted| ledger.evict_stalled(now, evicted));
+        evict.is_ok()
+    }
+
     /// Admits a connection.
     ///
     /// # Errors
@@ -118,13 +128,20 @@
 
     /// Begins a request whose head has arrived.
     pub fn request(&self) -> Request {
-        Request(self.holder.clone())
+        Request {
+            holder: self.holder.clone(),
+            progress_at: Time(0),
+        }
     }
 }
 
 /// A request of a connection; ends when this is dropped, after its answer.
 #[derive(Debug)]
-pub struct Request(Arc<Holder>);
+pub struct Request {
+    holder: Arc<Holder>,
+    /// When progress of the answer was recorded last.
+    progress_at: Time,
+}
 
 impl Request {
     /// Records that the request is complete, and takes this much memory while it is served.
@@ -132,16 +149,36 @@
     /// # Errors
     /// If the requests that are served leave no room for it.
     pub fn serve(&self, memory: Bytes) -> Result<(), Overloaded> {
-        let id = self.0.id;
-        self.0
+        let id = self.holder.id;
+        self.holder
             .gate
             .apply(|ledger, now, evicted| ledger.serve(id, memory.0, now, evicted))
     }
+
+    /// Records that the answer is complete and is sent from now on. Its connection may give way if the
+    /// caller does not read.
+    pub fn send(&mut self, answer: Bytes) {
+        let Holder { gate, id } = &*self.holder;
+        let now = gate.clock.now();
+        gate.lock().ledger.send(*id, answer.0, now);
+        self.progress_at = now;
+    }
+
+    /// Records that the caller has read more of the answer.
+    pub fn progress(&mut self) {
+        let Holder { gate, id } = &*self.holder;
+        let now = gate.clock.now();
+        if now.since(self.progress_at) >= PROGRESS_INTERVAL {
+            gate.lock().ledger.progress(*id, now);
+            self.progress_at = now;
+        }
+    }
 }
 
 impl Drop for Request {
     fn drop(&mut self) {
-        let now = self.0.gate.clock.now();
-        self.0.gate.lock().ledger.finish(self.0.id, now);
+        let Holder { gate, id } = &*self.holder;
+        let now = gate.clock.now();
+        gate.lock().ledger.finish(*id, now);
     }
 }
--- a/crates/intake/src/ledger.rs
+++ b/crates/intake/src/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use units::{Bytes, Time};
+use units::{Bytes, Span, Time};
 
 /// Memory of an open connection without a request: buffers, and the state of its task.
 const CONNECTION_BYTES: u64 = 32 << 10;
@@ -11,6 +11,9 @@
 /// Share of the memory, in quarters, that larger requests may take together while they are served.
 const LARGE_QUARTERS: u64 = 3;
 
+/// Time without progress after which an answer that its caller does not read may be cut.
+const STALL_MIN: Span = Span::from_ms(1_000);
+
 /// Limits for all connections together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -36,14 +39,18 @@
     Reading,
     /// A complete request is served; it may run, so it is never broken off here.
     Serving,
+    /// A complete answer is sent.
+    Sending,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     phase: Phase,
-    /// Begin of the phase.
+    /// Begin of the phase, or the latest progress of an answer.
     since: Time,
     bytes: u64,
+    /// Length of an answer that is sent; its memory is counted elsewhere.
+    answer: u64,
     /// Memory of a larger request that is being served.
     large: u64,
 }
@@ -54,6 +61,7 @@
             phase: Phase::Idle,
             since: now,
             bytes: CONNECTION_BYTES,
+            answer: 0,
             large: 0,
         }
     }
@@ -61,19 +69,30 @@
     /// Returns what holding the connection has cost so far, in bytes times microseconds. An ordinary
     /// request arrives within milliseconds and costs little.
     fn cost(&self, now: Time) -> u128 {
-        u128::from(self.bytes) * u128::from(now.since(self.since).0 + 1)
+        let bytes = self.bytes + self.answer;
+        u128::from(bytes) * u128::from(now.since(self.since).0 + 1)
     }
 
-    fn can_give_way(&self) -> bool {
-        self.phase != Phase::Serving
+    fn can_give_way(&self, now: Time) -> bool {
+        match self.phase {
+            Phase::Idle | Phase::Reading => true,
+            Phase::Serving => false,
+            Phase::Sending => self.is_stalled(now),
+        }
+    }
+
+    /// Whether the caller does not read its answer.
+    fn is_stalled(&self, now: Time) -> bool {
+        self.phase == Phase::Sending && now.since(self.since) >= STALL_MIN
     }
 }
 
 /// What the connections of a host hold.
 ///
 /// The load that this answers: any number of callers that send large bodies, or many small ones, and
-/// do not end them, beside ordinary callers. When the limit is reached, the connection gives way whose
-/// unfinished request has held the most memory for the longest time.
+/// do not end them, or do not read their answers, beside ordinary callers. When the limit is reached, the
+/// connection gives way whose unfinished request, or unread answer, has held the most memory for the
+/// longest time.
 #[derive(Debug)]
 pub struct Ledger {
     limits: Limits,
@@ -175,6 +194,7 @@
                 phase: Phase::Serving,
                 since: now,
                 bytes: total,
+                answer: 0,
                 large: if is_large { bytes } else { 0 },
             };
             self.large += holder.large;
@@ -182,6 +202,38 @@
         Ok(())
     }
 
+    /// Records that the answer to a request is complete, and is sent from now on.
+    pub fn send(&mut self, id: ConnectionId, bytes: u64, now: Time) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.phase = Phase::Sending;
+            holder.since = now;
+            holder.answer = bytes;
+        }
+    }
+
+    /// Records that the caller has read more of its answer.
+    pub fn progress(&mut self, id: ConnectionId, now: Time) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.since = now;
+        }
+    }
+
+    /// Closes the connection whose answer has been held for the longest time and the most memory without
+    /// its caller reading it, and adds it to `evicted`.
+    ///
+    /// # Errors
+    /// If there is no such connection.
+    pub fn evict_stalled(
+        &mut self,
+        now: Time,
+        evicted: &mut Vec<ConnectionId>,
+    ) -> Result<(), Full> {
+        let id = self.costliest(now, |holder| holder.is_stalled(now))?;
+        self.close(id);
+        evicted.push(id);
+        Ok(())
+    }
+
     /// Records that a request has ended; the connection waits for the next one.
     pub fn finish(&mut self, id: ConnectionId, now: Time) {
         if let Some(holder) = self.holders.get_mut(&id) {
@@ -202,7 +254,18 @@
 
     fn is_serving(&self) -> bool {
         let mut holders = self.holders.values();
-        holders.any(|holder| holder.phase == Phase::Serving)
+        holders.any(|holder| matches!(holder.phase, Phase::Serving | Phase::Sending))
+    }
+
+    fn costliest(
+        &self,
+        now: Time,
+        is_candidate: impl Fn(&Holder) -> bool,
+    ) -> Result<ConnectionId, Full> {
+        let holders = self.holders.iter();
+        let candidates = holders.filter(|(_, holder)| is_candidate(holder));
+        let costliest = candidates.max_by_key(|(id, holder)| (holder.cost(now), **id));
+        costliest.map(|(id, _)| *id).ok_or(Full)
     }
 
     /// Has connections give way until there is room for `bytes`.
@@ -226,11 +289,7 @@
         now: Time,
         evicted: &mut Vec<ConnectionId>,
     ) -> Result<(), Full> {
-        let holders = self.holders.iter();
-        let candidates = holders.filter(|(_, holder)| holder.can_give_way());
-        let costliest = candidates.max_by_key(|(id, holder)| (holder.cost(now), **id));
-        let (id, _) = costliest.ok_or(Full)?;
-        let id = *id;
+        let id = self.costliest(now, |holder| holder.can_give_way(now))?;
         if Some(id) == asking {
             return Err(Full);
         }
--- a/crates/intake/tests/ledger.rs
+++ b/crates/intake/tests/ledger.rs
@@ -127,11 +127,66 @@
     ledger.read(new, 1, later, &mut evicted).expect("read");
 }
 
+/// Answers that are sent; returns the connections and the time afterwards.
+fn send_answers(ledger: &mut Ledger, count: usize, now: Time) -> Vec<ConnectionId> {
+    let answer = |_| {
+        let id = open(ledger, now);
+        ledger
+            .serve(id, ORDINARY, now, &mut Vec::new())
+            .expect("served");
+        ledger.send(id, LARGE / 16, now);
+        id
+    };
+    (0..count).map(answer).collect()
+}
+
+// Callers that do not read their answers kept them for ever.
+#[test]
+fn the_answer_that_is_unread_for_the_longest_time_gives_way() {
+    let mut ledger = Ledger::new(LIMITS);
+    let began = Time(1_000_000);
+    let ids = send_answers(&mut ledger, 3, began);
+    let mut evicted = Vec::new();
+    assert_eq!(ledger.evict_stalled(began, &mut evicted), Err(Full));
+    let later = began.after(Span::from_ms(3_000));
+    ledger.progress(ids[0], later);
+    ledger.progress(ids[2], began.after(Span::from_ms(500)));
+    assert_eq!(ledger.evict_stalled(later, &mut evicted), Ok(()));
+    assert_eq!(ledger.evict_stalled(later, &mut evicted), Ok(()));
+    // Callers that read are not disturbed.
+    assert_eq!(ledger.evict_stalled(later, &mut evicted), Err(Full));
+    assert_eq!(evicted, [ids[1], ids[2]]);
+}
+
+#[test]
+fn unread_answers_give_way_to_an_ordinary_request() {
+    let mut ledger = Ledger::new(LIMITS);
+    let began = Time(1_000_000);
+    let ids = send_answers(&mut ledger, 500, began);
+    let mut evicted = Vec::new();
+    let mut more = Vec::new();
+    // The remainder of the memory is taken as well.
+    while let Ok(id) = ledger.open(began, &mut evicted) {
+        ledger
+            .serve(id, ORDINARY, began, &mut evicted)
+            .expect("served");
+        more.push(id);
+    }
+    assert!(evicted.is_empty());
+    let later = began.after(Span::from_ms(2_000));
+    let id = ledger.open(later, &mut evicted).expect("a connection");
+    ledger
+        .serve(id, ORDINARY, later, &mut evicted)
+        .expect("served");
+    assert!(!evicted.is_empty() && evicted.iter().all(|id| ids.contains(id)));
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Open,
     Read(usize, u64),
     Serve(usize, u64),
+    Send(usize, u64),
     Finish(usize),
     Close(usize),
     Wait(u64),
@@ -142,6 +197,7 @@
         3 => Just(Step::Open),
         6 => (any::<usize>(), 0..LARGE).prop_map(|(at, bytes)| Step::Read(at, bytes)),
         2 => (any::<usize>(), 0..LARGE).prop_map(|(at, bytes)| Step::Serve(at, bytes)),
+        2 => (any::<usize>(), 0..LARGE).prop_map(|(at, bytes)| Step::Send(at, bytes)),
         2 => any::<usize>().prop_map(Step::Finish),
         1 => any::<usize>().prop_map(Step::Close),
         2 => (0..2_000_u64).prop_map(Step::Wait),
@@ -172,6 +228,11 @@
                         let _ = ledger.serve(id, bytes, now, &mut evicted);
                     }
                 }
+                Step::Send(index, bytes) => {
+                    if let Some(id) = at(index) {
+                        ledger.send(id, bytes, now);
+                    }
+                }
                 Step::Finish(index) => {
                     if let Some(id) = at(index) {
                         ledger.finish(id, now);
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -141,6 +141,8 @@
     pub accepted: u64,
     /// Number of events in a streamed answer; 0 for a plain answer.
     pub event_count: u64,
+    /// Bytes of the body of a plain answer beyond its text.
+    pub filler_bytes: usize,
     /// Time before each event, or before a plain answer, in milliseconds.
     pub pause_ms: u64,
     /// Value of `Server-Limit` in answers; empty for none.
@@ -352,7 +354,8 @@
         return answer_events(stream, state, id, fault, &limit, event_count, pause).await;
     }
     wait(stream, state, id, pause).await?;
-    answer_plain(stream, id, fault, &limit).await
+    let filler = "x".repeat(lock(state).filler_bytes);
+    answer_plain(stream, id, fault, &limit, &filler).await
 }
 
 /// Sends an answer without an end; returns when the connection is closed.
@@ -412,9 +415,15 @@
     }
 }
 
-async fn answer_plain(stream: &mut TcpStream, id: &str, fault: Fault, limit: &str) -> Option<()> {
+async fn answer_plain(
+    stream: &mut TcpStream,
+    id: &str,
+    fault: Fault,
+    limit: &str,
+    filler: &str,
+) -> Option<()> {
     let seal = format!("{limit}Response-Seal: sealed\r\n");
-    let body = format!("answer to {id}");
+    let body = format!("answer to {id}{filler}");
     let length = body.len();
     let text = match fault {
         Fault::WrongId => head(
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -11,6 +11,8 @@
     Unavailable(http_io::Error),
     /// The response was lost; the request may have taken effect.
     Uncertain(http_io::Error),
+    /// The process has no memory for the response to a read.
+    NoMemory,
 }
 
 impl Error {
@@ -25,6 +27,7 @@
         match self {
             Error::Unavailable(error) => write!(f, "platform unavailable: {error}"),
             Error::Uncertain(error) => write!(f, "platform's answer lost: {error}"),
+            Error::NoMemory => f.write_str("no memory for the platform's answer"),
         }
     }
 }
--- a/crates/store/src/progress.rs
+++ b/crates/store/src/progress.rs
@@ -3,17 +3,21 @@
 //! The time limit of a call applies to the head of its response. A response that arrives may take any
 //! time, as its size is unknown and other traffic may use the same network.
 
-use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, OnceLock, PoisonError};
 
+use memory::{Charge, Size};
 use smol::future::FutureExt;
-use units::{Clock, Span, Time};
+use units::{Bytes, Clock, Span, Time};
 
 use crate::error::{Error, Result};
 
 /// Longest pause between two pieces of a response: a network that is congested delays each of them.
 const PAUSE_MAX: Span = Span::from_ms(1_000);
 
+/// Memory of a response, in lengths of it: the response, and what is decoded from it.
+const RESPONSE_COPIES: u64 = 3;
+
 /// What has arrived of the response to a call.
 #[derive(Debug)]
 pub struct Progress {
@@ -22,6 +26,10 @@
     first: OnceLock<Time>,
     last: AtomicU64,
     is_accepted: AtomicBool,
+    /// Memory of the response; `None` if it is not charged.
+    charge: Option<Mutex<Charge>>,
+    /// Whether the response is received also if there is no room for it.
+    is_essential: bool,
 }
 
 impl Progress {
@@ -33,7 +41,41 @@
             first: OnceLock::new(),
             last: AtomicU64::new(0),
             is_accepted: AtomicBool::new(false),
+            charge: None,
+            is_essential: false,
+        }
+    }
+
+    /// Charges the memory of the response with `charge`, which grows as the response arrives and ends with
+    /// this.
+    pub fn with_charge(mut self, charge: Charge) -> Self {
+        self.charge = Some(Mutex::new(charge));
+        self
+    }
+
+    /// Has the response received also if there is no room for it, as the process needs it to go on.
+    pub fn with_priority(mut self) -> Self {
+        self.is_essential = true;
+        self
+    }
+
+    /// Charges memory for `bytes` bytes more of the body.
+    ///
+    /// # Errors
+    /// [`Error::NoMemory`] if there is no room.
+    pub fn admit(&self, bytes: usize) -> Result<()> {
+        let Some(charge) = &self.charge else {
+            return Ok(());
+        };
+        let mut charge = charge.lock().unwrap_or_else(PoisonError::into_inner);
+        let length = self.bytes() + bytes as u64;
+        let needed = charge.bytes().max(Bytes(length * RESPONSE_COPIES));
+        if self.is_essential {
+            charge.resize_anyway(needed);
+            return Ok(());
         }
+        let resized = charge.resize(needed, Size::of(needed));
+        resized.map_err(|_| Error::NoMemory)
     }
 
     /// Records the arrival of the head of the response; `is_accepted` says whether the call was
--- a/crates/turns/src/chain.rs
+++ b/crates/turns/src/chain.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use clients::Accounts;
 use clients::owner::{Id, Owner};
 use compact_str::{CompactString, ToCompactString};
@@ -31,7 +31,7 @@
 }
 
 /// The encoded form of a turn, which is split over its rows.
-#[derive(Serialize, Deserialize)]
+#[derive(Deserialize)]
 struct StoredTurn {
     predecessors: Vec<CompactString>,
     endpoint: CompactString,
@@ -39,6 +39,15 @@
     output: Vec<u8>,
 }
 
+/// [`StoredTurn`] for encoding.
+#[derive(Serialize)]
+struct StoredTurnRef<'a> {
+    predecessors: Vec<CompactString>,
+    endpoint: &'a str,
+    input: &'a [u8],
+    output: &'a [u8],
+}
+
 /// A turn as it was read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReadTurn {
@@ -61,11 +70,11 @@
         accounts: &Accounts,
     ) -> Result<Transaction> {
         let names = self.predecessors.iter().map(|id| id.name(accounts));
-        let stored = StoredTurn {
+        let stored = StoredTurnRef {
             predecessors: names.map(|name| name.as_str().into()).collect(),
-            endpoint: self.endpoint.clone(),
-            input: self.input.to_vec(),
-            output: self.output.to_vec(),
+            endpoint: &self.endpoint,
+            input: &self.input,
+            output: &self.output,
         };
         // Releases that do not know the owner ignore what follows the turn.
         let bytes = bincode::serde::encode_to_vec((&stored, owner), bincode::config::standard())
@@ -117,11 +126,21 @@
         }))
     }
 
-    fn size_bytes(&self) -> usize {
+    /// Returns the bytes of text.
+    pub fn size_bytes(&self) -> usize {
         self.input.len() + self.output.len()
     }
 }
 
+/// Returns an upper bound for the text of a turn whose first row this is, in bytes.
+///
+/// # Errors
+/// If the row cannot be decoded.
+pub fn text_max_bytes(first: &Row) -> Result<usize> {
+    let row_count = first.value.0.first_chunk::<4>().ok_or(Error::Incomplete)?;
+    Ok((u32::from_le_bytes(*row_count) as usize).saturating_mul(ROW_MAX_BYTES))
+}
+
 /// The text of the turns before a new turn.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Transcript {
@@ -129,8 +148,21 @@
     pub turns: Vec<Id>,
     /// The endpoint that ran the last of them.
     pub endpoint: CompactString,
-    /// Input and output of each turn, in order.
-    pub text: BytesMut,
+    /// Input and output of each turn, in order, shared with the history.
+    pub text: Vec<Bytes>,
+}
+
+impl Transcript {
+    /// Returns the transcript of the turn `id`, with the turns before it, the oldest first.
+    pub fn new<'a>(id: &Id, before: impl Iterator<Item = &'a Turn>, last: &'a Turn) -> Self {
+        let turns = before.chain([last]);
+        let text = turns.flat_map(|turn| [turn.input.clone(), turn.output.clone()]);
+        Transcript {
+            turns: last.predecessors.iter().chain([id]).cloned().collect(),
+            endpoint: last.endpoint.clone(),
+            text: text.collect(),
+        }
+    }
 }
 
 /// The latest committed turns, in memory.
@@ -157,24 +189,22 @@
         }
     }
 
-    /// Adds a committed turn, and evicts the oldest turns that exceed the limits.
-    pub fn insert(&mut self, id: &Id, turn: Turn, now: Time) {
+    /// Adds a committed turn; returns the oldest turns, which are evicted if the limits are exceeded.
+    pub fn insert(&mut self, id: &Id, turn: Turn, now: Time) -> Vec<Turn> {
+        let mut evicted = Vec::new();
         self.size_bytes += turn.size_bytes();
         if let Some(old) = self.turns.insert(id.clone(), turn) {
             self.size_bytes -= old.size_bytes();
+            evicted.push(old);
         } else {
             self.order.push_back((now, id.clone()));
         }
         while let Some((inserted_at, _)) = self.order.front()
             && (self.size_bytes > self.size_max_bytes || now.since(*inserted_at) > self.age_max)
         {
-            let Some((_, oldest)) = self.order.pop_front() else {
-                break;
-            };
-            if let Some(old) = self.turns.remove(&oldest) {
-                self.size_bytes -= old.size_bytes();
-            }
+            evicted.extend(self.evict_oldest());
         }
+        evicted
     }
 
     /// Returns a turn, if it is in memory.
@@ -190,24 +220,32 @@
         let Some(last) = self.turns.get(id) else {
             return Err(vec![id.clone()]);
         };
-        let endpoint = last.endpoint.clone();
-        let mut turns = last.predecessors.clone();
-        turns.push(id.clone());
-        let missing = turns.iter().filter(|id| !self.turns.contains_key(*id));
+        let predecessors = last.predecessors.iter();
+        let missing = predecessors.filter(|id| !self.turns.contains_key(*id));
         let missing: Vec<Id> = missing.cloned().collect();
         if !missing.is_empty() {
             return Err(missing);
         }
-        let mut text = BytesMut::new();
-        for turn in turns.iter().filter_map(|id| self.turns.get(id)) {
-            text.extend_from_slice(&turn.input);
-            text.extend_from_slice(&turn.output);
+        let before = last.predecessors.iter();
+        let before = before.filter_map(|id| self.turns.get(id));
+        Ok(Transcript::new(id, before, last))
+    }
+
+    /// Evicts the oldest turns, of `bytes` of text in sum if there are as many, and returns them.
+    pub fn evict(&mut self, bytes: usize) -> Vec<Turn> {
+        let target = self.size_bytes.saturating_sub(bytes);
+        let mut evicted = Vec::new();
+        while self.size_bytes > target && !self.order.is_empty() {
+            evicted.extend(self.evict_oldest());
         }
-        Ok(Transcript {
-            turns,
-            endpoint,
-            text,
-        })
+        evicted
+    }
+
+    fn evict_oldest(&mut self) -> Option<Turn> {
+        let (_, oldest) = self.order.pop_front()?;
+        let turn = self.turns.remove(&oldest)?;
+        self.size_bytes -= turn.size_bytes();
+        Some(turn)
     }
 
     /// Returns the bytes of text in memory.
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -30,7 +30,7 @@
 
 pub use account::{Account, Grant};
 pub use age::VersionAges;
-pub use chain::{History, ReadTurn, Transcript, Turn};
+pub use chain::{History, ReadTurn, Transcript, Turn, text_max_bytes};
 pub use error::{Error, Result};
 pub use events::{EventBatch, EventSplitter};
 pub use key::{ACCOUNTS, AccountKey, STREAMS, StreamKey, TURNS, TurnKey, partitions};
--- a/crates/turns/tests/chain.rs
+++ b/crates/turns/tests/chain.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use proptest::prelude::*;
 use store::api::{Row, Value};
-use turns::{History, ReadTurn, Turn, TurnKey};
+use turns::{History, ReadTurn, Turn, TurnKey, text_max_bytes};
 use units::{Span, Time};
 
 const HOUR: Span = Span::from_ms(3_600_000);
@@ -49,7 +49,7 @@
     history.insert(&id("b"), turn(&["a"], "q2 ", "r2\n"), now);
     history.insert(&id("c"), turn(&["a", "b"], "q3 ", "r3\n"), now);
     let transcript = history.transcript(&id("c")).expect("known");
-    assert_eq!(&transcript.text[..], b"q1 r1\nq2 r2\nq3 r3\n");
+    assert_eq!(transcript.text.concat(), b"q1 r1\nq2 r2\nq3 r3\n");
     assert_eq!(transcript.turns, ["a", "b", "c"].map(id));
     assert_eq!(transcript.endpoint, "endpoint-1");
 }
@@ -81,6 +81,27 @@
     assert!(history.get(&id("a")).is_none());
 }
 
+#[test]
+fn turns_are_evicted_until_enough_is_free() {
+    let mut history = History::new(1 << 20, HOUR);
+    for (text, at) in [("a", 0), ("b", 1), ("c", 2)] {
+        history.insert(&id(text), turn(&[], &"x".repeat(60), ""), Time(at));
+    }
+    assert_eq!(history.evict(70).len(), 2);
+    assert!(history.get(&id("b")).is_none() && history.get(&id("c")).is_some());
+    assert_eq!((history.evict(70).len(), history.evict(70).len()), (1, 0));
+}
+
+#[test]
+fn the_first_row_bounds_the_text_of_a_turn() {
+    let key = TurnKey::candidates(&name("t"))[0].clone();
+    for length in [0, 1_000, 47 << 10, 300_000] {
+        let rows = rows(&turn(&[], &"x".repeat(length), ""), &key);
+        let bound = text_max_bytes(&rows[0]).expect("decodes");
+        assert!(bound >= length && bound <= length + (96 << 10), "{bound}");
+    }
+}
+
 #[test]
 fn a_missing_row_is_an_error() {
     let key = TurnKey::candidates(&name("t"))[0].clone();
--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -41,4 +41,6 @@
 
 mod bodies;
 mod connections;
+mod conversations;
+mod readers;
 mod site;
