reads that a host needs to go on do not fail for lack of memory; rows that state no sound length

Cause: with all memory taken, a host whose feeds have to begin anew could not read the list of endpoints, and a program's task repeated the read of its account until its callers gave up. A row of a turn that states an impossible number of rows was charged as that many.

A first row that states more rows than a transaction writes is not decoded.

--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use compact_str::CompactString;
 use event_listener::Event;
 use memory::{Charge, Full, Limiter};
 use slog::{Logger, info, warn};
@@ -231,22 +232,30 @@
         }
     }
 
-    /// Reads all rows from `from` to `to`, page by page.
+    /// Reads all rows from `from` to `to`, page by page, also if there is no memory for them: for single
+    /// rows, and for tables that this host needs to go on.
     pub(crate) async fn read(&self, partition: &Partition, from: &str, to: &str) -> Result<Page> {
-        let mut pages = self.read_page(partition, from, to, PAGE_ROWS_MAX).await?;
-        while pages.has_more {
-            let Some(last) = pages.rows.last() else {
-                break;
-            };
-            let from = key_after(&last.key);
-            let page = self.read_page(partition, &from, to, PAGE_ROWS_MAX).await?;
+        let mut pages = Page::default();
+        let mut from = CompactString::from(from);
+        loop {
+            let progress = self.progress().with_priority();
+            let range = (from.as_str(), to);
+            let page = self.read_range(partition, range, PAGE_ROWS_MAX, &progress);
+            let page = page.await?;
+            pages.version = page.version;
             pages.has_more = page.has_more;
             pages.rows.extend(page.rows);
+            match pages.rows.last() {
+                Some(last) if pages.has_more => from = key_after(&last.key),
+                _ => return Ok(pages),
+            }
         }
-        Ok(pages)
     }
 
     /// Reads the first rows from `from` to `to`, at most `limit` of them.
+    ///
+    /// # Errors
+    /// [`Error::NoMemory`] if there is no memory for them.
     pub(crate) async fn read_page(
         &self,
         partition: &Partition,
@@ -254,10 +263,21 @@
         to: &str,
         limit: usize,
     ) -> Result<Page> {
-        let limit = limit.min(PAGE_ROWS_MAX);
         let progress = self.progress();
-        let read = self.read_table(partition, (from, to), limit, &progress);
-        let direct = (read, &progress);
+        self.read_range(partition, (from, to), limit, &progress)
+            .await
+    }
+
+    async fn read_range(
+        &self,
+        partition: &Partition,
+        (from, to): (&str, &str),
+        limit: usize,
+        progress: &Progress,
+    ) -> Result<Page> {
+        let limit = limit.min(PAGE_ROWS_MAX);
+        let read = self.read_table(partition, (from, to), limit, progress);
+        let direct = (read, progress);
         let relay = || Relay::Read {
             partition: partition.clone(),
             from: from.into(),
--- a/crates/store/tests/progress.rs
+++ b/crates/store/tests/progress.rs
@@ -1,7 +1,10 @@
 //! When a call is given up.
 
-use store::Progress;
-use units::{Clock, Span};
+use std::sync::Arc;
+
+use memory::{Limiter, Size};
+use store::{Error, Progress};
+use units::{Bytes, Clock, Span};
 
 const LIMIT: Span = Span::from_ms(200);
 
@@ -39,3 +42,21 @@
     progress.record_head(true);
     assert_eq!(progress.last_of_result(), progress.last());
 }
+
+// Responses of the store were counted nowhere.
+#[test]
+fn response_without_memory_is_not_received() {
+    let limiter = Arc::new(Limiter::new(Bytes(100_000)));
+    let _others = limiter.charge_sized(Bytes(90_000), Size::Ordinary);
+    let progress = || Progress::new(Clock::new()).with_charge(limiter.charge_anyway(Bytes(0)));
+    let ordinary = progress();
+    assert!(ordinary.admit(1_000).is_ok());
+    ordinary.record(1_000);
+    assert!(matches!(ordinary.admit(10_000), Err(Error::NoMemory)));
+    drop(ordinary);
+    assert_eq!(limiter.charged(), Bytes(90_000));
+    // The process cannot go on without some of them.
+    let essential = progress().with_priority();
+    assert!(essential.admit(10_000).is_ok());
+    assert!(limiter.is_over());
+}
--- a/crates/turns/src/chain.rs
+++ b/crates/turns/src/chain.rs
@@ -17,6 +17,9 @@
 /// Maximum bytes of a turn in one row: the value, with a header and in base64, stays under 64 KiB.
 const ROW_MAX_BYTES: usize = 47 << 10;
 
+/// Most rows of a turn, which are written by one transaction.
+const ROWS_MAX: usize = 100;
+
 /// A turn whose answer is complete.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Turn {
@@ -135,10 +138,14 @@
 /// Returns an upper bound for the text of a turn whose first row this is, in bytes.
 ///
 /// # Errors
-/// If the row cannot be decoded.
+/// If the row states no number of rows, or more than a transaction writes.
 pub fn text_max_bytes(first: &Row) -> Result<usize> {
     let row_count = first.value.0.first_chunk::<4>().ok_or(Error::Incomplete)?;
-    Ok((u32::from_le_bytes(*row_count) as usize).saturating_mul(ROW_MAX_BYTES))
+    let row_count = u32::from_le_bytes(*row_count) as usize;
+    if row_count > ROWS_MAX {
+        return Err(Error::Incomplete);
+    }
+    Ok(row_count * ROW_MAX_BYTES)
 }
 
 /// The text of the turns before a new turn.
--- a/crates/turns/tests/chain.rs
+++ b/crates/turns/tests/chain.rs
@@ -102,6 +102,26 @@
     }
 }
 
+#[test]
+fn a_row_that_states_too_many_rows_bounds_nothing() {
+    let row = |value: Vec<u8>| Row {
+        key: "t/000".into(),
+        version: 1,
+        value: Value(value),
+    };
+    assert!(text_max_bytes(&row(u32::MAX.to_le_bytes().into())).is_err());
+    assert!(text_max_bytes(&row(vec![1, 0])).is_err());
+}
+
+// Peers of earlier releases decode a name as a text.
+#[test]
+fn a_name_is_encoded_as_its_text() {
+    let config = bincode::config::standard();
+    let name = bincode::serde::encode_to_vec(name("a/b"), config).expect("encodes");
+    let text = bincode::serde::encode_to_vec("a/b", config).expect("encodes");
+    assert_eq!(name, text);
+}
+
 #[test]
 fn a_missing_row_is_an_error() {
     let key = TurnKey::candidates(&name("t"))[0].clone();
