a chain's older turns are written again although they were evicted

Cause: turns in memory now give way to anything else, and the commit of a turn wrote the older turns of its chain again only if they were still in memory; their rows would have been dropped before the chain's retention ends.

Change: the commit loads such a turn as a request does. Reads of first rows are limited to 128 at a time: they are charged as they arrive, and the limit must not bind while the store is slow.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -49,6 +49,7 @@
     pub(crate) account: Option<Account>,
     /// Owner of the identifiers in the request.
     pub(crate) owner: Owner,
+    /// The program that the request belongs to.
     pub(crate) program: Option<Id>,
     /// Identifies the request over all attempts of its caller.
     pub(crate) suspect: Suspect,
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -32,7 +32,7 @@
 const TURNS_PER_DROP_MAX: usize = 32;
 
 /// Most reads of first rows at a time: each may bring a whole row.
-const READS_MAX: usize = 32;
+const READS_MAX: usize = 128;
 /// Most reads and writes of turns with several rows at a time: each holds several times the text.
 const TRANSFERS_MAX: usize = 4;
 /// Text above which a turn has, or may have, several rows.
@@ -290,18 +290,22 @@
     /// [`Refusal::TurnExists`] if another turn with this identifier is stored, and
     /// [`Refusal::EndpointFailed`] if a turn cannot be encoded.
     pub(crate) async fn commit(
-        &self,
+        self: &Arc<Self>,
         id: &Id,
         turn: Turn,
-        accounts: &Accounts,
+        environment: &Arc<Environment>,
         retention: Span,
     ) -> Result<(), Refusal> {
+        let accounts = &environment.accounts;
         for previous in self.due_for_rewrite(&turn.predecessors) {
-            let old = self.memory().get(&previous).cloned();
-            let Some(old) = old else {
-                // The previous turn was read when this turn began, and was evicted since.
-                warn!(self.log, "retention of turn not extended"; "turn" => %previous, "for" => %id);
-                continue;
+            // The turn was read when this one began, and may have been evicted since.
+            let old = match self.load(&previous, environment).await {
+                Ok(old) => old,
+                Err(refusal) => {
+                    warn!(self.log, "retention of turn not extended"; "turn" => %previous,
+                        "for" => %id, "why" => refusal.code());
+                    continue;
+                }
             };
             info!(self.log, "retention of turn extended"; "turn" => %previous, "for" => %id);
             let write = Write {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -235,7 +235,7 @@
         if let Some(turn) = &self.turn {
             let commit = turn.commit(
                 shared,
-                &self.exchange.environment.accounts,
+                &self.exchange.environment,
                 &self.placement.choice.id,
                 self.hold_output(events),
             );
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use clients::Accounts;
 use clients::owner::{Id, Owner};
 use compact_str::CompactString;
 use http_io::Payload;
@@ -39,7 +38,7 @@
     pub(crate) async fn commit(
         &self,
         shared: &Shared,
-        accounts: &Accounts,
+        environment: &Arc<Environment>,
         endpoint: &CompactString,
         output: Bytes,
     ) -> Result<(), Refusal> {
@@ -54,7 +53,7 @@
         };
         let commit = shared
             .histories
-            .commit(&record.id, turn, accounts, record.retention);
+            .commit(&record.id, turn, environment, record.retention);
         commit.await
     }
 }
