--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -212,7 +212,10 @@
         let query: query::Accept =
             query::read(request, "query needs base=VERSION and author=NAME")?;
         let body = http_io::read_body(request, DOCUMENT_MAX_BYTES).await;
-        let body = body.map_err(|_| Error::Malformed("body is too long or broke off"))?;
+        let body = body.map_err(|error| match error {
+            http_io::Error::Overloaded => Error::Overloaded,
+            _ => Error::Malformed("body is too long or broke off"),
+        })?;
         let text = String::from_utf8(body).map_err(|_| Error::Malformed("body is not UTF-8"))?;
         let change = Change {
             base: Version(query.base),
--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -26,6 +26,8 @@
     Malformed(&'static str),
     /// The process is stopping, so the request was not carried out completely.
     Stopping,
+    /// Other requests take all the memory that they may; the request was not carried out.
+    Overloaded,
     /// A row of the store cannot be decoded.
     Corrupt,
     /// The platform's store gave no usable answer.
@@ -63,7 +65,7 @@
             Error::Stale(_) => 409,
             Error::Malformed(_) => 400,
             Error::Corrupt => 500,
-            Error::Stopping | Error::Platform(_) => 503,
+            Error::Stopping | Error::Overloaded | Error::Platform(_) => 503,
         }
     }
 
@@ -78,6 +80,7 @@
             Error::Stale(_) => "stale-version",
             Error::Malformed(_) => "malformed",
             Error::Stopping => "stopping",
+            Error::Overloaded => "overloaded",
             Error::Corrupt => "corrupt-row",
             Error::Platform(_) => "store-unavailable",
         }
@@ -116,6 +119,7 @@
             Error::Stale(stale) => write!(f, "version {} is in force", stale.version),
             Error::Malformed(what) => write!(f, "malformed request: {what}"),
             Error::Stopping => f.write_str("the process is stopping"),
+            Error::Overloaded => f.write_str("other requests take all the memory that they may"),
             Error::Corrupt => f.write_str("a row of the platform's table cannot be read"),
             Error::Platform(error) => error.fmt(f),
         }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -23,6 +23,9 @@
 use crate::traffic::Traffic;
 
 const HOPS_MAX: u8 = 3;
+/// Memory of a request as a multiple of its body: the body, the input of the call, its record for the
+/// log, and the frame for a peer.
+const BODY_COPIES: u64 = 4;
 /// The lowest HTTP status of a refusal.
 const STATUS_REFUSED_MIN: u16 = 400;
 
@@ -155,10 +158,11 @@
     let offset = offset.map_err(|_| Refusal::Malformed("offset is not a number".into()))?;
     let (program, path, seq) = parse_path(url.path())?;
     let limit = traffic.shared.settings.body_max.0;
-    let body = http_io::read_body(request, limit)
+    let body = http_io::read_copied_body(request, limit, BODY_COPIES)
         .await
         .map_err(|error| match error {
             http_io::Error::TooLarge(limit) => Refusal::TooLarge(limit),
+            http_io::Error::Overloaded => Refusal::MemoryFull,
             error => Refusal::Malformed(error.to_string()),
         })?;
     let (method, trace) = (request.method(), trace.into());
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -6,11 +6,11 @@
 use admin::{Admin, OperationRequest};
 use async_channel::{Receiver, Sender};
 use board::{Board, Observation};
+use intake::Clients;
 use log::Writer;
 use slog::{error, info, warn};
 use smol::LocalExecutor;
 use smol::future::FutureExt;
-use smol::net::TcpListener;
 use units::{Incarnation, Span};
 
 use crate::Shared;
@@ -198,16 +198,8 @@
         clock: shared.clock,
     };
     let handler = move |request| admin.clone().handle(request);
-    let served = match listen(inputs.listener) {
+    match shared.listen(inputs.listener, Clients::Operators, "admin") {
         Ok(listener) => http_io::serve(executor, listener, handler).await,
-        Err(error) => Err(error),
-    };
-    if let Err(error) = served {
-        error!(shared.logger, "administration API ended"; "error" => %error);
+        Err(error) => error!(shared.logger, "administration API not served"; "error" => %error),
     }
 }
-
-/// Makes a bound listener asynchronous.
-pub(crate) fn listen(listener: std::net::TcpListener) -> std::io::Result<TcpListener> {
-    Ok(TcpListener::from(smol::Async::new(listener)?))
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -37,8 +37,9 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use board::View;
+use intake::{Clients, Gate, Listener, Monitor};
 use settings::Entry;
-use slog::{Logger, o};
+use slog::{Logger, info, o};
 use store::Client;
 use telemetry::Metrics;
 use units::{Clock, Incarnation};
@@ -57,6 +58,24 @@
     pub(crate) clock: Clock,
 }
 
+impl Shared {
+    /// Accepts connections on a bound listener, within the limits of its clients' share. `port` is its
+    /// name in log lines.
+    pub(crate) fn listen(
+        &self,
+        listener: std::net::TcpListener,
+        clients: Clients,
+        port: &'static str,
+    ) -> std::io::Result<Listener> {
+        let machine = self.settings.process.machine;
+        let limits = clients.limits(machine.memory, machine.descriptors);
+        let monitor = Monitor::new(port, self.metrics.clone(), self.logger.clone());
+        let gate = Gate::new(limits, self.clock).with_monitor(monitor);
+        let listener = smol::net::TcpListener::from(smol::Async::new(listener)?);
+        Ok(Listener::new(listener, Arc::new(gate)))
+    }
+}
+
 /// Runs an entry until `stop` resolves.
 ///
 /// # Errors
@@ -72,6 +91,9 @@
     let peer_listener = bind(settings.peer_address)?;
     let admin_listener = bind(settings.admin.address)?;
     let shared = build_shared(settings, client, logger)?;
+    let machine = shared.settings.process.machine;
+    info!(shared.logger, "limits"; "memory_bytes" => machine.memory.0,
+        "descriptors" => machine.descriptors);
     let (observation_sender, observation_receiver) = async_channel::bounded(1_024);
     let (operation_sender, operation_receiver) = async_channel::bounded(64);
     let (stop_sender, stop_receiver) = async_channel::bounded::<()>(1);
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -48,6 +48,8 @@
     NoEndpoint,
     /// A new program would not be completed in time; a retry makes sense after this delay.
     Overloaded(Span),
+    /// Requests take all the memory that they may.
+    MemoryFull,
     /// The endpoint gave no complete answer.
     Endpoint(Ran, Reason),
     /// The call may or may not have run; it is never dispatched again.
@@ -82,7 +84,8 @@
             | Refusal::Unavailable
             | Refusal::Unrecorded
             | Refusal::NoEndpoint
-            | Refusal::Overloaded(_) => 503,
+            | Refusal::Overloaded(_)
+            | Refusal::MemoryFull => 503,
             Refusal::Endpoint(..) | Refusal::Indeterminate => 502,
         }
     }
@@ -113,7 +116,7 @@
             Refusal::Unavailable => "history-unavailable",
             Refusal::Unrecorded => "unrecorded",
             Refusal::NoEndpoint => "no-endpoint",
-            Refusal::Overloaded(_) => "overloaded",
+            Refusal::Overloaded(_) | Refusal::MemoryFull => "overloaded",
             Refusal::Endpoint(..) => "endpoint",
             Refusal::Indeterminate => "indeterminate",
         }
@@ -185,6 +188,7 @@
             Refusal::Overloaded(_) => {
                 f.write_str("a new program would not be done in time under this load")
             }
+            Refusal::MemoryFull => f.write_str("requests take all the memory that they may"),
             Refusal::Endpoint(_, reason) => reason.fmt(f),
             Refusal::Indeterminate => {
                 f.write_str("the call may or may not have run and is not dispatched again")
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -8,6 +8,7 @@
 use admin::{Operation, OperationRequest};
 use async_channel::{Receiver, Sender};
 use board::{Environment, Observation};
+use intake::Clients;
 use log::{Cause, Event, Handle, Record, Token};
 use serde_json::Value;
 use slog::{error, info};
@@ -16,7 +17,6 @@
 use units::{Host, Incarnation, Program, Span, Time};
 use wire::{Error, Frame, Identity, Key, Link, Load, Stream};
 
-use crate::control::listen;
 use crate::live::LiveProgram;
 use crate::owner::Logs;
 use crate::quota::{self, Quota};
@@ -126,12 +126,10 @@
         let traffic = traffic.clone();
         move |request| api::handle(traffic.clone(), request)
     };
-    let served = match listen(listener) {
+    let listener = traffic.shared.listen(listener, Clients::Callers, "callers");
+    match listener {
         Ok(listener) => http_io::serve(traffic.executor.clone(), listener, handler).await,
-        Err(error) => Err(error),
-    };
-    if let Err(error) = served {
-        error!(traffic.shared.logger, "caller API ended"; "error" => %error);
+        Err(error) => error!(traffic.shared.logger, "caller API not served"; "error" => %error),
     }
 }
 
@@ -141,18 +139,15 @@
         move |peer, stream| serve_exchange(traffic.clone(), peer, stream)
     };
     let identity = traffic.shared.identity.clone();
-    let served = match listen(listener) {
+    match traffic.shared.listen(listener, Clients::Peers, "peers") {
         Ok(listener) => {
             let (executor, key) = (traffic.executor.clone(), traffic.key.clone());
             let metrics = traffic.shared.metrics.clone();
             let refused = move |error: &Error| metrics.count(error.label());
             let drain = wire::Drain::new();
-            wire::serve(executor, listener, key, identity, handler, refused, drain).await
+            wire::serve(executor, listener, key, identity, handler, refused, drain).await;
         }
-        Err(error) => Err(error),
-    };
-    if let Err(error) = served {
-        error!(traffic.shared.logger, "peer API ended"; "error" => %error);
+        Err(error) => error!(traffic.shared.logger, "peer API not served"; "error" => %error),
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,11 +13,11 @@
 
 use async_channel::{Receiver, Sender};
 use compact_str::CompactString;
+use intake::Listener;
 use serde::Serialize;
 use slog::{Logger, info, warn};
 use smol::LocalExecutor;
 use smol::future::FutureExt;
-use smol::net::TcpListener;
 use store::api::{Row, Transaction, Value};
 use store::{Error, Partition, Progress, Result};
 use units::{Clock, Host, Incarnation, Span, Time, Zone};
@@ -343,7 +343,7 @@
 }
 
 /// Runs the server for peers and the client to them until the process ends.
-pub(crate) fn run(ctx: Context, peers: Peers, listener: TcpListener) {
+pub(crate) fn run(ctx: Context, peers: Peers, listener: Listener) {
     let executor = Rc::new(LocalExecutor::new());
     let ctx = Rc::new(ctx);
     let handler = {
@@ -363,12 +363,6 @@
         on_error,
         wire::Drain::new(),
     );
-    let log = ctx.log.clone();
-    let server = async move {
-        if let Err(error) = server.await {
-            warn!(log, "server for peers stopped"; "error" => %error);
-        }
-    };
     executor.spawn(server).detach();
     let client = Client {
         ctx,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -10,14 +10,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use intake::{Gate, Limits, Metered};
+use intake::{Clients, Connection, Listener, Metered};
 use settings::Machine;
 use slog::{Logger, info, warn};
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use telemetry::Metrics;
-use units::{Bytes, Incarnation, Span};
+use units::{Incarnation, Span};
 use wire::{Identity, Key, Role};
 
 use crate::accept::serve;
@@ -57,11 +57,6 @@
 
 /// Longest head of a request to the status address.
 const STATUS_HEAD_BYTES: usize = 8 << 10;
-/// Limits for the connections to the status address: the balancer opens one a second, operators some.
-const STATUS_LIMITS: Limits = Limits {
-    memory: Bytes(4 << 20),
-    connections: 64,
-};
 
 /// Inputs that control a running gateway.
 pub struct Control {
@@ -107,7 +102,8 @@
     let status = listen(shared.settings().status_address).await?;
     let settings = shared.settings();
     info!(shared.log, "gateway started"; "host" => %settings.host, "incarnation" => %incarnation,
-        "zone" => %settings.zone, "callers" => %settings.caller_address);
+        "zone" => %settings.zone, "callers" => %settings.caller_address,
+        "memory_bytes" => shared.machine.memory.0, "descriptors" => shared.machine.descriptors);
     let own = start_peers(&shared, incarnation).await?;
     let (drained_tx, drained_rx) = async_channel::bounded::<()>(1);
     let accepting = smol::spawn(serve_callers(shared.clone(), callers, drained_rx));
@@ -215,6 +211,7 @@
 async fn start_peers(shared: &Shared, incarnation: Incarnation) -> Result<Peer> {
     let settings = shared.settings();
     let listener = listen(settings.peer_address).await?;
+    let listener = shared.listen(listener, Clients::Peers, "peers");
     let own = Peer {
         host: settings.host.clone(),
         incarnation,
@@ -309,19 +306,13 @@
     listener: TcpListener,
     drained: async_channel::Receiver<()>,
 ) {
+    let listener = Listener::new(listener, shared.gate.clone());
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                // Counted before the task starts, so that a shutdown waits for the connection.
-                let guard = ConnectionGuard::new(shared.clone());
-                let task = serve_caller(guard, stream, drained.clone());
-                smol::spawn(task).detach();
-            }
-            Err(error) => {
-                warn!(shared.log, "connection not accepted"; "error" => %error);
-                smol::Timer::after(Duration::from_millis(20)).await;
-            }
-        }
+        let (stream, admitted) = listener.accept().await;
+        // Counted before the task starts, so that a shutdown waits for the connection.
+        let guard = ConnectionGuard::new(shared.clone());
+        let task = serve_caller(guard, stream, admitted, drained.clone());
+        smol::spawn(task).detach();
     }
 }
 
@@ -344,20 +335,14 @@
 async fn serve_caller(
     guard: ConnectionGuard,
     stream: TcpStream,
+    admitted: Connection,
     drained: async_channel::Receiver<()>,
 ) {
     let shared = guard.0.clone();
-    // On failure, answers are only slower.
-    drop(stream.set_nodelay(true));
     let environment = shared.environment();
     let limits = environment.as_ref().map(|environment| environment.limits);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout.into());
     let head_max = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_head.0);
-    let Ok(admitted) = shared.gate.open() else {
-        shared.metrics.count("connections-refused");
-        info!(shared.log, "connection refused"; "held_bytes" => shared.gate.used().0);
-        return;
-    };
     let sniffer = Sniffer::new(Metered::new(stream, admitted.clone()));
     let head_state = sniffer.head_state();
     let handler = service_fn(|request: Request<Incoming>| {
@@ -386,9 +371,6 @@
     };
     let evicted = || async {
         admitted.evicted().await;
-        shared.metrics.count("connections-evicted");
-        info!(shared.log, "connection gave way to others";
-            "held_bytes" => shared.gate.used().0);
         true
     };
     if !served.or(evicted()).or(drained).await {
@@ -402,15 +384,9 @@
 }
 
 async fn serve_status(shared: Arc<Shared>, listener: TcpListener) {
-    let gate = Arc::new(Gate::new(STATUS_LIMITS, shared.clock));
+    let listener = shared.listen(listener, Clients::Operators, "status");
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            smol::Timer::after(Duration::from_millis(20)).await;
-            continue;
-        };
-        let Ok(admitted) = gate.open() else {
-            continue;
-        };
+        let (stream, admitted) = listener.accept().await;
         let shared = shared.clone();
         let task = async move {
             let stream = Metered::new(stream, admitted.clone());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,11 +7,12 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use compact_str::CompactString;
 use event_listener::Event;
-use intake::{Gate, Limits};
+use intake::{Clients, Gate, Listener, Monitor};
 use memory::Limiter;
 use policy::{Balancer, Candidate, IdleLimit, Sender, TransferCost};
 use settings::Machine;
 use slog::{Logger, info};
+use smol::net::TcpListener;
 use store::api::Row;
 use telemetry::Metrics;
 use units::{Bytes, Clock, Incarnation, Span, Time, Zone};
@@ -41,14 +42,9 @@
 /// Transfer cost per request sent to another availability zone: the round trip.
 const CROSS_ZONE_COST_PER_REQUEST: Span = Span::from_ms(2);
 
-/// Share of the host's memory, as a divisor, for connections of callers and their requests.
-const INTAKE_MEMORY_DIVISOR: u64 = 4;
-/// Share of the host's memory, in eighths, for what else it holds: turns, answers of endpoints, and
-/// what it reads from the store and peers. The remainder is for the process itself.
+/// Share of the host's memory, in eighths, for what it holds beside the connections: turns, answers of
+/// endpoints, and what it reads from the store and peers. The remainder is for the process itself.
 const HELD_MEMORY_EIGHTHS: u64 = 3;
-/// Share of the descriptors, as a divisor, for connections of callers: each may need one to an
-/// endpoint.
-const INTAKE_DESCRIPTORS_DIVISOR: usize = 2;
 
 /// State of a gateway process.
 pub(crate) struct Shared {
@@ -108,6 +104,8 @@
         let histories = Arc::new(histories);
         let cache: Weak<Histories> = Arc::downgrade(&histories);
         limiter.set_cache(cache);
+        let gate = new_gate(machine, Clients::Callers, clock);
+        let gate = gate.with_monitor(Monitor::new("callers", metrics.clone(), log.clone()));
         Shared {
             histories,
             programs: Arc::new(Programs::new(
@@ -127,7 +125,7 @@
             streams: Arc::new(Streams::new(rows.clone(), clock, log.clone())),
             buffers: Buffers::new(limiter.clone()),
             limiter,
-            gate: Arc::new(Gate::new(intake_limits(machine), clock)),
+            gate: Arc::new(gate),
             adapter,
             machine,
             settings: ArcSwap::from_pointee(settings),
@@ -148,6 +146,18 @@
         }
     }
 
+    /// Accepts connections on `listener`, within the share of its clients. `port` is its name in log lines.
+    pub(crate) fn listen(
+        &self,
+        listener: TcpListener,
+        clients: Clients,
+        port: &'static str,
+    ) -> Listener {
+        let monitor = Monitor::new(port, self.metrics.clone(), self.log.clone());
+        let gate = new_gate(self.machine, clients, self.clock).with_monitor(monitor);
+        Listener::new(listener, Arc::new(gate))
+    }
+
     /// Begins to stop. The first request counts.
     pub(crate) fn request_stop(&self, stop: Stop) {
         // A stop that was requested before stays.
@@ -308,12 +318,9 @@
     }
 }
 
-/// Returns the limits for what callers make a host hold.
-fn intake_limits(machine: Machine) -> Limits {
-    Limits {
-        memory: Bytes(machine.memory.0 / INTAKE_MEMORY_DIVISOR),
-        connections: machine.descriptors / INTAKE_DESCRIPTORS_DIVISOR,
-    }
+/// Creates the gate of a port, with its clients' share of what the machine has.
+fn new_gate(machine: Machine, clients: Clients, clock: Clock) -> Gate {
+    Gate::new(clients.limits(machine.memory, machine.descriptors), clock)
 }
 
 /// Returns the limit for what a host holds beside that.
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -13,6 +13,8 @@
     Timeout,
     /// The body is longer than its limit in bytes.
     TooLarge(u64),
+    /// The requests that are being served leave no room for this one, which was not served.
+    Overloaded,
     /// A body cannot be encoded as JSON, or is not JSON of the expected type.
     Decode(serde_json::Error),
     /// The server responded with this status and body.
@@ -33,6 +35,7 @@
             Error::Exchange(error) => write!(f, "exchange failed: {error}"),
             Error::Timeout => f.write_str("timed out"),
             Error::TooLarge(limit) => write!(f, "body is longer than {limit} bytes"),
+            Error::Overloaded => f.write_str("requests take all the memory that they may"),
             Error::Decode(error) => write!(f, "cannot decode body: {error}"),
             Error::Status(status, _) => write!(f, "status {status}"),
         }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod client;
 mod error;
+mod hold;
 mod limit;
 mod payload;
 mod pool;
@@ -21,5 +22,5 @@
 pub use payload::Payload;
 pub use pool::{BufferedRequest, Lease, Pool, READ_BUFFER_MAX_BYTES, SendError};
 pub use segments::Segments;
-pub use server::{read_body, read_response, serve};
+pub use server::{read_body, read_copied_body, read_response, serve};
 pub use stream::{BodySender, attach_token, streamed_body};
--- a/crates/http/src/limit.rs
+++ b/crates/http/src/limit.rs
@@ -10,22 +10,24 @@
 use std::task::{Context, Poll, ready};
 
 use smol::io::{AsyncRead, AsyncWrite};
-use smol::net::TcpStream;
 
 /// Limit for the bytes that are read until the head of a message is complete. The heads that `async-h1`
 /// takes have half of it; the rest is what it reads ahead.
 pub(crate) const HEAD_MAX_BYTES: u64 = 16 << 10;
 
+/// Limit for what is read and discarded of a body after its response.
+const REST_MAX_BYTES: u64 = 1 << 20;
+
 /// A connection that fails when more bytes are read than its limit. Clones share the limit.
 #[derive(Clone, Debug)]
-pub(crate) struct Limited {
-    stream: TcpStream,
+pub(crate) struct Limited<S> {
+    stream: S,
     left: Arc<AtomicU64>,
 }
 
-impl Limited {
+impl<S> Limited<S> {
     /// Limits `stream` to the head of a message.
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: S) -> Self {
         Limited {
             stream,
             left: Arc::new(AtomicU64::new(HEAD_MAX_BYTES)),
@@ -37,13 +39,18 @@
         self.left.store(HEAD_MAX_BYTES, Ordering::Release);
     }
 
+    /// Limits the bytes that are read from now on to what is discarded of a body without a reader.
+    pub(crate) fn begin_rest(&self) {
+        self.left.store(REST_MAX_BYTES, Ordering::Release);
+    }
+
     /// Lifts the limit, for a body whose reader has a limit of its own.
     pub(crate) fn begin_body(&self) {
         self.left.store(u64::MAX, Ordering::Release);
     }
 }
 
-impl AsyncRead for Limited {
+impl<S: AsyncRead + Unpin> AsyncRead for Limited<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -63,7 +70,7 @@
     }
 }
 
-impl AsyncWrite for Limited {
+impl<S: AsyncWrite + Unpin> AsyncWrite for Limited<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/http/tests/endless.rs
+++ b/crates/http/tests/endless.rs
@@ -10,6 +10,7 @@
 
 use http_io::Client;
 use http_types::{Method, Response};
+use intake::Listener;
 use smol::LocalExecutor;
 
 /// Longer than the test needs: an endless answer has to be cut off for its length.
@@ -62,6 +63,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let listener = smol::net::TcpListener::try_from(listener).unwrap();
+    let listener = Listener::unlimited(listener);
     let handler = |_| async { Response::new(200) };
     let serve = http_io::serve(executor.clone(), listener, handler);
     executor.spawn(serve).detach();
@@ -113,6 +115,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let listener = smol::net::TcpListener::try_from(listener).unwrap();
+    let listener = Listener::unlimited(listener);
     let handler = |mut request| async move {
         let body = http_io::read_body(&mut request, LENGTH as u64).await;
         let mut response = Response::new(200);
--- a/crates/intake/src/gate.rs
+++ b/crates/intake/src/gate.rs
@@ -7,6 +7,7 @@
 use units::{Bytes, Clock, Span, Time};
 
 use crate::ledger::{ConnectionId, Full, Ledger, Limits};
+use crate::monitor::Monitor;
 
 /// Shortest time between two records of the progress of an answer.
 const PROGRESS_INTERVAL: Span = Span::from_ms(100);
@@ -15,11 +16,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Overloaded;
 
-/// All connections of a process.
+/// All connections of a port.
 #[derive(Debug)]
 pub struct Gate {
     state: Mutex<State>,
     clock: Clock,
+    monitor: Option<Monitor>,
 }
 
 #[derive(Debug)]
@@ -30,7 +32,7 @@
 }
 
 impl Gate {
-    /// Creates the gate of a process without connections.
+    /// Creates the gate of a port without connections.
     pub fn new(limits: Limits, clock: Clock) -> Self {
         Gate {
             state: Mutex::new(State {
@@ -38,9 +40,25 @@
                 signals: HashMap::new(),
             }),
             clock,
+            monitor: None,
         }
     }
 
+    /// Has `monitor` report which connections are refused and which give way.
+    pub fn with_monitor(mut self, monitor: Monitor) -> Self {
+        self.monitor = Some(monitor);
+        self
+    }
+
+    /// Reports an accept that failed, and closes a connection for the descriptor that may be lacking.
+    pub(crate) fn report_failed_accept(&self, error: &std::io::Error) {
+        if let Some(monitor) = &self.monitor {
+            monitor.fail(error, self.used(), self.clock.now());
+        }
+        // Without a connection that gives way, the next accept may succeed all the same.
+        let _ = self.apply(|ledger, now, evicted| ledger.evict_costliest(now, evicted));
+    }
+
     /// Returns the memory in use.
     pub fn used(&self) -> Bytes {
         self.lock().ledger.used()
@@ -58,7 +76,12 @@
     /// # Errors
     /// If there is no room for it.
     pub fn open(self: &Arc<Self>) -> Result<Connection, Overloaded> {
-        let id = self.apply(|ledger, now, evicted| ledger.open(now, evicted))?;
+        let opened = self.apply(|ledger, now, evicted| ledger.open(now, evicted));
+        let id = opened.inspect_err(|Overloaded| {
+            if let Some(monitor) = &self.monitor {
+                monitor.refuse(self.used(), self.clock.now());
+            }
+        })?;
         let (signal, evicted) = async_channel::bounded(1);
         self.lock().signals.insert(id, signal);
         let holder = Arc::new(Holder {
@@ -77,11 +100,17 @@
         change: impl FnOnce(&mut Ledger, units::Time, &mut Vec<ConnectionId>) -> Result<T, Full>,
     ) -> Result<T, Overloaded> {
         let mut evicted = Vec::new();
+        let now = self.clock.now();
         let mut state = self.lock();
-        let result = change(&mut state.ledger, self.clock.now(), &mut evicted);
+        let result = change(&mut state.ledger, now, &mut evicted);
         for id in &evicted {
             state.signals.remove(id);
         }
+        let used = state.ledger.used();
+        drop(state);
+        if let (Some(monitor), false) = (&self.monitor, evicted.is_empty()) {
+            monitor.evict(evicted.len(), used, now);
+        }
         result.map_err(|Full| Overloaded)
     }
 }
@@ -115,6 +144,11 @@
         let _ = self.evicted.recv().await;
     }
 
+    /// Whether nothing should be read until the tasks of connections that give way have run.
+    pub fn has_to_wait(&self) -> bool {
+        self.holder.gate.lock().ledger.has_to_wait()
+    }
+
     /// Records that more of a request was read.
     ///
     /// # Errors
@@ -126,6 +160,13 @@
             .apply(|ledger, now, evicted| ledger.read(id, bytes as u64, now, evicted))
     }
 
+    /// Records that the client is an own process, whose connection does not give way.
+    pub fn trust(&self) {
+        let Holder { gate, id } = &*self.holder;
+        let now = gate.clock.now();
+        gate.lock().ledger.trust(*id, now);
+    }
+
     /// Begins a request whose head has arrived.
     pub fn request(&self) -> Request {
         Request {
--- a/crates/intake/src/ledger.rs
+++ b/crates/intake/src/ledger.rs
@@ -23,6 +23,14 @@
     pub connections: usize,
 }
 
+impl Limits {
+    /// No limits.
+    pub const NONE: Limits = Limits {
+        memory: Bytes(u64::MAX),
+        connections: usize::MAX,
+    };
+}
+
 /// Identifies a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ConnectionId(u64);
@@ -53,6 +61,8 @@
     answer: u64,
     /// Memory of a larger request that is being served.
     large: u64,
+    /// Whether the client is trusted, and what it sends is limited elsewhere.
+    is_trusted: bool,
 }
 
 impl Holder {
@@ -63,6 +73,7 @@
             bytes: CONNECTION_BYTES,
             answer: 0,
             large: 0,
+            is_trusted: false,
         }
     }
 
@@ -100,6 +111,10 @@
     used: u64,
     /// Part of `used` that larger requests hold while they are served.
     large: u64,
+    /// What connections that have given way hold until they are closed.
+    leaving: HashMap<ConnectionId, u64>,
+    /// Sum of `leaving`.
+    leaving_bytes: u64,
     next_id: u64,
 }
 
@@ -111,6 +126,8 @@
             holders: HashMap::new(),
             used: 0,
             large: 0,
+            leaving: HashMap::new(),
+            leaving_bytes: 0,
             next_id: 0,
         }
     }
@@ -120,6 +137,11 @@
         Bytes(self.used)
     }
 
+    /// Whether nothing should be read until connections that have given way are closed.
+    pub fn has_to_wait(&self) -> bool {
+        self.leaving_bytes > 0 && self.used + self.leaving_bytes > self.limits.memory.0
+    }
+
     /// Opens a connection; adds those that give way to `evicted`.
     ///
     /// # Errors
@@ -153,6 +175,9 @@
         evicted: &mut Vec<ConnectionId>,
     ) -> Result<(), Full> {
         let holder = self.holders.get_mut(&id).ok_or(Full)?;
+        if holder.is_trusted {
+            return Ok(());
+        }
         if holder.phase == Phase::Idle {
             holder.phase = Phase::Reading;
             holder.since = now;
@@ -196,12 +221,26 @@
                 bytes: total,
                 answer: 0,
                 large: if is_large { bytes } else { 0 },
+                is_trusted: false,
             };
             self.large += holder.large;
         }
         Ok(())
     }
 
+    /// Records that the client has proved to be an own process: its connection stays until it ends, and
+    /// what is read from now on does not count.
+    pub fn trust(&mut self, id: ConnectionId, now: Time) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            self.used = self.used - holder.bytes + CONNECTION_BYTES;
+            *holder = Holder {
+                phase: Phase::Serving,
+                is_trusted: true,
+                ..Holder::idle(now)
+            };
+        }
+    }
+
     /// Records that the answer to a request is complete, and is sent from now on.
     pub fn send(&mut self, id: ConnectionId, bytes: u64, now: Time) {
         if let Some(holder) = self.holders.get_mut(&id) {
@@ -229,11 +268,23 @@
         evicted: &mut Vec<ConnectionId>,
     ) -> Result<(), Full> {
         let id = self.costliest(now, |holder| holder.is_stalled(now))?;
-        self.close(id);
-        evicted.push(id);
+        self.give_way(id, evicted);
         Ok(())
     }
 
+    /// Closes the connection that has cost the most, for a descriptor that the process lacks, and adds it
+    /// to `evicted`.
+    ///
+    /// # Errors
+    /// If no connection gives way.
+    pub fn evict_costliest(
+        &mut self,
+        now: Time,
+        evicted: &mut Vec<ConnectionId>,
+    ) -> Result<(), Full> {
+        self.evict(None, now, evicted)
+    }
+
     /// Records that a request has ended; the connection waits for the next one.
     pub fn finish(&mut self, id: ConnectionId, now: Time) {
         if let Some(holder) = self.holders.get_mut(&id) {
@@ -246,10 +297,26 @@
 
     /// Closes a connection.
     pub fn close(&mut self, id: ConnectionId) {
-        if let Some(holder) = self.holders.remove(&id) {
-            self.used -= holder.bytes;
-            self.large -= holder.large;
-        }
+        self.remove(id);
+        self.leaving_bytes -= self.leaving.remove(&id).unwrap_or_default();
+    }
+
+    /// Removes a connection from those that count; returns what it holds.
+    fn remove(&mut self, id: ConnectionId) -> u64 {
+        let Some(holder) = self.holders.remove(&id) else {
+            return 0;
+        };
+        self.used -= holder.bytes;
+        self.large -= holder.large;
+        holder.bytes
+    }
+
+    /// Has a connection give way. It holds its memory until it is closed.
+    fn give_way(&mut self, id: ConnectionId, evicted: &mut Vec<ConnectionId>) {
+        let bytes = self.remove(id);
+        self.leaving.insert(id, bytes);
+        self.leaving_bytes += bytes;
+        evicted.push(id);
     }
 
     fn is_serving(&self) -> bool {
@@ -276,7 +343,7 @@
         now: Time,
         evicted: &mut Vec<ConnectionId>,
     ) -> Result<(), Full> {
-        while self.used + bytes > self.limits.memory.0 {
+        while self.used.saturating_add(bytes) > self.limits.memory.0 {
             self.evict(asking, now, evicted)?;
         }
         Ok(())
@@ -293,8 +360,7 @@
         if Some(id) == asking {
             return Err(Full);
         }
-        self.close(id);
-        evicted.push(id);
+        self.give_way(id, evicted);
         Ok(())
     }
 }
--- a/crates/intake/src/stream.rs
+++ b/crates/intake/src/stream.rs
@@ -9,11 +9,13 @@
 use crate::gate::Connection;
 
 /// The stream of a connection. A read fails when the connection has to be closed.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Metered<S> {
     stream: S,
     /// In a box, as it cannot be moved while it is polled.
     connection: Box<Connection>,
+    /// Memory that a byte may take.
+    weight: usize,
 }
 
 impl<S> Metered<S> {
@@ -22,8 +24,15 @@
         Metered {
             stream,
             connection: Box::new(connection),
+            weight: 1,
         }
     }
+
+    /// Records each byte as `weight` bytes, for a protocol in which a few bytes take more memory.
+    pub fn with_weight(mut self, weight: usize) -> Self {
+        self.weight = weight;
+        self
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Metered<S> {
@@ -32,11 +41,16 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<Result<usize>> {
+        if self.connection.has_to_wait() {
+            // The tasks of connections that give way are awake, and run before this one does again.
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let count = ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let recorded = self.connection.read(count);
+        let recorded = self.connection.read(count * self.weight);
         Poll::Ready(match recorded {
             Ok(()) => Ok(count),
-            Err(_) => Err(Error::new(ErrorKind::OutOfMemory, "callers hold too much")),
+            Err(_) => Err(Error::new(ErrorKind::OutOfMemory, "clients hold too much")),
         })
     }
 }
--- a/crates/intake/tests/ledger.rs
+++ b/crates/intake/tests/ledger.rs
@@ -127,6 +127,61 @@
     ledger.read(new, 1, later, &mut evicted).expect("read");
 }
 
+// A connection that gave way counted as released while its task still held all that it had read.
+#[test]
+fn nothing_is_read_until_connections_that_gave_way_are_closed() {
+    let mut ledger = Ledger::new(LIMITS);
+    let now = Time(1_000_000);
+    let old = open(&mut ledger, now);
+    ledger
+        .read(old, MEMORY - 2 * LARGE, now, &mut Vec::new())
+        .expect("read");
+    let new = open(&mut ledger, now);
+    let later = now.after(Span::from_ms(10));
+    assert!(!ledger.has_to_wait());
+    let mut evicted = Vec::new();
+    ledger
+        .read(new, 3 * LARGE, later, &mut evicted)
+        .expect("read");
+    assert_eq!(evicted, [old]);
+    assert!(ledger.has_to_wait());
+    ledger.close(old);
+    assert!(!ledger.has_to_wait());
+}
+
+#[test]
+fn a_trusted_connection_neither_gives_way_nor_counts_what_it_reads() {
+    let mut ledger = Ledger::new(LIMITS);
+    let now = Time(1_000_000);
+    let trusted = open(&mut ledger, now);
+    let mut evicted = Vec::new();
+    ledger
+        .read(trusted, LARGE, now, &mut evicted)
+        .expect("read");
+    ledger.trust(trusted, now);
+    let held = ledger.used();
+    ledger
+        .read(trusted, 2 * MEMORY, now, &mut evicted)
+        .expect("read");
+    assert_eq!(ledger.used(), held);
+    crowd(&mut ledger, 5_000, 64 << 10, now.after(Span::from_ms(1)));
+    assert_eq!(ledger.read(trusted, 1, now, &mut evicted), Ok(()));
+}
+
+#[test]
+fn a_connection_gives_way_for_a_descriptor_unless_its_request_is_served() {
+    let mut ledger = Ledger::new(LIMITS);
+    let now = Time(1_000_000);
+    let [served, idle] = [(); 2].map(|()| open(&mut ledger, now));
+    let mut evicted = Vec::new();
+    ledger
+        .serve(served, ORDINARY, now, &mut evicted)
+        .expect("served");
+    assert_eq!(ledger.evict_costliest(now, &mut evicted), Ok(()));
+    assert_eq!(ledger.evict_costliest(now, &mut evicted), Err(Full));
+    assert_eq!(evicted, [idle]);
+}
+
 /// Answers that are sent; returns the connections and the time afterwards.
 fn send_answers(ledger: &mut Ledger, count: usize, now: Time) -> Vec<ConnectionId> {
     let answer = |_| {
@@ -188,6 +243,7 @@
     Serve(usize, u64),
     Send(usize, u64),
     Finish(usize),
+    Trust(usize),
     Close(usize),
     Wait(u64),
 }
@@ -199,6 +255,7 @@
         2 => (any::<usize>(), 0..LARGE).prop_map(|(at, bytes)| Step::Serve(at, bytes)),
         2 => (any::<usize>(), 0..LARGE).prop_map(|(at, bytes)| Step::Send(at, bytes)),
         2 => any::<usize>().prop_map(Step::Finish),
+        1 => any::<usize>().prop_map(Step::Trust),
         1 => any::<usize>().prop_map(Step::Close),
         2 => (0..2_000_u64).prop_map(Step::Wait),
     ];
@@ -238,6 +295,11 @@
                         ledger.finish(id, now);
                     }
                 }
+                Step::Trust(index) => {
+                    if let Some(id) = at(index) {
+                        ledger.trust(id, now);
+                    }
+                }
                 Step::Close(index) => {
                     if let Some(id) = at(index) {
                         ledger.close(id);
@@ -252,5 +314,6 @@
             ledger.close(id);
         }
         prop_assert_eq!(ledger.used().0, 0);
+        prop_assert!(!ledger.has_to_wait());
     }
 }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use units::{Bytes, Host, Rate, Region, Span, Zone};
+use units::{Host, Rate, Region, Span, Zone};
 
 use crate::document::SWITCH;
 use crate::error::Result;
@@ -14,28 +14,6 @@
 const STOP_DEFAULT_SECONDS: Rate = Rate(8.0);
 const STOP_MAX_SECONDS: Rate = Rate(3_600.0);
 
-/// What the machine has that a process runs on; the one who starts the process knows it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Machine {
-    /// Memory.
-    pub memory: Bytes,
-    /// Descriptors that the process may open.
-    pub descriptors: usize,
-    /// Processor time in thousandths of a core; 0 if unknown.
-    pub processor: u32,
-}
-
-impl Default for Machine {
-    /// The smallest machine in use.
-    fn default() -> Self {
-        Machine {
-            memory: Bytes(88 << 20),
-            descriptors: 4_096,
-            processor: 0,
-        }
-    }
-}
-
 /// Settings of a gateway process.
 #[derive(Clone, Debug)]
 pub struct Gateway {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,13 +9,15 @@
 mod document;
 mod error;
 mod gateway;
+mod machine;
 mod process;
 mod reader;
 mod render;
 
 pub use document::{Account, Class, Document, Limits, Model, Policy, Service};
 pub use error::{Error, Problem, Result};
-pub use gateway::{Gateway, Machine};
+pub use gateway::Gateway;
+pub use machine::Machine;
 pub use process::{
     Admin, Endpoint, EndpointKind, Entry, LogFormat, Platform, Process, Secret, Sidecar, Timing,
     unusable_address,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -7,6 +7,7 @@
 use units::{Bytes, Digest, Host, Rate, Region, Span, Target, Zone};
 
 use crate::error::{Error, Problem, Result};
+use crate::machine::Machine;
 use crate::reader::{HEX_FORMAT, Reader, Section, find_line};
 
 pub(crate) const ADDRESS_FORMAT: &str = "IP:PORT";
@@ -69,6 +70,8 @@
     pub trace_share: Rate,
     /// Intervals and timeouts of background tasks.
     pub timing: Timing,
+    /// What the machine has.
+    pub machine: Machine,
 }
 
 /// Intervals and timeouts of a process's background tasks.
@@ -308,6 +311,7 @@
     Ok(Process {
         trace_share,
         timing: timing(reader.optional("timing"))?,
+        machine: Machine::read(reader.optional("machine"))?,
         host,
         region,
         zone,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -28,7 +28,9 @@
 pub use queue::Queue;
 
 use std::rc::Rc;
+use std::sync::Arc;
 
+use intake::{Clients, Gate, Listener, Monitor};
 use settings::Sidecar;
 use slog::{Logger, info, o};
 use smol::LocalExecutor;
@@ -74,6 +76,16 @@
         log.clone(),
         Clock::new(),
     );
+    let machine = settings.process.machine;
+    info!(log, "limits"; "memory_bytes" => machine.memory.0, "descriptors" => machine.descriptors);
+    let listener = |listener, clients: Clients, port| {
+        let limits = clients.limits(machine.memory, machine.descriptors);
+        let monitor = Monitor::new(port, calls.metrics.clone(), log.clone());
+        let gate = Gate::new(limits, calls.clock).with_monitor(monitor);
+        Listener::new(listener, Arc::new(gate))
+    };
+    let peers = listener(peers, Clients::Peers, "peers");
+    let status = listener(status, Clients::Operators, "status");
     let handler = {
         let calls = calls.clone();
         move |peer, stream| server::exchange(calls.clone(), peer, stream)
@@ -92,7 +104,7 @@
         record_refusal,
         connections.clone(),
     );
-    executor.spawn(async move { drop(serve.await) }).detach();
+    executor.spawn(serve).detach();
     let epoch_calls = calls.clone();
     executor
         .spawn(async move { epoch_calls.advance_epochs().await })
--- a/crates/sidecar/src/status.rs
+++ b/crates/sidecar/src/status.rs
@@ -3,23 +3,22 @@
 use std::rc::Rc;
 
 use http_types::{Request, Response, StatusCode};
+use intake::Listener;
 use smol::LocalExecutor;
-use smol::net::TcpListener;
 
 use crate::calls::Calls;
 
-/// Serves the status of a sidecar until its listener fails.
+/// Serves the status of a sidecar.
 pub(crate) async fn serve(
     executor: Rc<LocalExecutor<'static>>,
-    listener: TcpListener,
+    listener: Listener,
     calls: Rc<Calls>,
 ) {
     let handler = move |request: Request| {
         let calls = calls.clone();
         async move { respond(&calls, request.url().path()) }
     };
-    // If the listener fails, the sidecar still serves calls; scrapes of its metrics fail.
-    let _ = http_io::serve(executor, listener, handler).await;
+    http_io::serve(executor, listener, handler).await;
 }
 
 fn respond(calls: &Calls, path: &str) -> Response {
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -6,6 +6,7 @@
 
 use async_channel::Sender;
 use http_types::{Body, Request, Response, StatusCode};
+use intake::Listener;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol::LocalExecutor;
@@ -60,9 +61,9 @@
         let executor = Rc::new(LocalExecutor::new());
         let tasks = executor.clone();
         let handler = move |request| handler(tasks.clone(), shared.clone(), request);
-        let listener = TcpListener::from(listener);
+        let listener = Listener::unlimited(TcpListener::from(listener));
         let serve = http_io::serve(executor.clone(), listener, handler);
-        executor.spawn(async move { drop(serve.await) }).detach();
+        executor.spawn(serve).detach();
         // Nothing is ever sent: the channel closes when the handle is dropped.
         let _ = smol::block_on(executor.run(stopped.recv()));
     };
--- a/crates/wire/examples/reconnect.rs
+++ b/crates/wire/examples/reconnect.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use intake::Listener;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use smol::LocalExecutor;
@@ -62,14 +63,15 @@
     let own = identity("server", address);
     serve(
         tasks,
-        listener,
+        Listener::unlimited(listener),
         Key::new([1; 32]),
         own,
         wait_closed,
         |_| {},
         Drain::new(),
     )
-    .await
+    .await;
+    Ok(())
 }
 
 /// Connects one client and records the time of each attempt; returns once connected.
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -9,9 +9,10 @@
 use event_listener::Event;
 use h2::RecvStream;
 use h2::server::SendResponse;
+use intake::{Connection, Listener, Metered};
 use smol::LocalExecutor;
 use smol::future::FutureExt;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpStream;
 use units::Clock;
 
 use crate::auth::{Key, authenticate_client};
@@ -25,6 +26,11 @@
 const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
 const STREAMS_MAX: u32 = 10_000;
 const HELLO_MAX_BYTES: usize = 16 << 10;
+/// Longest header block of an exchange; that of own processes has some tens of bytes.
+const HEADERS_MAX_BYTES: u32 = 4 << 10;
+/// Memory that a byte may take until the client is authenticated: an exchange of some hundred bytes of
+/// memory is opened by 12 bytes.
+const UNAUTHENTICATED_WEIGHT: usize = 64;
 
 /// Identity of a connection's client, once the client is authenticated.
 type SharedPeer = Rc<RefCell<Option<Rc<Identity>>>>;
@@ -95,17 +101,19 @@
 
 /// Accepts peers on `listener`. For each exchange, calls `handler` with the peer's identity and the
 /// stream, as a task of `executor`. Calls `on_error` with the error of each connection that was
-/// refused or failed. Returns once draining begins, or if the listener fails.
+/// refused or failed. Returns once draining begins.
+///
+/// A connection counts against the limits of `listener`. Until its client is authenticated, so does what
+/// is read, and the connection may have to give way to others.
 pub async fn serve<H, F, R>(
     executor: Rc<LocalExecutor<'static>>,
-    listener: TcpListener,
+    listener: Listener,
     key: Key,
     own: Identity,
     handler: H,
     on_error: R,
     drain: Rc<Drain>,
-) -> std::io::Result<()>
-where
+) where
     H: Fn(Rc<Identity>, Stream) -> F + Clone + 'static,
     F: Future<Output = ()> + 'static,
     R: Fn(&Error) + Clone + 'static,
@@ -119,24 +127,28 @@
         drain: drain.clone(),
     };
     loop {
-        let accept = async { listener.accept().await.map(Some) };
+        let accept = async { Some(listener.accept().await) };
         let stop = async {
             drain.wait_started().await;
-            Ok(None)
+            None
         };
-        let Some((stream, _)) = accept.or(stop).await? else {
-            return Ok(());
+        let Some((stream, admitted)) = accept.or(stop).await else {
+            return;
         };
         let server = server.clone();
         let guard = drain.register_connection();
-        let connection = async move {
+        let serve = async move {
             let _guard = guard;
+            let evicted = async {
+                admitted.evicted().await;
+                Err(Error::Authentication)
+            };
             // An error ends this connection only.
-            if let Err(error) = server.serve_connection(stream).await {
+            if let Err(error) = server.serve_connection(stream, &admitted).or(evicted).await {
                 (server.on_error)(&error);
             }
         };
-        executor.spawn(connection).detach();
+        executor.spawn(serve).detach();
     }
 }
 
@@ -147,19 +159,20 @@
     R: Fn(&Error) + Clone + 'static,
 {
     /// Serves one connection until it ends or its client no longer answers pings.
-    async fn serve_connection(&self, stream: TcpStream) -> Result<()> {
-        stream.set_nodelay(true).map_err(Error::Connect)?;
+    async fn serve_connection(&self, stream: TcpStream, admitted: &Connection) -> Result<()> {
+        let stream = Metered::new(stream, admitted.clone()).with_weight(UNAUTHENTICATED_WEIGHT);
         let handshake = h2::server::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .max_concurrent_streams(STREAMS_MAX)
+            .max_header_list_size(HEADERS_MAX_BYTES)
             .handshake::<_, Bytes>(Compat::new(stream));
         let handshake = async { Ok(handshake.await?) }.or(connect_timeout());
         let mut connection = handshake.await.map_err(|_| Error::Authentication)?;
         let pings = connection.ping_pong().ok_or(Error::Ended)?;
         let peer = SharedPeer::default();
         let health = Health::default();
-        let exchanges = self.serve_exchanges(&mut connection, &peer);
+        let exchanges = self.serve_exchanges(&mut connection, &peer, admitted);
         let heartbeat = async {
             heartbeat::run(pings, &health, Clock::new()).await;
             Err(Error::Timeout)
@@ -178,8 +191,9 @@
 
     async fn serve_exchanges(
         &self,
-        connection: &mut h2::server::Connection<Compat<TcpStream>, Bytes>,
+        connection: &mut h2::server::Connection<Compat<Metered<TcpStream>>, Bytes>,
         peer: &SharedPeer,
+        admitted: &Connection,
     ) -> Result<()> {
         let mut is_first_stream = true;
         let mut draining = false;
@@ -209,7 +223,8 @@
             } else if is_first_stream {
                 is_first_stream = false;
                 let stream = stream.with_payload_max(HELLO_MAX_BYTES);
-                let handshake = self.clone().handshake(stream, peer.clone());
+                let handshake = self.clone();
+                let handshake = handshake.handshake(stream, peer.clone(), admitted.clone());
                 self.executor.spawn(handshake).detach();
             } else {
                 return Err(Error::Authentication);
@@ -218,10 +233,11 @@
     }
 
     /// Authenticates the client on the connection's first stream.
-    async fn handshake(self, mut stream: Stream, peer: SharedPeer) {
+    async fn handshake(self, mut stream: Stream, peer: SharedPeer, admitted: Connection) {
         // After a failure `peer` stays empty, for which `serve_connection` returns an error.
         if let Ok(identity) = authenticate_client(&mut stream, &self.key, &self.own).await {
             *peer.borrow_mut() = Some(Rc::new(identity));
+            admitted.trust();
             // An error means that the connection has ended.
             let _ = stream.send(&Frame::Welcome).await;
             // Dropping an unfinished stream would reset it before `Welcome` is sent.
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use intake::Listener;
 use smol::LocalExecutor;
 use smol::future::FutureExt;
 use smol::net::TcpListener;
@@ -51,14 +52,14 @@
         let own = identity("server", address);
         let run = serve(
             tasks.clone(),
-            listener,
+            Listener::unlimited(listener),
             server,
             own,
             answer_queries,
             |_| {},
             Drain::new(),
         );
-        tasks.spawn(async move { drop(run.await) }).detach();
+        tasks.spawn(run).detach();
         let own = identity("client", address);
         check(Link::connect(&tasks, address, &client, &own).await).await;
     }));
@@ -114,14 +115,14 @@
         let (key, own) = (Key::new([1; 32]), identity("server", address));
         let run = serve(
             tasks.clone(),
-            listener,
+            Listener::unlimited(listener),
             key,
             own,
             wait,
             on_error,
             Drain::new(),
         );
-        tasks.spawn(async move { drop(run.await) }).detach();
+        tasks.spawn(run).detach();
         check(tasks, address, state).await;
     }));
 }
@@ -199,7 +200,7 @@
         let own = identity("server", address);
         let run = serve(
             tasks.clone(),
-            listener,
+            Listener::unlimited(listener),
             key.clone(),
             own,
             hold,
@@ -215,7 +216,7 @@
         eventually(SERVER_CLOSE_MAX, || served.get() == 1).await;
         let finish = drain.clone();
         let finished = tasks.spawn(async move { finish.finish().await });
-        server.await.unwrap();
+        server.await;
         // New exchanges end as not served, whether or not GOAWAY has reached the client.
         let mut unserved = 0;
         while unserved < 3 {
--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -13,7 +13,8 @@
 }
 
 pub(crate) fn run(options: &Options) -> Result<()> {
-    let settings = settings::Entry::load(&options.settings).map_err(Error::Settings)?;
+    let mut settings = settings::Entry::load(&options.settings).map_err(Error::Settings)?;
+    settings.process.machine = serve::limit_descriptors(settings.process.machine);
     let log = telemetry::stderr(to_telemetry_format(settings.process.log_format));
     let addresses = [
         ("entry", "caller-address", settings.caller_address),
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -4,13 +4,11 @@
 use settings::Machine;
 use units::Bytes;
 
-use crate::commands::serve::settings_file;
+use crate::commands::serve::{limit_descriptors, settings_file};
 use crate::commands::{Error, Result, listen_error, stop};
 
 /// Bounds of the memory, in megabytes: less does not hold the process, more is a mistake.
 const MEMORY_MEGABYTES: std::ops::RangeInclusive<u64> = 32..=1_000_000;
-/// Bounds of the descriptors.
-const DESCRIPTORS: std::ops::RangeInclusive<usize> = 256..=10_000_000;
 /// Bounds of the processor time in cores.
 const PROCESSOR_CORES: std::ops::RangeInclusive<f64> = 0.0..=1_000.0;
 
@@ -39,9 +37,14 @@
         .map(|number| Bytes(number << 20))
         .fallback(default.memory);
     let descriptors = long("descriptors")
-        .help("Descriptors that the process may open; half are for callers [4096]")
+        .help(
+            "Descriptors that the process may open, at most its limit; half are for callers [4096]",
+        )
         .argument::<usize>("NUMBER")
-        .guard(|number| DESCRIPTORS.contains(number), "256 to 10000000")
+        .guard(
+            |number| Machine::DESCRIPTORS.contains(number),
+            "256 to 10000000",
+        )
         .fallback(default.descriptors);
     let processor = long("processor-cores")
         .help("Processor time of the machine in cores; 0 if unknown [0]")
@@ -67,7 +70,7 @@
     let adapter = platform::adapter(&settings);
     let control = ::gateway::Control {
         settings_file: options.settings.clone(),
-        machine: options.machine,
+        machine: limit_descriptors(options.machine),
         stop: Box::pin(stop::signal()?),
         reloads: stop::reloads()?,
     };
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -1,6 +1,8 @@
 //! Arguments shared by the commands that run a process.
 
 use bpaf::{Parser, construct, long};
+use nix::sys::resource::{Resource, getrlimit};
+use settings::Machine;
 
 /// Arguments of a command that runs a process.
 pub(crate) struct Options {
@@ -23,3 +25,11 @@
         .descr(description)
         .command(name)
 }
+
+/// Lowers the descriptors of a machine to what this process may open. The system may not say.
+pub(crate) fn limit_descriptors(machine: Machine) -> Machine {
+    let Ok((descriptors_max, _)) = getrlimit(Resource::RLIMIT_NOFILE) else {
+        return machine;
+    };
+    machine.with_descriptors_max(usize::try_from(descriptors_max).unwrap_or(usize::MAX))
+}
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -30,13 +30,28 @@
 
 /// Key with which the processes of an environment authenticate each other.
 pub const PEER_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
-const OPERATOR_TOKEN: &str = "operator-token";
+/// Bearer token of operators, who may change things.
+pub const OPERATOR_TOKEN: &str = "operator-token";
 
 /// Bearer token of viewers, who may only read.
 pub const VIEWER_TOKEN: &str = "viewer-token";
 
 static CLUSTER_COUNT: AtomicU16 = AtomicU16::new(0);
 
+/// Returns a command for the program, which may open as many descriptors as the tests themselves, or
+/// at most `descriptors`.
+pub fn program(descriptors: Option<usize>) -> Command {
+    let program = env!("CARGO_BIN_EXE_balsamhold");
+    let Some(descriptors) = descriptors else {
+        return Command::new(program);
+    };
+    // The shell is replaced, so that the program has the identifier of the process.
+    let mut command = Command::new("sh");
+    let script = format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"");
+    command.args(["-c", &script, program]);
+    command
+}
+
 /// Waits until a condition holds; fails the test if it does not hold within `bound`.
 #[track_caller]
 pub fn eventually(bound: Duration, description: &str, mut condition: impl FnMut() -> bool) {
@@ -60,6 +75,8 @@
     document: String,
     links: bool,
     environment: &'static str,
+    body_max: &'static str,
+    descriptors: Option<usize>,
 }
 
 impl Config {
@@ -73,6 +90,8 @@
             document: document(""),
             links: false,
             environment: "trial",
+            body_max: "64k",
+            descriptors: None,
         }
     }
 
@@ -114,6 +133,18 @@
         self
     }
 
+    /// Sets the longest body that entries accept from callers.
+    pub fn with_body_max(mut self, body_max: &'static str) -> Self {
+        self.body_max = body_max;
+        self
+    }
+
+    /// Sets how many descriptors each process may open.
+    pub fn with_descriptors(mut self, descriptors: usize) -> Self {
+        self.descriptors = Some(descriptors);
+        self
+    }
+
     /// Sets the name of the environment.
     pub fn with_environment(mut self, name: &'static str) -> Self {
         self.document = Document::rename(&self.document, name);
@@ -173,6 +204,8 @@
     processes: Vec<Process>,
     entries: u16,
     environment: &'static str,
+    body_max: &'static str,
+    descriptors: Option<usize>,
 }
 
 impl Cluster {
@@ -196,6 +229,8 @@
             processes: Vec::new(),
             entries: config.entries,
             environment: config.environment,
+            body_max: config.body_max,
+            descriptors: config.descriptors,
         };
         cluster.add_processes(config.links);
         cluster.eventually_live();
@@ -242,9 +277,10 @@
         let address = self.address;
         let settings = format!(
             "{}[entry]\ncaller-address = {address}:{caller_port}\npeer-address = {address}:{peer_port}\n\
-             body-max = 64k\n[admin]\naddress = {address}:{admin_port}\noperator-token-digest = {}\n\
+             body-max = {}\n[admin]\naddress = {address}:{admin_port}\noperator-token-digest = {}\n\
              viewer-token-digest = {}\n",
             self.process_settings(&name, index),
+            self.body_max,
             Digest::of(OPERATOR_TOKEN.as_bytes()),
             Digest::of(VIEWER_TOKEN.as_bytes()),
         );
@@ -314,7 +350,7 @@
             .append(true)
             .open(log)
             .unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_balsamhold"))
+        let child = program(self.descriptors)
             .args(&process.arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -335,6 +371,31 @@
         kill(Pid::from_raw(child.id() as i32), signal).unwrap();
     }
 
+    /// Returns the identifier of a process.
+    pub fn process_id(&self, name: &str) -> u32 {
+        self.processes[self.index(name)]
+            .child
+            .as_ref()
+            .unwrap()
+            .id()
+    }
+
+    /// Returns the address of a process for its peers, as the platform lists it.
+    pub fn peer_address(&self, name: &str) -> SocketAddr {
+        let state = self.platform.state();
+        let mut hosts = state.hosts.iter();
+        hosts
+            .find(|info| info.host.as_str() == name)
+            .unwrap()
+            .address
+    }
+
+    /// Returns the address at which a sidecar serves its status.
+    pub fn sidecar_status_address(&self, name: &str) -> SocketAddr {
+        let index = self.index(name) as u16 - self.entries;
+        SocketAddr::new(self.address.into(), 7_400 + index)
+    }
+
     /// Kills a process with SIGKILL and waits for its end.
     pub fn kill(&mut self, name: &str) {
         self.signal(name, Signal::SIGKILL);
--- a/tests/all/gateway/cluster.rs
+++ b/tests/all/gateway/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
 
@@ -12,7 +12,7 @@
 use standins::worker::{self, Worker};
 use standins::{Handle, link, platform};
 
-use crate::cluster::{PEER_KEY, START_TIMEOUT, eventually};
+use crate::cluster::{PEER_KEY, START_TIMEOUT, eventually, program};
 use crate::gateway::http::{Answer, Request};
 
 static CLUSTER_COUNT: AtomicU16 = AtomicU16::new(0);
@@ -59,6 +59,7 @@
     settings_file: PathBuf,
     caller_address: SocketAddr,
     status_address: SocketAddr,
+    peer_address: SocketAddr,
     store_link: link::Link,
 }
 
@@ -94,6 +95,7 @@
     /// Workers of the service `desk`.
     pub desks: Vec<Worker>,
     gateways: Vec<Process>,
+    descriptors: Option<usize>,
 }
 
 impl Cluster {
@@ -110,6 +112,11 @@
 
     /// Like [`Cluster::start`], with gateways in two regions.
     pub fn start_with(layout: Layout) -> Self {
+        Self::start_limited(layout, None)
+    }
+
+    /// Like [`Cluster::start_with`], with gateways that may open at most this many descriptors.
+    pub fn start_limited(layout: Layout, descriptors: Option<usize>) -> Self {
         let workers = layout.workers;
         let gateways = layout.near + layout.far;
         let number = CLUSTER_COUNT.fetch_add(1, Ordering::Relaxed);
@@ -130,6 +137,7 @@
             models: start_workers("model", 4),
             desks: start_workers("desk", 0),
             gateways: Vec::new(),
+            descriptors,
         };
         cluster.register_workers();
         let zones: String = (0..gateways.max(2))
@@ -159,6 +167,7 @@
                 settings_file,
                 caller_address: SocketAddr::new(address.into(), caller_port),
                 status_address: SocketAddr::new(address.into(), status_port),
+                peer_address: SocketAddr::new(address.into(), peer_port),
                 store_link: link,
             });
             cluster.spawn(index);
@@ -188,7 +197,7 @@
             .append(true)
             .open(process.settings_file.with_extension("log"))
             .unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_balsamhold"))
+        let child = program(self.descriptors)
             .args(["gateway", "--settings"])
             .arg(&process.settings_file)
             .stdin(Stdio::null())
@@ -218,6 +227,16 @@
         self.gateways[usize::from(index)].caller_address
     }
 
+    /// Returns the address on which a gateway serves its status.
+    pub fn status_address(&self, index: u16) -> SocketAddr {
+        self.gateways[usize::from(index)].status_address
+    }
+
+    /// Returns the address on which a gateway serves other gateways.
+    pub fn peer_address(&self, index: u16) -> SocketAddr {
+        self.gateways[usize::from(index)].peer_address
+    }
+
     /// Returns the stand-in link from a gateway to the store.
     pub fn store_link(&self, index: u16) -> &link::Link {
         &self.gateways[usize::from(index)].store_link
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod caller;
 mod caller_api;
 mod chaos;
+#[expect(dead_code, reason = "shared with the tests of crowds")]
 mod cluster;
 mod documents;
 mod drain;
--- a/tests/crowd/site.rs
+++ b/tests/crowd/site.rs
@@ -10,11 +10,12 @@
 use crate::cluster::{START_TIMEOUT, eventually};
 use crate::gateway::cluster::{Cluster, ORDER, document};
 use crate::gateway::http::{Answer, Connection, Request};
+use crate::process::Process;
 
 /// Longest body that the document allows.
 pub const BODY_MAX_BYTES: usize = 4 << 20;
 /// Memory of the smallest machine in use.
-const MEMORY_MAX_BYTES: u64 = 88 << 20;
+pub const MEMORY_MAX_BYTES: u64 = 88 << 20;
 /// Descriptors of the smallest machine in use, without those kept for files.
 const DESCRIPTORS_MAX: usize = 4_096 - 200;
 /// Longest time that a connection of the crowd may block the test in a write. A gateway that stops
@@ -29,6 +30,34 @@
 
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
+/// Waits until no other test runs, and keeps others from running until the result is dropped.
+pub fn turn() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Puts a document in force at the gateway that allows bodies of [`BODY_MAX_BYTES`].
+pub fn allow_large_bodies(cluster: &Cluster) {
+    let mut text: Value = serde_json::from_str(&document(2, 60_000)).unwrap();
+    text["Limits"]["MaxBodyBytes"] = json!(BODY_MAX_BYTES);
+    let text = text.to_string();
+    cluster.store.state().put("op", "config", text.as_bytes());
+    eventually(START_TIMEOUT, "the document is in force", || {
+        cluster.environment_version(0) == Some(2)
+    });
+}
+
+/// Waits until a process has read what a crowd sent, as far as it reads it: it uses no more processor
+/// time.
+pub fn wait_until_idle(process: &Process) {
+    let mut before = process.processor_ticks();
+    eventually(READ_TIMEOUT, "the process is idle", || {
+        std::thread::sleep(IDLE_INTERVAL);
+        let used = process.processor_ticks() - before;
+        before += used;
+        used <= IDLE_TICKS_MAX
+    });
+}
+
 /// A gateway with one worker, and the connections of a crowd.
 pub struct Site {
     pub cluster: Cluster,
@@ -39,15 +68,9 @@
 impl Site {
     /// Starts the gateway, with the limits of the platform's documents.
     pub fn start() -> Self {
-        let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+        let turn = turn();
         let cluster = Cluster::start(1, 1);
-        let mut text: Value = serde_json::from_str(&document(2, 60_000)).unwrap();
-        text["Limits"]["MaxBodyBytes"] = json!(BODY_MAX_BYTES);
-        let text = text.to_string();
-        cluster.store.state().put("op", "config", text.as_bytes());
-        eventually(START_TIMEOUT, "the document is in force", || {
-            cluster.environment_version(0) == Some(2)
-        });
+        allow_large_bodies(&cluster);
         Site {
             cluster,
             crowd: Vec::new(),
@@ -88,46 +111,31 @@
         });
     }
 
-    /// Waits until the gateway has read what the crowd sent, as far as it reads it: it uses no more
-    /// processor time.
-    fn wait_until_idle(&self) {
-        let mut before = self.processor_ticks();
-        eventually(READ_TIMEOUT, "the gateway is idle", || {
-            std::thread::sleep(IDLE_INTERVAL);
-            let used = self.processor_ticks() - before;
-            before += used;
-            used <= IDLE_TICKS_MAX
-        });
-    }
-
-    /// Returns the number of open descriptors of the gateway's process.
-    fn descriptors(&self) -> usize {
-        let path = format!("/proc/{}/fd", self.cluster.process_id(0));
-        std::fs::read_dir(path).unwrap().count()
-    }
-
-    /// Returns the processor time that the gateway's process has used, in ticks of the kernel.
-    fn processor_ticks(&self) -> u64 {
-        let path = format!("/proc/{}/stat", self.cluster.process_id(0));
-        let text = std::fs::read_to_string(path).unwrap();
-        // The name of the program, in parentheses, may have spaces.
-        let fields = text.rsplit(')').next().unwrap().split(' ');
-        let times = fields.skip(12).take(2);
-        times.map(|ticks| ticks.parse::<u64>().unwrap()).sum()
+    /// Returns the gateway's process, which a test may have started again.
+    fn process(&self) -> Process {
+        let addresses = [
+            self.cluster.caller_address(0),
+            self.cluster.peer_address(0),
+            self.cluster.status_address(0),
+        ];
+        Process::new(self.cluster.process_id(0), &addresses)
     }
 
     /// Checks that the gateway runs within its bounds.
     #[track_caller]
     pub fn check_bounds(&self) {
-        let memory = self.cluster.peak_memory_bytes(0);
-        assert!(memory > 0, "the process has ended");
+        let process = self.process();
+        let peak = process.peak_bytes();
+        assert!(peak > 0, "the process has ended");
+        // What is received and not read is in the machine's memory, too.
+        let memory = peak.max(process.used_bytes());
         assert!(
             memory <= MEMORY_MAX_BYTES,
             "{} of {} MiB",
             memory >> 20,
             MEMORY_MAX_BYTES >> 20
         );
-        let descriptors = self.descriptors();
+        let descriptors = process.descriptors();
         println!("{} MiB at most, {descriptors} descriptors", memory >> 20);
         assert!(
             descriptors <= DESCRIPTORS_MAX,
@@ -139,7 +147,7 @@
     /// after it has left.
     #[track_caller]
     pub fn check(mut self) {
-        self.wait_until_idle();
+        wait_until_idle(&self.process());
         self.check_bounds();
         self.check_ordinary_request("during");
         self.check_bounds();
