log: a batch that is longer than a row is stored as an object

What callers saw: one call of 1 MiB, which body-max allows, got no answer, and from then on the entry created no program and finished no call.

Cause: a batch was one row, and the store takes rows of 64 KiB in base64. The log took the refusal for an outage and sent the same batch again for ever, with all later appends behind it. Any call did this whose input and answer exceed 48 KiB together.

Change: such a batch is stored as an object before its row, which refers to it. Batches and packs of compacted batches are limited by their length, and body-max is at most 3m, so that they fit into an object.

--- a/crates/log/src/batch.rs
+++ b/crates/log/src/batch.rs
@@ -4,14 +4,19 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use store::Client;
 use store::api::Transaction;
 use units::{Digest, Host, Incarnation, Slot};
 
 use crate::error::{Error, Result};
-use crate::event::Record;
+use crate::event::{Record, text_bytes};
 
 const ROW_MAX_BYTES: usize = 16 << 20;
 const CHECKSUM_BYTES: usize = 32;
+/// Longest row; the store takes it in base64.
+const ROW_VALUE_MAX_BYTES: usize = (64 << 10) / 4 * 3;
+/// Enters the checksum of a row that refers to an object, so that it is not taken for a batch.
+const REFERENCE: &[u8] = b"object";
 
 /// The writer row of a log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,6 +81,11 @@
 }
 
 impl Batch {
+    /// Returns the length of the inputs and answers in the batch.
+    pub(crate) fn text_bytes(&self) -> usize {
+        text_bytes(&self.records)
+    }
+
     /// Decodes a batch row of the table.
     ///
     /// # Errors
@@ -95,6 +105,54 @@
     format!("log.{writer}.{:016x}", slot.0)
 }
 
+/// Returns the key of the object that holds a batch which is longer than a row.
+pub(crate) fn object_key(writer: Incarnation, batch: u64) -> String {
+    format!("batch.{writer}.{batch:016x}")
+}
+
+/// Returns whether an encoded batch is stored as a row, not as an object.
+pub(crate) fn fits_into_row(bytes: &[u8]) -> bool {
+    bytes.len() <= ROW_VALUE_MAX_BYTES
+}
+
+/// Returns the row that refers to the object with the batch of this identifier.
+pub(crate) fn reference(batch: u64) -> Vec<u8> {
+    let mut bytes = reference_checksum(batch).bytes().to_vec();
+    bytes.extend(batch.to_be_bytes());
+    bytes
+}
+
+fn reference_checksum(batch: u64) -> Digest {
+    let mut bytes = REFERENCE.to_vec();
+    bytes.extend(batch.to_be_bytes());
+    Digest::of(&bytes)
+}
+
+/// Returns the identifier of the batch if the row refers to an object.
+fn read_reference(row: &[u8]) -> Option<u64> {
+    let (checksum, batch) = row.split_at_checked(CHECKSUM_BYTES)?;
+    let batch = u64::from_be_bytes(batch.try_into().ok()?);
+    (reference_checksum(batch).bytes() == checksum).then_some(batch)
+}
+
+/// Returns the batch of a row, from the object that the row refers to if it is longer than a row.
+///
+/// # Errors
+/// [`Error::Platform`] if the store does not respond; [`Error::Corrupt`] if the row or the object is
+/// missing or cannot be decoded.
+pub(crate) async fn read_batch(
+    client: &Client,
+    writer: Incarnation,
+    slot: Slot,
+    row: &[u8],
+) -> Result<Batch> {
+    let Some(batch) = read_reference(row) else {
+        return decode(row, slot);
+    };
+    let object = client.object(&object_key(writer, batch)).await?;
+    decode(&object.ok_or(Error::Corrupt(slot))?, slot)
+}
+
 /// Returns the key of the row that marks a log as open; sealing the log deletes the row.
 pub fn open_key(writer: Incarnation) -> String {
     format!("open.{writer}")
--- a/crates/log/src/commit.rs
+++ b/crates/log/src/commit.rs
@@ -5,12 +5,14 @@
 //! - A batch is reported as committed only after its transaction was acknowledged, or after the
 //!   writer row was read and names the batch as the last one.
 //! - Nothing is written once the writer row was read as sealed.
+//! - The object of a batch that is longer than a row is stored before the row that refers to it.
 
 use store::api::Transaction;
 use units::{Incarnation, Slot};
 
 use crate::batch::{
-    Batch, State, Successor, Writer, batch_key, encode, seal_transaction, writer_key,
+    Batch, State, Successor, Writer, batch_key, encode, fits_into_row, object_key, reference,
+    seal_transaction, writer_key,
 };
 use crate::error::{Error, Result};
 use crate::event::Record;
@@ -18,6 +20,13 @@
 /// The next step of the driver.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Next {
+    /// Stores this object, which replaces an existing one.
+    Store {
+        /// The object's key.
+        key: String,
+        /// The object.
+        bytes: Vec<u8>,
+    },
     /// Runs this transaction.
     Write(Transaction),
     /// Reads the writer row.
@@ -31,11 +40,13 @@
 /// Result of a step of the driver.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
+    /// The object was stored.
+    Stored,
     /// The transaction was committed as this version.
     Committed(u64),
     /// A row had another version; nothing was written.
     Conflict,
-    /// The store did not run the transaction.
+    /// The store did not run the transaction, or the object may not be stored.
     Refused,
     /// The response was lost; the transaction may have run or may still run.
     Lost,
@@ -62,6 +73,8 @@
     /// Version of the writer row.
     version: u64,
     operation: Option<Operation>,
+    /// Whether the object of the operation's batch is stored.
+    is_object_stored: bool,
     /// Whether a response was lost since the writer row was last read.
     in_doubt: bool,
     /// Whether a transaction had a conflict since the writer row was last read.
@@ -76,6 +89,7 @@
             row,
             version,
             operation: None,
+            is_object_stored: false,
             in_doubt: false,
             had_conflict: false,
         }
@@ -98,6 +112,7 @@
             records,
         };
         self.operation = Some(Operation::Batch(batch));
+        self.is_object_stored = false;
         self.write()
     }
 
@@ -118,6 +133,10 @@
     /// [`Error::SuccessorNotOpen`] if the successor's log is not open; this log then stays open.
     pub fn step(&mut self, reply: Reply) -> Result<Next> {
         match reply {
+            Reply::Stored => {
+                self.is_object_stored = true;
+                self.write()
+            }
             Reply::Committed(version) => Ok(self.record_commit(version)),
             Reply::Conflict => {
                 self.had_conflict = true;
@@ -136,7 +155,17 @@
 
     fn write(&self) -> Result<Next> {
         let transaction = match &self.operation {
-            Some(Operation::Batch(batch)) => self.append_transaction(batch)?,
+            Some(Operation::Batch(batch)) => {
+                let bytes = encode(batch)?;
+                if fits_into_row(&bytes) {
+                    self.append_transaction(batch, bytes)?
+                } else if self.is_object_stored {
+                    self.append_transaction(batch, reference(batch.id))?
+                } else {
+                    let key = object_key(self.writer, batch.id);
+                    return Ok(Next::Store { key, bytes });
+                }
+            }
             Some(Operation::Seal(successor)) => {
                 seal_transaction(self.writer, &self.row, self.version, *successor)?
             }
@@ -145,7 +174,8 @@
         Ok(Next::Write(transaction))
     }
 
-    fn append_transaction(&self, batch: &Batch) -> Result<Transaction> {
+    /// Returns the transaction that appends a batch with this row.
+    fn append_transaction(&self, batch: &Batch, bytes: Vec<u8>) -> Result<Transaction> {
         let key = writer_key(self.writer);
         let row = Writer {
             next_slot: batch.slot.next(),
@@ -155,7 +185,7 @@
         Ok(Transaction::default()
             .with_check(&key, self.version)
             .with_write(&key, encode(&row)?)
-            .with_write(&batch_key(self.writer, batch.slot), encode(batch)?))
+            .with_write(&batch_key(self.writer, batch.slot), bytes))
     }
 
     fn record_commit(&mut self, version: u64) -> Next {
--- a/crates/log/src/compact.rs
+++ b/crates/log/src/compact.rs
@@ -13,6 +13,8 @@
 use crate::error::{Error, Result};
 
 const BATCHES_PER_PACK: usize = 64;
+/// Longest sum of the texts in an object of more than one batch.
+const PACK_MAX_BYTES: usize = 4 << 20;
 const DELETES_PER_TRANSACTION: usize = 64;
 /// Time between deletions; leaves most of the table's writes to the open logs.
 const DELETE_DELAY: Span = Span::from_ms(50);
@@ -58,7 +60,7 @@
 /// [`Error::Encode`] if a batch cannot be encoded.
 pub(crate) async fn compact(client: &Client, writer: Incarnation, batches: &[Batch]) -> Result<()> {
     let mut pack_count = 0;
-    for chunk in batches.chunks(BATCHES_PER_PACK) {
+    for chunk in packs(batches) {
         let bytes = encode(&chunk)?;
         let key = pack_key(writer, pack_count);
         while client.put_object(&key, bytes.clone()).await.is_err() {
@@ -79,6 +81,29 @@
     Ok(())
 }
 
+/// Divides batches into those of one object each. The result depends on the batches only, as compaction
+/// may be repeated.
+fn packs(batches: &[Batch]) -> Vec<&[Batch]> {
+    let mut packs = Vec::new();
+    let mut remaining = batches;
+    while !remaining.is_empty() {
+        let mut bytes = 0;
+        let fits = |batch: &&Batch| {
+            bytes += batch.text_bytes();
+            bytes <= PACK_MAX_BYTES
+        };
+        let count = remaining
+            .iter()
+            .take(BATCHES_PER_PACK)
+            .take_while(fits)
+            .count();
+        let (pack, rest) = remaining.split_at(count.max(1));
+        packs.push(pack);
+        remaining = rest;
+    }
+    packs
+}
+
 /// Repeats a transaction without conditions until it is committed; it must be idempotent.
 async fn commit_with_retry(client: &Client, transaction: &Transaction) {
     while !matches!(client.commit(transaction).await, Ok(Outcome::Committed(_))) {
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -64,6 +64,22 @@
     },
 }
 
+/// Returns the length of the inputs and answers in records.
+pub(crate) fn text_bytes(records: &[Record]) -> usize {
+    records.iter().map(|record| record.event.text_bytes()).sum()
+}
+
+impl Event {
+    /// Returns the length of the input and the answer in the event.
+    fn text_bytes(&self) -> usize {
+        match self {
+            Event::Intent(intent) => intent.call.input.len(),
+            Event::Turn(turn) | Event::Recovered(turn) => turn.text_bytes(),
+            _ => 0,
+        }
+    }
+}
+
 /// Creation of a program.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Created {
@@ -160,6 +176,15 @@
 }
 
 impl Turn {
+    /// Returns the length of the input and the answer.
+    pub fn text_bytes(&self) -> usize {
+        let answer = match &self.answer {
+            Answer::Complete(answer) => answer.len(),
+            Answer::Indeterminate | Answer::Child(..) => 0,
+        };
+        self.call.input.len() + answer
+    }
+
     /// Encodes turns for storage at witnesses.
     ///
     /// # Errors
--- a/crates/log/src/takeover.rs
+++ b/crates/log/src/takeover.rs
@@ -9,7 +9,7 @@
 use units::{Incarnation, Slot, Span};
 
 use crate::batch::{
-    Batch, State, Successor, Writer, batch_key, decode, open_key, seal_transaction, writer_key,
+    Batch, State, Successor, Writer, batch_key, open_key, read_batch, seal_transaction, writer_key,
 };
 use crate::compact::{compact, read_pack, read_pack_count};
 use crate::error::{Error, Result};
@@ -270,7 +270,7 @@
         let key = batch_key(writer, Slot(slot));
         let row = rows.iter().find(|row| row.key == key);
         let row = row.ok_or(Error::Corrupt(Slot(slot)))?;
-        batches.push(decode(&row.value.0, Slot(slot))?);
+        batches.push(read_batch(client, writer, Slot(slot), &row.value.0).await?);
     }
     Ok(batches)
 }
--- a/crates/log/src/trail.rs
+++ b/crates/log/src/trail.rs
@@ -9,7 +9,7 @@
 use store::Client;
 use units::{Host, Incarnation, Program, Slot};
 
-use crate::batch::{Batch, State, Writer, decode, writer_key};
+use crate::batch::{Batch, State, Writer, decode, read_batch, writer_key};
 use crate::compact::{read_pack, read_pack_count};
 use crate::error::Result;
 use crate::event::Event;
@@ -105,7 +105,7 @@
     loop {
         let rows = client.rows(&prefix, &after, PAGE_ROWS).await?;
         for row in &rows {
-            process(decode(&row.value.0, Slot(0))?);
+            process(read_batch(client, writer, Slot(0), &row.value.0).await?);
         }
         match rows.last() {
             Some(last) if rows.len() == PAGE_ROWS as usize => after = last.key.to_string(),
--- a/crates/log/src/writer.rs
+++ b/crates/log/src/writer.rs
@@ -12,7 +12,7 @@
 use crate::batch::{State, Writer, open_transaction};
 use crate::commit::{Commit, Next, Reply};
 use crate::error::{Error, Result};
-use crate::event::Record;
+use crate::event::{Record, text_bytes};
 use crate::takeover::{read_successor, read_writer, retry};
 
 const APPENDS_MAX: usize = 4_096;
@@ -20,6 +20,8 @@
 /// for the events of work in progress.
 const APPENDS_FULL: usize = APPENDS_MAX / 2;
 const BATCH_RECORDS_MAX: usize = 512;
+/// No append joins a batch that has so many bytes: the longest append then fits as well into an object.
+const BATCH_JOIN_MAX_BYTES: usize = 1 << 20;
 /// Mean time between commits under load, as all entries share the table's writes.
 const COMMIT_INTERVAL: Span = Span::from_ms(10);
 /// Maximum idle time credited to later commits, which may then follow each other without a wait.
@@ -49,6 +51,13 @@
     done: Sender<Result<Slot>>,
 }
 
+impl Append {
+    /// Returns the length of the inputs and answers in the records.
+    fn text_bytes(&self) -> usize {
+        text_bytes(&self.records)
+    }
+}
+
 /// Appends to a log from any thread.
 #[derive(Clone, Debug)]
 pub struct Handle {
@@ -246,11 +255,13 @@
 
     fn collect_group(&self, first: Append) -> (Vec<Append>, Option<Request>) {
         let mut size = first.records.len();
+        let mut bytes = first.text_bytes();
         let mut group = vec![first];
-        while size < BATCH_RECORDS_MAX {
+        while size < BATCH_RECORDS_MAX && bytes < BATCH_JOIN_MAX_BYTES {
             match self.requests.try_recv() {
                 Ok(Request::Append(append)) => {
                     size += append.records.len();
+                    bytes += append.text_bytes();
                     group.push(append);
                 }
                 Ok(other) => return (group, Some(other)),
@@ -283,6 +294,7 @@
         let mut next = first_step?;
         loop {
             let reply = match next {
+                Next::Store { key, bytes } => self.store(&key, bytes).await,
                 Next::Write(transaction) => self.write(&transaction).await,
                 Next::Read => self.read().await,
                 Next::Wait => {
@@ -295,6 +307,13 @@
         }
     }
 
+    async fn store(&self, key: &str, bytes: Vec<u8>) -> Reply {
+        match self.client.put_object(key, bytes).await {
+            Ok(()) => Reply::Stored,
+            Err(_) => Reply::Refused,
+        }
+    }
+
     async fn write(&self, transaction: &Transaction) -> Reply {
         match self.client.commit(transaction).await {
             Ok(Outcome::Committed(version)) => Reply::Committed(version),
--- a/crates/log/tests/commit.rs
+++ b/crates/log/tests/commit.rs
@@ -7,14 +7,16 @@
 
 use program_log as log;
 use program_log::{
-    Batch, Commit, Error, Event, Next, Record, Reply, State, Successor, Writer, batch_key,
-    open_key, writer_key,
+    Batch, Call, Commit, Error, Event, Intent, Next, Record, Reply, Route, State, Successor,
+    Writer, batch_key, open_key, writer_key,
 };
 use proptest::prelude::*;
 use store::Outcome;
 use store::api::Transaction;
-use units::{Incarnation, Program, Slot, Tokens};
+use units::{Digest, Incarnation, Program, Seq, Slot, Time, Tokens, Version};
 
+/// Longest row of the store, which takes 64 KiB of base64.
+const ROW_MAX_BYTES: usize = 48 << 10;
 const OWN: Incarnation = Incarnation(1);
 const OTHER: Incarnation = Incarnation(2);
 const OWN_SUCCESSOR: Incarnation = Incarnation(3);
@@ -24,6 +26,7 @@
 struct Table {
     version: u64,
     rows: BTreeMap<String, (u64, Vec<u8>)>,
+    objects: BTreeMap<String, Vec<u8>>,
     delayed: VecDeque<Transaction>,
 }
 
@@ -60,8 +63,17 @@
     fn batches(&self) -> Vec<Batch> {
         let next = self.writer().0.next_slot.0;
         let keys = (0..next).map(|slot| batch_key(OWN, Slot(slot)));
-        keys.map(|key| Batch::decode(&self.rows[&key].1).unwrap())
-            .collect()
+        keys.map(|key| self.batch(&self.rows[&key].1)).collect()
+    }
+
+    /// Decodes a row, or the object that it refers to by the identifier of the batch.
+    fn batch(&self, row: &[u8]) -> Batch {
+        assert!(row.len() <= ROW_MAX_BYTES);
+        Batch::decode(row).unwrap_or_else(|_| {
+            let id = row.last_chunk().copied().map(u64::from_be_bytes).unwrap();
+            let key = format!("batch.{OWN}.{id:016x}");
+            Batch::decode(&self.objects[&key]).unwrap()
+        })
     }
 
     fn successor(&self, writer: Incarnation) -> Successor {
@@ -157,6 +169,14 @@
     let mut next = first_step?;
     loop {
         let reply = match next {
+            Next::Store { key, bytes } => match faults.next() {
+                Some(Fault::Refuse | Fault::LoseResponse | Fault::Delay) => Reply::Refused,
+                _ => {
+                    assert!(bytes.len() > ROW_MAX_BYTES);
+                    table.objects.insert(key, bytes);
+                    Reply::Stored
+                }
+            },
             Next::Write(transaction) => {
                 let fault = faults.next().unwrap_or(Fault::None);
                 write(table, &transaction, fault)
@@ -180,6 +200,33 @@
     }
 }
 
+/// Returns the records of a batch; some batches are longer than a row.
+fn records(number: u64) -> Vec<Record> {
+    if number % 6 != 5 {
+        return vec![record(number)];
+    }
+    let call = Call {
+        seq: Seq(number),
+        digest: Digest::default(),
+        target: None,
+        input: vec![1; ROW_MAX_BYTES],
+    };
+    let route = Route {
+        entry: "entry-0".parse().unwrap(),
+        endpoint: "engine-0".parse().unwrap(),
+        sidecar: OWN,
+        attempt: 1,
+        document: Version(1),
+        why: String::new(),
+        at: Time(0),
+    };
+    let event = Event::Intent(Intent { call, route });
+    vec![Record {
+        event,
+        ..record(number)
+    }]
+}
+
 /// Opens a log in an empty table, with two more open logs as possible successors.
 fn open_log() -> (Table, Commit) {
     let address = "127.0.0.1:1".parse().unwrap();
@@ -228,7 +275,7 @@
         let mut acknowledged = Vec::new();
         let mut sealed_by_other = false;
         for number in 0..batches {
-            let first_step = commit.begin_batch(vec![record(number)], number + 100);
+            let first_step = commit.begin_batch(records(number), number + 100);
             match drive(&mut commit, &mut table, first_step, &mut faults) {
                 Ok(slot) => acknowledged.push((slot, number)),
                 Err(Error::Sealed(_, by)) => {
@@ -254,7 +301,7 @@
         prop_assert_eq!(in_log.len(), acknowledged.len());
         for (batch, (slot, number)) in in_log.iter().zip(acknowledged) {
             prop_assert_eq!(batch.slot, slot);
-            prop_assert_eq!(&batch.records, &vec![record(number)]);
+            prop_assert_eq!(&batch.records, &records(number));
         }
         let state = table.writer().0.state;
         prop_assert!(!sealed_by_other || state == State::Sealed(OTHER));
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -16,6 +16,9 @@
 const SIZE_FORMAT: &str = "a whole number, optionally with k, m or g";
 const SHARE_FORMAT: &str = "a number from 0 to 1";
 const TRACE_SHARE_DEFAULT: Rate = Rate(0.01);
+/// Longest body of a call: its record, with an answer of 4 MB, is an object of the store, which takes
+/// 8 MB.
+const BODY_MAX: Bytes = Bytes(3 << 20);
 const TIMING_MIN: Span = Span::from_ms(10);
 const TIMING_MAX: Span = Span::from_ms(3_600_000);
 
@@ -193,7 +196,8 @@
         let section = reader.required("entry")?;
         let caller_address = section.get("caller-address", ADDRESS_FORMAT)?;
         let peer_address = section.get("peer-address", ADDRESS_FORMAT)?;
-        let body_max = section.get_or("body-max", SIZE_FORMAT, Bytes(1 << 20))?;
+        let body_max =
+            section.get_in_range("body-max", "1 to 3m", Bytes(1 << 20), Bytes(1)..=BODY_MAX)?;
         section.check_unknown_keys()?;
         let section = reader.required("admin")?;
         let operator_token_digest = section.get_digest("operator-token-digest")?;
--- /dev/null
+++ b/tests/crowd/calls.rs
@@ -0,0 +1,80 @@
+//! Calls of legal size at an entry, one and many at a time.
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::caller::Caller;
+use crate::host::{Host, Port};
+
+/// Bound for a call; one that hangs exceeds any bound.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest body that a caller of an entry may send.
+const CALL_BYTES: usize = 1 << 20;
+
+/// Calls whose inputs and answers together exceed the memory of the smallest machine.
+const CALLS: usize = 100;
+/// Body of one of many calls.
+const LARGE_BYTES: usize = 1_000_000;
+
+/// Returns a call whose body has `bytes`, and a part of it that no other call has.
+fn large_call(number: usize, bytes: usize) -> (String, String) {
+    let mark = format!("call-{number}-");
+    let begin = format!(r#"{{"seq":1,"service":"catalogue","input":"{mark}"#);
+    let filler = "x".repeat(bytes - begin.len() - 2);
+    (format!(r#"{begin}{filler}"}}"#), mark)
+}
+
+/// Creates a program; returns its caller and its identifier.
+fn create(host: &Host) -> Option<(Caller, String)> {
+    let caller = host
+        .programs()
+        .caller(0, "meche")
+        .with_timeout(CALL_TIMEOUT);
+    let body = r#"{"class":"reorder","tokens":100000,"calls":5}"#;
+    let (status, created) = caller.request("POST", "/v1/programs", Some(body))?;
+    (status == 201).then(|| (caller, created["program"].as_str().unwrap().to_owned()))
+}
+
+#[test]
+fn one_call_of_legal_size_is_served_in_calm() {
+    let host = Host::start(Port::EntryCallers);
+    let (caller, program) = create(&host).unwrap();
+    let (body, mark) = large_call(0, CALL_BYTES);
+    let call: Value = serde_json::from_str(&body).unwrap();
+    let answer = caller.call(&program, &call);
+    assert!(
+        answer.is_complete(),
+        "{} {}",
+        answer.status,
+        answer.last_line
+    );
+    assert!(answer.text.contains(&mark));
+    host.check();
+}
+
+/// Makes the first call of a program; a refusal promises that it did not run.
+fn call(host: &Host, number: usize, (caller, program): &(Caller, String)) {
+    let (body, mark) = large_call(number, LARGE_BYTES);
+    let answer = caller.call(program, &serde_json::from_str(&body).unwrap());
+    if matches!(answer.status, 408 | 429 | 503) {
+        let state = host.programs().services[0].state();
+        let ran = state.inputs.iter().any(|input| input.contains(&mark));
+        assert!(!ran, "{mark}: {}", answer.last_line);
+    }
+}
+
+// The input of a call is copied for the log and for the endpoint.
+#[test]
+fn large_calls_at_the_same_time() {
+    let host = Host::start(Port::EntryCallers);
+    let programs: Vec<_> = (0..CALLS).map(|_| create(&host).unwrap()).collect();
+    thread::scope(|scope| {
+        for (number, program) in programs.iter().enumerate() {
+            let host = &host;
+            scope.spawn(move || call(host, number, program));
+        }
+    });
+    host.check();
+}
--- a/tests/crowd/host.rs
+++ b/tests/crowd/host.rs
@@ -215,6 +215,14 @@
             });
         }
     }
+
+    /// Returns the processes of entries and sidecars.
+    pub fn programs(&self) -> &cluster::Cluster {
+        match &self.environment {
+            Environment::Programs(cluster) => cluster,
+            Environment::Gateways(_) => panic!("the port belongs to a gateway"),
+        }
+    }
 }
 
 impl Environment {
--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -28,6 +28,7 @@
 }
 
 mod bodies;
+mod calls;
 mod connections;
 mod conversations;
 mod host;
