entry: the histories of programs share a limit

What callers saw: a hundred programs that made one call of 1 MB each, one after the other, had an entry hold 227 of the 88 MiB of its machine; the process ends there, and the requests of all others with it.

Cause: inputs and answers stay in memory until ended-retention after the end of their program, and nothing limited them together.

Change: they are charged to a memory::Limiter of three eighths of the machine's memory, a running call with four lengths of its input. A call without room is refused before it begins: 503 overloaded, did not run.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use log::{Answer, Call, Event, Intent, Parent, Route, Token, Turn, Usage};
+use memory::Full;
 use policy::Stream;
 use program::{Admission, Reservation};
 use smol::future::FutureExt;
@@ -73,6 +74,8 @@
         Admission::Run if live.is_ending_or_ended() => Err(program::Refusal::Ended.into()),
         Admission::Run if live.log.is_full() => Err(Refusal::Unready),
         Admission::Run => {
+            let charged = live.charge_call(request.input.len());
+            charged.map_err(|Full| Refusal::MemoryFull)?;
             live.program.borrow_mut().begin(&request);
             let answer = live.begin_call(seq);
             let trace = Trace::child_of(&source.trace);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -38,6 +38,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use board::View;
 use intake::{Clients, Gate, Listener, Monitor};
+use memory::Limiter;
 use settings::Entry;
 use slog::{Logger, info, o};
 use store::Client;
@@ -54,6 +55,8 @@
     pub(crate) log_handle: Arc<ArcSwapOption<log::Handle>>,
     pub(crate) client: Client,
     pub(crate) metrics: Metrics,
+    /// Limits the memory of the programs that this entry owns.
+    pub(crate) limiter: Arc<Limiter>,
     pub(crate) logger: Logger,
     pub(crate) clock: Clock,
 }
@@ -154,6 +157,7 @@
         view: Arc::new(ArcSwap::from_pointee(View::default())),
         log_handle: Arc::new(ArcSwapOption::empty()),
         metrics: Metrics::new("entry").map_err(Error::Metrics)?,
+        limiter: Arc::new(Limiter::of_machine(process.machine.memory)),
         settings: Arc::new(settings),
         clock: Clock::new(),
         identity,
--- a/crates/entry/src/live.rs
+++ b/crates/entry/src/live.rs
@@ -5,13 +5,18 @@
 use std::sync::Arc;
 
 use log::{Event, Handle, Record, Token, Turn};
+use memory::{Charge, Full, Limiter, Size};
 use program::Program;
 use telemetry::Trace;
-use units::{Incarnation, Seq};
+use units::{Bytes, Incarnation, Seq};
 use wire::Answer;
 
 use crate::refusal::Refusal;
 
+/// Memory of a running call as a multiple of its input: the call, its record for the log, and the
+/// dispatch to the endpoint with its frame.
+const CALL_COPIES: u64 = 4;
+
 /// How a call ended.
 #[derive(Clone, Debug)]
 pub(crate) enum CallOutcome {
@@ -48,6 +53,15 @@
     pub(crate) ending: Cell<bool>,
     /// Span of the running call, the parent of the spans of its appends.
     pub(crate) trace: Cell<Option<Trace>>,
+    memory: RefCell<Memory>,
+}
+
+/// Memory that a program is charged for.
+#[derive(Debug, Default)]
+struct Memory {
+    charge: Option<Charge>,
+    /// Inputs and answers of the history.
+    history: Bytes,
 }
 
 impl LiveProgram {
@@ -60,9 +74,44 @@
             tail: RefCell::default(),
             ending: Cell::new(false),
             trace: Cell::new(None),
+            memory: RefCell::default(),
         })
     }
 
+    /// Charges memory for the history of a program that is added. It is held already.
+    pub(crate) fn charge_history(&self, limiter: &Arc<Limiter>) {
+        let program = self.program.borrow();
+        let history = program.turns().iter().map(Turn::text_bytes).sum::<usize>();
+        let history = Bytes(history as u64);
+        *self.memory.borrow_mut() = Memory {
+            charge: Some(limiter.charge_anyway(history)),
+            history,
+        };
+    }
+
+    /// Charges memory for a call that begins.
+    ///
+    /// # Errors
+    /// If there is none. The call must not begin.
+    pub(crate) fn charge_call(&self, input: usize) -> Result<(), Full> {
+        let call = Bytes(input as u64 * CALL_COPIES);
+        let Memory { charge, history } = &mut *self.memory.borrow_mut();
+        let total = Bytes(history.0 + call.0);
+        match charge {
+            Some(charge) => charge.resize(total, Size::of(call)),
+            None => Ok(()),
+        }
+    }
+
+    /// Ends the charge for the running call; `turn` is in the history now.
+    fn settle_call(&self, turn: Option<&Turn>) {
+        let Memory { charge, history } = &mut *self.memory.borrow_mut();
+        history.0 += turn.map_or(0, Turn::text_bytes) as u64;
+        if let Some(charge) = charge {
+            charge.resize_anyway(*history);
+        }
+    }
+
     /// Whether the program has ended or its end is being recorded.
     pub(crate) fn is_ending_or_ended(&self) -> bool {
         self.ending.get() || self.program.borrow().ended().is_some()
@@ -88,6 +137,10 @@
     pub(crate) fn finish_call(&self, answer: &Answer<CallOutcome>, outcome: CallOutcome) {
         self.running.borrow_mut().take();
         self.trace.take();
+        self.settle_call(match &outcome {
+            CallOutcome::Answered { turn, .. } => Some(turn),
+            CallOutcome::Refused(_) => None,
+        });
         answer.finish(outcome);
     }
 
--- a/crates/entry/src/programs.rs
+++ b/crates/entry/src/programs.rs
@@ -95,6 +95,7 @@
     /// Adds a program to those that this entry owns.
     pub(crate) fn add_program(&self, live: Rc<LiveProgram>) {
         routing::add_program(self, &live);
+        live.charge_history(&self.shared.limiter);
         self.programs.borrow_mut().insert(live.id, live);
         self.update_program_count();
     }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -48,7 +48,7 @@
     NoEndpoint,
     /// A new program would not be completed in time; a retry makes sense after this delay.
     Overloaded(Span),
-    /// Requests take all the memory that they may.
+    /// Requests, or the histories of programs, take all the memory that they may.
     MemoryFull,
     /// The endpoint gave no complete answer.
     Endpoint(Ran, Reason),
@@ -188,7 +188,9 @@
             Refusal::Overloaded(_) => {
                 f.write_str("a new program would not be done in time under this load")
             }
-            Refusal::MemoryFull => f.write_str("requests take all the memory that they may"),
+            Refusal::MemoryFull => {
+                f.write_str("requests and programs take all the memory that they may")
+            }
             Refusal::Endpoint(_, reason) => reason.fmt(f),
             Refusal::Indeterminate => {
                 f.write_str("the call may or may not have run and is not dispatched again")
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
 use smol::net::TcpListener;
 use store::api::Row;
 use telemetry::Metrics;
-use units::{Bytes, Clock, Incarnation, Span, Time, Zone};
+use units::{Clock, Incarnation, Span, Time, Zone};
 
 use crate::buffers::Buffers;
 use crate::caps::Caps;
@@ -42,10 +42,6 @@
 /// Transfer cost per request sent to another availability zone: the round trip.
 const CROSS_ZONE_COST_PER_REQUEST: Span = Span::from_ms(2);
 
-/// Share of the host's memory, in eighths, for what it holds beside the connections: turns, answers of
-/// endpoints, and what it reads from the store and peers. The remainder is for the process itself.
-const HELD_MEMORY_EIGHTHS: u64 = 3;
-
 /// State of a gateway process.
 pub(crate) struct Shared {
     pub(crate) adapter: Adapter,
@@ -91,7 +87,7 @@
         let clock = Clock::new();
         let peers = Peers::new();
         let table = adapter.table.clone();
-        let limiter = Arc::new(Limiter::new(held_limit(machine)));
+        let limiter = Arc::new(Limiter::of_machine(machine.memory));
         let rows = Arc::new(Rows::new(
             table,
             peers.clone(),
@@ -323,11 +319,6 @@
     Gate::new(clients.limits(machine.memory, machine.descriptors), clock)
 }
 
-/// Returns the limit for what a host holds beside that.
-fn held_limit(machine: Machine) -> Bytes {
-    Bytes(machine.memory.0 / 8 * HELD_MEMORY_EIGHTHS)
-}
-
 /// Describes an endpoint to the load balancer.
 fn candidate(
     member: &Member,
--- a/crates/memory/src/limiter.rs
+++ b/crates/memory/src/limiter.rs
@@ -8,6 +8,10 @@
 use crate::charge::Charge;
 use crate::usage::{Full, Size, Usage};
 
+/// Share of a machine's memory, in eighths, for what its process holds. The remainder is for connections
+/// and for the process itself.
+const MACHINE_EIGHTHS: u64 = 3;
+
 /// What is held only because it may be needed again, and so gives way to everything else.
 pub trait Cache: Send + Sync {
     /// Evicts the oldest entries, of `bytes` in sum if there are as many. Returns whether any was
@@ -38,6 +42,11 @@
         }
     }
 
+    /// Creates the limiter of a process on a machine with this much memory.
+    pub fn of_machine(memory: Bytes) -> Self {
+        Limiter::new(Bytes(memory.0 / 8 * MACHINE_EIGHTHS))
+    }
+
     /// Has `cache` give way when there is no room. The first one counts.
     pub fn set_cache(&self, cache: Weak<dyn Cache>) {
         // A later cache would not be asked.
--- a/tests/crowd/calls.rs
+++ b/tests/crowd/calls.rs
@@ -78,3 +78,14 @@
     });
     host.check();
 }
+
+// The history of a program stays in memory, and nothing limited that of all programs.
+#[test]
+fn large_calls_one_after_the_other() {
+    let host = Host::start(Port::EntryCallers);
+    for number in 0..CALLS {
+        let program = create(&host).unwrap();
+        call(&host, number, &program);
+    }
+    host.check();
+}
