admin: the text of a long document is stored as an object

What operators saw: a document of 4 MiB, which the administration API reads, was refused as store-unavailable at each attempt, though the store was there. So was every document whose row exceeds 48 KiB.

Cause: the text was part of three rows, and the store takes rows of 64 KiB in base64.

Change: a text that is too long is stored as an object before the transaction, and the rows have its digest. Lists of versions are read without such texts.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -76,7 +76,7 @@
 fn summary(accepted: &Accepted) -> Value {
     json!({
         "version": accepted.version, "author": accepted.author, "at": accepted.at,
-        "digest": Digest::of(accepted.text.as_bytes()).to_string(),
+        "digest": accepted.digest().to_string(),
         "promoted": accepted.promoted,
     })
 }
--- a/crates/admin/src/document.rs
+++ b/crates/admin/src/document.rs
@@ -5,6 +5,8 @@
 //! one transaction on condition that the accepted row has not changed. So versions have no gaps, and
 //! concurrent changes by operators are serialized.
 //!
+//! A text that is too long for a row is in an object, which is stored before the rows that refer to it.
+//!
 //! Acceptance is idempotent: an operator who repeats a request after its response was lost gets the
 //! version that the first attempt created, even if others have changed the document since.
 
@@ -16,7 +18,7 @@
 use settings::Document;
 use store::Client;
 use store::Outcome;
-use store::api::Transaction;
+use store::api::{Row, Transaction};
 use units::{Digest, Time, Version};
 
 use crate::audit::{self, Action, Record};
@@ -26,6 +28,8 @@
 pub const ACCEPTED_KEY: &str = "environment.";
 
 const COMMIT_MAX_ATTEMPTS: u32 = 4;
+/// Longest row; the store takes it in base64.
+const ROW_VALUE_MAX_BYTES: usize = (64 << 10) / 4 * 3;
 const COMMIT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// A document as accepted and stored.
@@ -42,6 +46,9 @@
     /// Origin of the document, if it was promoted from another environment.
     #[serde(default)]
     pub promoted: Option<Promoted>,
+    /// Digest of a text that is in an object; `text` is then empty until it has been read.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    object: Option<Digest>,
 }
 
 /// Origin of a document that was promoted from another environment.
@@ -76,11 +83,18 @@
             author: self.author,
             at,
             promoted: self.promoted,
+            object: None,
         }
     }
 }
 
 impl Accepted {
+    /// Returns the digest of the text, also of one that has not been read.
+    pub(crate) fn digest(&self) -> Digest {
+        self.object
+            .unwrap_or_else(|| Digest::of(self.text.as_bytes()))
+    }
+
     /// Returns whether both result from the same change.
     fn is_same_change(&self, other: &Accepted) -> bool {
         self.version == other.version
@@ -94,7 +108,7 @@
         let action = Action::Document {
             base: Version(self.version.0.saturating_sub(1)),
             version: self.version,
-            digest: Digest::of(self.text.as_bytes()),
+            digest: self.digest(),
             promoted: self.promoted.clone(),
         };
         Record {
@@ -105,6 +119,44 @@
     }
 }
 
+fn object_key(environment: &str, text: &Digest) -> String {
+    format!("document.{environment}.{text}")
+}
+
+/// Returns what the rows of a document hold, after a text that is too long for them has been stored.
+async fn store_text(client: &Client, environment: &str, accepted: &Accepted) -> Result<Accepted> {
+    if encode(accepted)?.len() <= ROW_VALUE_MAX_BYTES {
+        return Ok(accepted.clone());
+    }
+    let digest = accepted.digest();
+    let key = object_key(environment, &digest);
+    let text = accepted.text.clone().into_bytes();
+    client.put_object(&key, text).await?;
+    Ok(Accepted {
+        text: String::new(),
+        object: Some(digest),
+        ..accepted.clone()
+    })
+}
+
+/// Reads the document of a row, with a text that is in an object.
+async fn read_document(client: &Client, environment: &str, key: &str) -> Result<Option<Accepted>> {
+    let Some(row) = client.row(key).await? else {
+        return Ok(None);
+    };
+    Ok(Some(read_text(client, environment, &row).await?))
+}
+
+async fn read_text(client: &Client, environment: &str, row: &Row) -> Result<Accepted> {
+    let mut accepted: Accepted = decode(&row.value.0)?;
+    if let Some(digest) = accepted.object.take() {
+        let text = client.object(&object_key(environment, &digest)).await?;
+        let text = text.ok_or(Error::Corrupt)?;
+        accepted.text = String::from_utf8(text).map_err(|_| Error::Corrupt)?;
+    }
+    Ok(accepted)
+}
+
 fn accepted_key(environment: &str) -> String {
     format!("{ACCEPTED_KEY}{environment}")
 }
@@ -127,7 +179,7 @@
 /// [`Error::Platform`] if the store gives no usable answer, [`Error::Corrupt`] if the row cannot be
 /// decoded; likewise for the other reads of this module.
 pub async fn accepted_document(client: &Client, environment: &str) -> Result<Option<Accepted>> {
-    read_row(client, &accepted_key(environment)).await
+    read_document(client, environment, &accepted_key(environment)).await
 }
 
 /// Reads the version of the accepted document; 0 if there is none.
@@ -142,10 +194,11 @@
     environment: &str,
     version: Version,
 ) -> Result<Option<Accepted>> {
-    read_row(client, &history_key(environment, version)).await
+    read_document(client, environment, &history_key(environment, version)).await
 }
 
-/// Reads at most `limit` accepted documents after version `after`, in the order of versions.
+/// Reads at most `limit` accepted documents after version `after`, in the order of versions, without
+/// texts that are in objects.
 pub async fn document_history(
     client: &Client,
     environment: &str,
@@ -190,7 +243,7 @@
     let row = client.row(&accepted_key(environment)).await?;
     let mut current = match &row {
         Some(row) => {
-            let accepted: Accepted = decode(&row.value.0)?;
+            let accepted = read_text(client, environment, row).await?;
             Current {
                 version: accepted.version,
                 text: accepted.text,
@@ -258,7 +311,8 @@
 ) -> Result<Accepted> {
     let current = find_current(client, environment, in_force).await?;
     if current.version.next() == accepted.version {
-        let transaction = accept_transaction(environment, current.row_version, accepted)?;
+        let stored = store_text(client, environment, accepted).await?;
+        let transaction = accept_transaction(environment, current.row_version, &stored)?;
         if let Outcome::Committed(_) = client.commit(&transaction).await? {
             return Ok(accepted.clone());
         }
--- a/tests/crowd/calls.rs
+++ b/tests/crowd/calls.rs
@@ -89,3 +89,19 @@
     }
     host.check();
 }
+
+#[test]
+fn one_document_of_legal_size_is_accepted_in_calm() {
+    const DOCUMENT_BYTES: usize = 4 << 20;
+    let host = Host::start(Port::EntryAdmin);
+    let mut text = crate::cluster::document("");
+    let line = format!("# {}\n", "x".repeat(61));
+    while text.len() + line.len() <= DOCUMENT_BYTES {
+        text.push_str(&line);
+    }
+    assert_eq!(host.programs().put_document(1, &text), Ok(2));
+    host.eventually("the document is in force", || {
+        host.programs().status(0)["version"] == 2
+    });
+    host.check();
+}
--- a/tests/crowd/host.rs
+++ b/tests/crowd/host.rs
@@ -223,6 +223,12 @@
             Environment::Gateways(_) => panic!("the port belongs to a gateway"),
         }
     }
+
+    /// Waits until `condition` holds.
+    #[track_caller]
+    pub fn eventually(&self, description: &str, condition: impl FnMut() -> bool) {
+        eventually(START_TIMEOUT, description, condition);
+    }
 }
 
 impl Environment {
