intake: own processes take none of the memory shared with strangers

What operators would have seen: a process with the default limits refused its 353rd peer, although it may open 512 connections for peers; and a connection whose task never ended would have stopped the reading of all others on its port (from the code; neither was observed).

Cause: a connection that had proved to be an own process still counted as 32 KiB of the eighth of the memory for its port. The wait for connections that gave way had no bound.

Change: trusted connections count as connections only; the wait ends a second after a connection gave way last.

--- a/crates/intake/src/gate.rs
+++ b/crates/intake/src/gate.rs
@@ -146,7 +146,9 @@
 
     /// Whether nothing should be read until the tasks of connections that give way have run.
     pub fn has_to_wait(&self) -> bool {
-        self.holder.gate.lock().ledger.has_to_wait()
+        let gate = &self.holder.gate;
+        let now = gate.clock.now();
+        gate.lock().ledger.has_to_wait(now)
     }
 
     /// Records that more of a request was read.
--- a/crates/intake/src/ledger.rs
+++ b/crates/intake/src/ledger.rs
@@ -11,6 +11,9 @@
 /// Share of the memory, in quarters, that larger requests may take together while they are served.
 const LARGE_QUARTERS: u64 = 3;
 
+/// Longest time to wait for connections that have given way to be closed.
+const LEAVE_MAX: Span = Span::from_ms(1_000);
+
 /// Time without progress after which an answer that its caller does not read may be cut.
 const STALL_MIN: Span = Span::from_ms(1_000);
 
@@ -115,6 +118,8 @@
     leaving: HashMap<ConnectionId, u64>,
     /// Sum of `leaving`.
     leaving_bytes: u64,
+    /// When a connection gave way last.
+    gave_way_at: Time,
     next_id: u64,
 }
 
@@ -128,6 +133,7 @@
             large: 0,
             leaving: HashMap::new(),
             leaving_bytes: 0,
+            gave_way_at: Time(0),
             next_id: 0,
         }
     }
@@ -138,8 +144,9 @@
     }
 
     /// Whether nothing should be read until connections that have given way are closed.
-    pub fn has_to_wait(&self) -> bool {
-        self.leaving_bytes > 0 && self.used + self.leaving_bytes > self.limits.memory.0
+    pub fn has_to_wait(&self, now: Time) -> bool {
+        let is_over = self.used + self.leaving_bytes > self.limits.memory.0;
+        self.leaving_bytes > 0 && is_over && now.since(self.gave_way_at) < LEAVE_MAX
     }
 
     /// Opens a connection; adds those that give way to `evicted`.
@@ -229,12 +236,13 @@
     }
 
     /// Records that the client has proved to be an own process: its connection stays until it ends, and
-    /// what is read from now on does not count.
+    /// takes none of the memory that is shared with strangers.
     pub fn trust(&mut self, id: ConnectionId, now: Time) {
         if let Some(holder) = self.holders.get_mut(&id) {
-            self.used = self.used - holder.bytes + CONNECTION_BYTES;
+            self.used -= holder.bytes;
             *holder = Holder {
                 phase: Phase::Serving,
+                bytes: 0,
                 is_trusted: true,
                 ..Holder::idle(now)
             };
@@ -268,7 +276,7 @@
         evicted: &mut Vec<ConnectionId>,
     ) -> Result<(), Full> {
         let id = self.costliest(now, |holder| holder.is_stalled(now))?;
-        self.give_way(id, evicted);
+        self.give_way(id, now, evicted);
         Ok(())
     }
 
@@ -312,10 +320,11 @@
     }
 
     /// Has a connection give way. It holds its memory until it is closed.
-    fn give_way(&mut self, id: ConnectionId, evicted: &mut Vec<ConnectionId>) {
+    fn give_way(&mut self, id: ConnectionId, now: Time, evicted: &mut Vec<ConnectionId>) {
         let bytes = self.remove(id);
         self.leaving.insert(id, bytes);
         self.leaving_bytes += bytes;
+        self.gave_way_at = now;
         evicted.push(id);
     }
 
@@ -360,7 +369,7 @@
         if Some(id) == asking {
             return Err(Full);
         }
-        self.give_way(id, evicted);
+        self.give_way(id, now, evicted);
         Ok(())
     }
 }
--- a/crates/intake/tests/ledger.rs
+++ b/crates/intake/tests/ledger.rs
@@ -138,15 +138,17 @@
         .expect("read");
     let new = open(&mut ledger, now);
     let later = now.after(Span::from_ms(10));
-    assert!(!ledger.has_to_wait());
+    assert!(!ledger.has_to_wait(later));
     let mut evicted = Vec::new();
     ledger
         .read(new, 3 * LARGE, later, &mut evicted)
         .expect("read");
     assert_eq!(evicted, [old]);
-    assert!(ledger.has_to_wait());
+    assert!(ledger.has_to_wait(later));
+    // A task that does not end must not stop all others.
+    assert!(!ledger.has_to_wait(later.after(Span::from_ms(1_000))));
     ledger.close(old);
-    assert!(!ledger.has_to_wait());
+    assert!(!ledger.has_to_wait(later));
 }
 
 #[test]
@@ -159,11 +161,11 @@
         .read(trusted, LARGE, now, &mut evicted)
         .expect("read");
     ledger.trust(trusted, now);
-    let held = ledger.used();
+    assert_eq!(ledger.used(), Bytes(0));
     ledger
         .read(trusted, 2 * MEMORY, now, &mut evicted)
         .expect("read");
-    assert_eq!(ledger.used(), held);
+    assert_eq!(ledger.used(), Bytes(0));
     crowd(&mut ledger, 5_000, 64 << 10, now.after(Span::from_ms(1)));
     assert_eq!(ledger.read(trusted, 1, now, &mut evicted), Ok(()));
 }
@@ -314,6 +316,6 @@
             ledger.close(id);
         }
         prop_assert_eq!(ledger.used().0, 0);
-        prop_assert!(!ledger.has_to_wait());
+        prop_assert!(!ledger.has_to_wait(now));
     }
 }
