http: a response that announces too long a body is refused unread

Cause: 16 MiB of a body that announced 99,999,999,999 bytes were read before it was refused, and what the kernel had received meanwhile came on top.

Change: the announced length is compared with the limit first.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -121,6 +121,10 @@
 /// # Errors
 /// [`Error::TooLarge`] if the body is longer, [`Error::Exchange`] if reading it fails.
 pub async fn read_response(response: &mut Response, limit: u64) -> Result<Vec<u8>> {
+    // A body that announces a longer length is refused before it is read.
+    if response.len().is_some_and(|length| length as u64 > limit) {
+        return Err(Error::TooLarge(limit));
+    }
     read_limited(response.take_body(), limit).await
 }
 
