soak: a crowd among the disturbances

Clients that stop short of the end of a body are on a port of a gateway (callers, peers or status) while other faults happen, and no gateway may exceed the memory of the smallest machine. The steps of a seed are others than before.

--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -1,6 +1,5 @@
 //! Tests of gateways as separate processes, with stand-ins for the store and the workers.
 
-#[expect(dead_code, reason = "shared with the tests of crowds")]
 mod cluster;
 mod http;
 
--- a/tests/all/gateway/soak.rs
+++ b/tests/all/gateway/soak.rs
@@ -1,9 +1,10 @@
 //! Random faults in series and overlapping, while callers keep their connections open: requests run
-//! at most once, refusals are true, and every host gets the last environment. `BALSAMHOLD_SEEDS`
-//! and `BALSAMHOLD_FIRST_SEED` set the seeds, which are printed.
+//! at most once, refusals are true, every host gets the last environment, and none exceeds its memory.
+//! `BALSAMHOLD_SEEDS` and `BALSAMHOLD_FIRST_SEED` set the seeds, which are printed.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -23,6 +24,12 @@
 const WORKERS: u16 = 3;
 const CALLERS_PER_GATEWAY: u64 = 3;
 const STEPS: u64 = 14;
+/// Memory of the smallest machine in use.
+const MEMORY_MAX_BYTES: u64 = 88 << 20;
+/// Connections of a crowd, whose bodies together exceed what a gateway may hold for callers.
+const CROWD: usize = 500;
+/// What a connection of a crowd sends of a body of legal size.
+const UNFINISHED_BYTES: usize = 90_000;
 
 /// One fault or change; faults of one step last while the next steps happen.
 #[derive(Clone, Copy, Debug)]
@@ -38,6 +45,8 @@
     Environment,
     Limit(&'static str),
     Burst,
+    /// Clients that stop short of the end of a body, on one port of a gateway, until the next crowd.
+    Crowd,
 }
 
 fn random_step(rng: &mut StdRng) -> Step {
@@ -66,6 +75,9 @@
         Step::Limit("many"),
         Step::Limit(""),
         Step::Burst,
+        Step::Crowd,
+        Step::Crowd,
+        Step::Crowd,
     ];
     *steps.choose(rng).expect("steps")
 }
@@ -74,7 +86,7 @@
 fn call(address: SocketAddr, caller: &str, is_over: &AtomicBool) -> Vec<(String, Answer)> {
     let mut answers = Vec::new();
     while !is_over.load(Ordering::Relaxed) {
-        let Ok(stream) = std::net::TcpStream::connect(address) else {
+        let Ok(stream) = TcpStream::connect(address) else {
             std::thread::sleep(Duration::from_millis(50));
             continue;
         };
@@ -96,7 +108,31 @@
     answers
 }
 
-fn apply(cluster: &mut Cluster, step: Step, version: &mut u64, rng: &mut StdRng) {
+/// Opens the connections of a crowd and sends as much as they take at once.
+fn open_crowd(address: SocketAddr) -> Vec<TcpStream> {
+    let head = format!(
+        "POST {ORDER} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: crowd\r\n\
+         Content-Length: 100000\r\n\r\n"
+    );
+    let mut bytes = head.into_bytes();
+    bytes.extend(std::iter::repeat_n(b'x', UNFINISHED_BYTES));
+    let open = |_| {
+        let mut stream = TcpStream::connect(address).ok()?;
+        stream.set_nonblocking(true).ok()?;
+        // The gateway may have refused the connection.
+        let _ = stream.write(&bytes);
+        Some(stream)
+    };
+    (0..CROWD).filter_map(open).collect()
+}
+
+/// What one run of the soak changes.
+struct Course {
+    version: u64,
+    crowd: Vec<TcpStream>,
+}
+
+fn apply(cluster: &mut Cluster, step: Step, course: &mut Course, rng: &mut StdRng) {
     let gateway = rng.random_range(0..GATEWAYS);
     match step {
         Step::SilenceStore => cluster.store_link(gateway).silence(Direction::Both),
@@ -117,8 +153,8 @@
         }
         Step::Reload => cluster.signal(gateway, Signal::SIGHUP),
         Step::Environment => {
-            *version += rng.random_range(1..5);
-            let document = document(*version, 2_000 + *version % 7);
+            course.version += rng.random_range(1..5);
+            let document = document(course.version, 2_000 + course.version % 7);
             cluster
                 .store
                 .state()
@@ -132,11 +168,19 @@
         Step::Burst => {
             for number in 0..20 {
                 let request = Request::new("GET", "/none/", &format!("burst-{number}"));
-                if let Ok(stream) = std::net::TcpStream::connect(cluster.caller_address(gateway)) {
+                if let Ok(stream) = TcpStream::connect(cluster.caller_address(gateway)) {
                     Connection::from(stream).write(&request.bytes());
                 }
             }
         }
+        Step::Crowd => {
+            let ports = [
+                cluster.caller_address(gateway),
+                cluster.peer_address(gateway),
+                cluster.status_address(gateway),
+            ];
+            course.crowd = open_crowd(*ports.choose(rng).expect("a port"));
+        }
     }
 }
 
@@ -155,12 +199,15 @@
                 scope.spawn(move || call(address, &format!("c{caller}"), is_over))
             })
             .collect();
-        let mut version = 1;
+        let mut course = Course {
+            version: 1,
+            crowd: Vec::new(),
+        };
         let mut steps = Vec::new();
         for _ in 0..STEPS {
             let step = random_step(&mut rng);
             steps.push(step);
-            apply(&mut cluster, step, &mut version, &mut rng);
+            apply(&mut cluster, step, &mut course, &mut rng);
             std::thread::sleep(Duration::from_millis(rng.random_range(0..400)));
         }
         for step in [
@@ -169,13 +216,16 @@
             Step::Limit(""),
             Step::Environment,
         ] {
-            apply(&mut cluster, step, &mut version, &mut rng);
+            apply(&mut cluster, step, &mut course, &mut rng);
         }
         let bound = START_TIMEOUT;
         eventually(
             bound,
             &format!("seed {seed}: last version, {steps:?}"),
-            || (0..GATEWAYS).all(|gateway| cluster.environment_version(gateway) == Some(version)),
+            || {
+                (0..GATEWAYS)
+                    .all(|gateway| cluster.environment_version(gateway) == Some(course.version))
+            },
         );
         is_over.store(true, Ordering::Relaxed);
         callers
@@ -208,6 +258,11 @@
         }
     }
     assert!(served > 0, "seed {seed}");
+    for gateway in 0..GATEWAYS {
+        let memory = cluster.peak_memory_bytes(gateway);
+        let is_within = (1..=MEMORY_MAX_BYTES).contains(&memory);
+        assert!(is_within, "seed {seed}: gateway {gateway}, {memory} bytes");
+    }
     println!("seed {seed}: {} requests, {served} served", answers.len());
 }
 
