--- a/tests/crowd/calls.rs
+++ b/tests/crowd/calls.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 
 use crate::caller::Caller;
+use crate::gateway::http::Connection;
 use crate::host::{Host, Port};
 
 /// Bound for a call; one that hangs exceeds any bound.
@@ -54,6 +55,30 @@
     host.check();
 }
 
+#[test]
+fn one_chunked_call_of_legal_size_is_served_in_calm() {
+    const CHUNK_BYTES: usize = 0x1_0000;
+    let host = Host::start(Port::EntryCallers);
+    let (_, program) = create(&host).unwrap();
+    let (body, mark) = large_call(0, CALL_BYTES);
+    let mut bytes = format!(
+        "POST /v1/programs/{program}/calls HTTP/1.1\r\nHost: a.example\r\n\
+         Authorization: Bearer meche-token\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    .into_bytes();
+    for chunk in body.as_bytes().chunks(CHUNK_BYTES) {
+        bytes.extend(format!("{:x}\r\n", chunk.len()).into_bytes());
+        bytes.extend_from_slice(chunk);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    let address = host.programs().caller_address(0);
+    let answer = Connection::open(address).send(&bytes);
+    assert!(answer.status == 200 && answer.is_complete);
+    assert!(answer.text().contains(&mark));
+    host.check();
+}
+
 /// Makes the first call of a program; a refusal promises that it did not run.
 fn call(host: &Host, number: usize, (caller, program): &(Caller, String)) {
     let (body, mark) = large_call(number, LARGE_BYTES);
--- a/tests/crowd/host.rs
+++ b/tests/crowd/host.rs
@@ -92,6 +92,8 @@
     process: Process,
     watch: Watch,
     crowd: Vec<TcpStream>,
+    /// Connections of crowds on other ports.
+    others: Vec<TcpStream>,
     _turn: MutexGuard<'static, ()>,
 }
 
@@ -133,10 +135,18 @@
             watch: Watch::new(process.clone()),
             process,
             crowd: Vec::new(),
+            others: Vec::new(),
             _turn: turn,
         }
     }
 
+    /// Leaves the crowd as it is, and begins another one on a port of the same process.
+    pub fn move_to(&mut self, port: Port) {
+        assert!(self.port.siblings().contains(&port));
+        self.others.append(&mut self.crowd);
+        self.port = port;
+    }
+
     /// Opens connections of the crowd.
     pub fn connect(&mut self, count: usize) {
         let address = self.environment.address(self.port);
@@ -195,7 +205,7 @@
         self.check_bounds();
         self.check_ordinary_requests("during");
         self.check_bounds();
-        for stream in self.crowd.drain(..) {
+        for stream in self.crowd.drain(..).chain(self.others.drain(..)) {
             // It may be closed already.
             let _ = stream.shutdown(Shutdown::Both);
         }
--- a/tests/crowd/ports.rs
+++ b/tests/crowd/ports.rs
@@ -62,3 +62,37 @@
     gateway_peers: GatewayPeers => messages
     gateway_status: GatewayStatus => requests
 }
+
+/// Crowds on all ports of one process together; the shares of the ports leave room for the process.
+mod all_ports {
+    use super::*;
+
+    fn run(callers: Option<Port>, peers: Port, operators: Port) {
+        let mut host = Host::start(peers);
+        kinds::messages_in_very_small_frames_that_stop_short(&mut host);
+        for port in callers.into_iter().chain([operators]) {
+            host.move_to(port);
+            kinds::bodies_that_stop_short(&mut host);
+        }
+        host.check();
+    }
+
+    #[test]
+    fn entry() {
+        run(Some(Port::EntryCallers), Port::EntryPeers, Port::EntryAdmin);
+    }
+
+    #[test]
+    fn sidecar() {
+        run(None, Port::SidecarPeers, Port::SidecarStatus);
+    }
+
+    #[test]
+    fn gateway() {
+        run(
+            Some(Port::GatewayCallers),
+            Port::GatewayPeers,
+            Port::GatewayStatus,
+        );
+    }
+}
