entry: stored answers are sent in pieces

What callers saw: two hundred connections that asked for one stored answer of 1 MB and did not read it had an entry hold 317 of the 88 MiB of its machine; the process ends there, and the requests of all others with it.

Cause: for each request the turn was cloned, the answer copied and one line of JSON made of it, and 64 lines and 64 chunks were buffered.

Change: pieces of 8 KiB are copied from the history as the caller reads; four lines and four chunks are buffered. A piece ends between two characters.

Evidence: crowd calls::stored_answers_that_are_not_read: 317 MiB before, 49 MiB now. The answers are the same, with characters of one to four bytes: retention::long_recorded_answer_is_whole_whatever_its_characters.

--- a/crates/entry/src/answers.rs
+++ b/crates/entry/src/answers.rs
@@ -12,6 +12,12 @@
 use crate::reply::{Lines, Reply};
 use crate::traffic::Traffic;
 
+/// Longest piece of a recorded answer that is sent in one line, so that a caller that does not read holds
+/// no whole answers.
+const PIECE_MAX_BYTES: usize = 8 << 10;
+/// Longest character in UTF-8.
+const CHARACTER_MAX_BYTES: usize = 4;
+
 /// Returns the answer of a call from byte `offset` on, whether the call is running or recorded.
 pub(crate) async fn read(
     traffic: &Rc<Traffic>,
@@ -22,13 +28,7 @@
     if let Some(answer) = live.running_answer(seq) {
         return stream_answer(traffic, answer, offset as usize).await;
     }
-    let turn = live
-        .program
-        .borrow()
-        .turn(seq)
-        .cloned()
-        .ok_or(Refusal::UnknownCall)?;
-    replay(traffic, live, &turn, offset as usize)
+    replay(traffic, live, seq, offset as usize)
 }
 
 /// All turns of a program, as JSON.
@@ -134,25 +134,53 @@
 /// Returns a recorded answer from byte `offset` on.
 pub(crate) fn replay(
     traffic: &Rc<Traffic>,
-    live: &LiveProgram,
-    turn: &Turn,
+    live: &Rc<LiveProgram>,
+    seq: Seq,
     offset: usize,
 ) -> Result<Reply> {
-    if turn.answer == Answer::Indeterminate {
-        return Err(Refusal::Indeterminate);
-    }
-    let durable = live.is_durable(turn.call.seq);
-    let done = done_line(turn, &traffic.encode_token(&live.token()), durable);
-    let remaining = match &turn.answer {
-        Answer::Complete(bytes) => bytes.get(offset..).unwrap_or_default().to_vec(),
-        Answer::Child(..) | Answer::Indeterminate => Vec::new(),
+    let done = {
+        let program = live.program.borrow();
+        let turn = program.turn(seq).ok_or(Refusal::UnknownCall)?;
+        if turn.answer == Answer::Indeterminate {
+            return Err(Refusal::Indeterminate);
+        }
+        done_line(
+            turn,
+            &traffic.encode_token(&live.token()),
+            live.is_durable(seq),
+        )
     };
     let (lines, reply) = Lines::new();
+    let live = live.clone();
     let copy = async move {
-        if remaining.is_empty() || lines.send(&delta_line(offset, &remaining)).await {
-            lines.send(&done).await;
+        let mut offset = offset;
+        while let Some(piece) = recorded_piece(&live, seq, offset) {
+            if !lines.send(&delta_line(offset, &piece)).await {
+                return;
+            }
+            offset += piece.len();
         }
+        lines.send(&done).await;
     };
     traffic.executor.spawn(copy).detach();
     Ok(reply)
 }
+
+/// Returns the next piece of a recorded answer; `None` at its end.
+fn recorded_piece(live: &LiveProgram, seq: Seq, offset: usize) -> Option<Vec<u8>> {
+    let program = live.program.borrow();
+    let Answer::Complete(bytes) = &program.turn(seq)?.answer else {
+        return None;
+    };
+    let remaining = bytes.get(offset..).filter(|bytes| !bytes.is_empty())?;
+    Some(remaining[..piece_length(remaining)].to_vec())
+}
+
+/// Returns the length of the first piece of a text. A piece ends between two characters, if the text is
+/// UTF-8.
+fn piece_length(text: &[u8]) -> usize {
+    let is_boundary = |at: &usize| text.get(*at).is_none_or(|byte| byte & 0xC0 != 0x80);
+    let longest = text.len().min(PIECE_MAX_BYTES);
+    let mut ends = (longest.saturating_sub(CHARACTER_MAX_BYTES) + 1..=longest).rev();
+    ends.find(is_boundary).unwrap_or(longest).max(1)
+}
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -97,7 +97,7 @@
             let answer = live.running_answer(seq).ok_or(Refusal::Unavailable)?;
             answers::stream_answer(traffic, answer, 0).await
         }
-        Admission::Replay(turn) => answers::replay(traffic, live, &turn, 0),
+        Admission::Replay(_) => answers::replay(traffic, live, seq, 0),
         Admission::Refuse(refusal) => Err(refusal.into()),
     }
 }
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -6,7 +6,7 @@
 
 use crate::refusal::{Refusal, Result};
 
-const BUFFERED_LINES_MAX: usize = 64;
+const BUFFERED_LINES_MAX: usize = 4;
 
 /// A status and a body.
 pub(crate) enum Reply {
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -10,7 +10,7 @@
 use http_types::Body;
 use smol::io::{AsyncBufRead, AsyncRead};
 
-const BUFFERED_CHUNKS_MAX: usize = 64;
+const BUFFERED_CHUNKS_MAX: usize = 4;
 
 /// The sending end of a streamed body. The body ends when the last clone is dropped.
 #[derive(Clone, Debug)]
--- a/tests/all/retention.rs
+++ b/tests/all/retention.rs
@@ -34,3 +34,20 @@
     let unknown = caller.service(&never_created, 1, "stock", "reserve 2 pallets");
     assert_eq!((unknown.status, unknown.ran()), (404, "no"));
 }
+
+// A recorded answer is sent in pieces, none of which ends within a character.
+#[test]
+fn long_recorded_answer_is_whole_whatever_its_characters() {
+    let cluster = Config::new().with_entries(1).with_engines(1).start();
+    let caller = cluster.caller(0, "meche");
+    for character in ["a", "é", "€", "🕯"] {
+        let program = caller.create("reorder", 1_000, 10);
+        let input = format!("x{}", character.repeat(40_000 / character.len()));
+        let first = caller.service(&program, 1, "catalogue", &input);
+        assert!(first.is_complete(), "{character}: {}", first.last_line);
+        assert_eq!(first.text, format!("done: {input}"));
+        let again = caller.service(&program, 1, "catalogue", &input);
+        assert!(again.is_complete(), "{character}: {}", again.last_line);
+        assert_eq!(again.text, first.text);
+    }
+}
--- a/tests/crowd/calls.rs
+++ b/tests/crowd/calls.rs
@@ -130,3 +130,22 @@
     });
     host.check();
 }
+
+/// Connections of callers that ask for an answer and do not read it.
+const READERS: usize = 200;
+
+// Each of them had the whole answer copied several times, which was counted nowhere.
+#[test]
+fn stored_answers_that_are_not_read() {
+    let mut host = Host::start(Port::EntryCallers);
+    let program = create(&host).unwrap();
+    call(&host, 0, &program);
+    host.connect(READERS);
+    let request = format!(
+        "GET /v1/programs/{}/calls/1 HTTP/1.1\r\nHost: a.example\r\n\
+         Authorization: Bearer meche-token\r\n\r\n",
+        program.1
+    );
+    host.send(request.as_bytes());
+    host.check();
+}
