--- a/tests/crowd/process.rs
+++ b/tests/crowd/process.rs
@@ -10,8 +10,6 @@
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 /// State of a socket that accepts connections; its queue is a number of connections.
 const LISTENING: &str = "0A";
-/// Size of a page of memory.
-const PAGE_BYTES: u64 = 4_096;
 
 /// A running process of the product and the addresses at which it listens.
 #[derive(Clone, Debug)]
@@ -56,21 +54,24 @@
         times.map(|ticks| ticks.parse::<u64>().unwrap()).sum()
     }
 
-    /// Returns the peak of the resident memory in bytes; 0 if the process has ended.
-    pub fn peak_bytes(&self) -> u64 {
+    /// Returns a size in the status of the process, in bytes; 0 if the process has ended.
+    fn status_bytes(&self, key: &str) -> u64 {
         let status = self.read("status");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        peak.map_or(0, |peak| {
-            let kilobytes = peak.trim().trim_end_matches(" kB");
+        let size = status.lines().find_map(|line| line.strip_prefix(key));
+        size.map_or(0, |size| {
+            let kilobytes = size.trim().trim_end_matches(" kB");
             kilobytes.parse::<u64>().unwrap() << 10
         })
     }
 
+    /// Returns the peak of the resident memory in bytes; 0 if the process has ended.
+    pub fn peak_bytes(&self) -> u64 {
+        self.status_bytes("VmHWM:")
+    }
+
     /// Returns the resident memory in bytes; 0 if the process has ended.
     fn resident_bytes(&self) -> u64 {
-        let text = self.read("statm");
-        let pages = text.split(' ').nth(1);
-        pages.map_or(0, |pages| pages.parse::<u64>().unwrap() * PAGE_BYTES)
+        self.status_bytes("VmRSS:")
     }
 
     /// Returns how many bytes the process has received and not read.
