--- a/review/kit-3/http.rs
+++ b/review/kit-3/http.rs
@@ -2,7 +2,6 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 #[derive(Clone, Debug, Default)]
@@ -134,49 +133,15 @@
     pub took: Duration,
 }
 
-/// A machine's link: what it lets through in a second, and until when it is taken.
-pub struct LinkRate {
-    bytes_per_s: f64,
-    taken_until: Mutex<Instant>,
-}
-
-impl LinkRate {
-    pub fn new(megabits_per_s: f64) -> Self {
-        LinkRate {
-            bytes_per_s: megabits_per_s * 125_000.0,
-            taken_until: Mutex::new(Instant::now()),
-        }
-    }
-
-    /// Waits until `bytes` have passed.
-    pub fn pass(&self, bytes: usize) {
-        let until = {
-            let mut taken = self.taken_until.lock().unwrap();
-            let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
-            *taken = (*taken).max(Instant::now()) + time;
-            *taken
-        };
-        std::thread::sleep(until.saturating_duration_since(Instant::now()));
-    }
-}
-
 /// Sends one request on an open channel and reads its answer.
 pub fn exchange(channel: &mut Channel, request: &[u8], within: Duration) -> Seen {
-    exchange_over(channel, request, within, None)
-}
-
-/// Like [`exchange`], with the request sent in pieces over a link.
-pub fn exchange_over(channel: &mut Channel, request: &[u8], within: Duration, link: Option<&LinkRate>) -> Seen {
     let started = Instant::now();
     let mut seen = Seen::default();
     let mut run = || -> std::io::Result<()> {
         channel.stream.set_read_timeout(Some(within))?;
         channel.stream.set_write_timeout(Some(within))?;
         // A server may answer and close before it has read a long body.
-        let written = request.chunks(16 << 10).try_for_each(|piece| {
-            link.iter().for_each(|link| link.pass(piece.len()));
-            channel.write(piece)
-        });
+        let written = channel.write(request);
         let head = match (channel.read_head(), written) {
             (Ok(head), _) => head,
             (Err(_), Err(error)) | (Err(error), Ok(())) => return Err(error),
--- a/review/kit-3/main.rs
+++ b/review/kit-3/main.rs
@@ -8,6 +8,7 @@
 mod large;
 mod quota;
 mod record;
+mod same_text;
 mod store;
 mod worker;
 
@@ -29,8 +30,7 @@
     let code = match case.as_str() {
         "quota" => quota::run(&record, has_trouble),
         "large" => large::run(&record, has_trouble),
-        "neighbours" => large::neighbours(&record, has_trouble),
-        "crowd" => large::crowd(&record, has_trouble),
+        "same-text" => same_text::run(&record, has_trouble),
         _ => 2,
     };
     record.say(&format!("exit {code}"));
--- a/review/kit-3/store.rs
+++ b/review/kit-3/store.rs
@@ -64,6 +64,14 @@
         self.state.1.notify_all();
     }
 
+    /// Removes a row in place of the platform.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        state.version += 1;
+        state.set((table.into(), String::new(), key.into()), None);
+        self.state.1.notify_all();
+    }
+
     pub fn set_down(&self, table: &str, part: &str, is_down: bool) {
         let mut state = self.state.0.lock().unwrap();
         let partition = (table.to_owned(), part.to_owned());
--- a/review/kit-3/worker.rs
+++ b/review/kit-3/worker.rs
@@ -1,9 +1,10 @@
 //! Stand-in of a sound worker: answers 421 to a request for another instance, 503 with `Not-Executed` when
 //! it is full, and runs every other request.
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use crate::http::{Channel, Head};
@@ -36,6 +37,9 @@
     kind: Kind,
     runs: Arc<Mutex<Vec<Run>>>,
     running: Arc<AtomicUsize>,
+    crashed: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+    accepting: Arc<Mutex<Option<JoinHandle<()>>>>,
 }
 
 impl Worker {
@@ -48,10 +52,20 @@
             kind,
             runs,
             running: Arc::default(),
+            crashed: Arc::default(),
+            streams: Arc::default(),
+            accepting: Arc::default(),
         };
         let serving = worker.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+        listener.set_nonblocking(true).expect("listener");
+        let accepting = std::thread::spawn(move || {
+            while !serving.crashed.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    std::thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                serving.streams.lock().unwrap().extend(stream.try_clone());
                 let worker = serving.clone();
                 std::thread::spawn(move || {
                     let mut channel = Channel::new(stream);
@@ -59,9 +73,22 @@
                 });
             }
         });
+        *worker.accepting.lock().unwrap() = Some(accepting);
         worker
     }
 
+    /// Ends the worker as a crash does: its channels are closed and new ones are refused.
+    pub fn crash(&self) {
+        self.crashed.store(true, Ordering::SeqCst);
+        // The accepting thread has closed the listener when it ends.
+        if let Some(accepting) = self.accepting.lock().unwrap().take() {
+            let _ = accepting.join();
+        }
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Returns the worker's entry in the list of workers.
     pub fn entry(&self, service: &str, zone: &str) -> String {
         format!(
