--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-rustc --edition 2021 -O -A dead_code review/kit-3/main.rs -o target/review-3/kit
+rustc --edition 2021 -O review/kit-3/main.rs -o target/review-3/kit
--- a/review/kit-3/main.rs
+++ b/review/kit-3/main.rs
@@ -5,10 +5,9 @@
 mod fleet;
 mod http;
 mod json;
-mod large;
+mod memory;
 mod quota;
 mod record;
-mod same_text;
 mod store;
 mod worker;
 
@@ -29,8 +28,7 @@
     record.say(&format!("case {case}, {}", if has_trouble { "with the disruption" } else { "without the disruption" }));
     let code = match case.as_str() {
         "quota" => quota::run(&record, has_trouble),
-        "large" => large::run(&record, has_trouble),
-        "same-text" => same_text::run(&record, has_trouble),
+        "memory" => memory::run(&record, has_trouble),
         _ => 2,
     };
     record.say(&format!("exit {code}"));
--- a/review/kit-3/record.rs
+++ b/review/kit-3/record.rs
@@ -25,12 +25,6 @@
         println!("{line}");
         let _ = writeln!(self.file.lock().unwrap(), "{line}");
     }
-
-    /// Writes a line to the file only.
-    pub fn note(&self, line: &str) {
-        let line = format!("{:8.3} {line}", self.started.elapsed().as_secs_f64());
-        let _ = writeln!(self.file.lock().unwrap(), "{line}");
-    }
 }
 
 /// A temporary folder that ends with the case.
--- a/review/kit-3/store.rs
+++ b/review/kit-3/store.rs
@@ -27,7 +27,6 @@
     version: u64,
     /// Partitions that are down: table and name.
     down: HashSet<(String, String)>,
-    counts: HashMap<String, u64>,
 }
 
 #[derive(Clone)]
@@ -64,14 +63,6 @@
         self.state.1.notify_all();
     }
 
-    /// Removes a row in place of the platform.
-    pub fn remove(&self, table: &str, key: &str) {
-        let mut state = self.state.0.lock().unwrap();
-        state.version += 1;
-        state.set((table.into(), String::new(), key.into()), None);
-        self.state.1.notify_all();
-    }
-
     pub fn set_down(&self, table: &str, part: &str, is_down: bool) {
         let mut state = self.state.0.lock().unwrap();
         let partition = (table.to_owned(), part.to_owned());
@@ -83,11 +74,6 @@
         self.state.1.notify_all();
     }
 
-    /// Returns how often a call had this outcome.
-    pub fn count(&self, name: &str) -> u64 {
-        self.state.0.lock().unwrap().counts.get(name).copied().unwrap_or(0)
-    }
-
     /// Returns the number of rows of a table.
     pub fn row_count(&self, table: &str) -> usize {
         let state = self.state.0.lock().unwrap();
@@ -121,15 +107,12 @@
             .filter_map(|pair| pair.split_once('='))
             .map(|(name, value)| (name.to_owned(), unescape(value)))
             .collect();
-        let (status, answer) = match path {
+        match path {
             "/-/rows-tx" => self.transact(body),
             "/-/rows-get" => self.read(&query),
             "/-/rows-feed" => self.feed(&query),
             _ => (404, "{}".to_owned()),
-        };
-        let mut state = self.state.0.lock().unwrap();
-        *state.counts.entry(format!("{path} {status}")).or_default() += 1;
-        (status, answer)
+        }
     }
 
     fn rows_json(&self, state: &State, rows: &[String], has_more: bool) -> String {
