--- a/review/kit-3/main.rs
+++ b/review/kit-3/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Usage, in the repository: `kit CASE RECORD`. `TROUBLE=0` leaves the disruption out.
 
+mod denied;
 mod fleet;
 mod http;
 mod json;
@@ -27,6 +28,7 @@
     let record = Record::new(Path::new(path));
     record.say(&format!("case {case}, {}", if has_trouble { "with the disruption" } else { "without the disruption" }));
     let code = match case.as_str() {
+        "denied" => denied::run(&record, has_trouble),
         "quota" => quota::run(&record, has_trouble),
         "memory" => memory::run(&record, has_trouble),
         _ => 2,
