--- a/review/kit-3/main.rs
+++ b/review/kit-3/main.rs
@@ -10,6 +10,7 @@
 mod quota;
 mod record;
 mod store;
+mod waves;
 mod worker;
 
 use std::path::Path;
@@ -30,6 +31,7 @@
     let code = match case.as_str() {
         "denied" => denied::run(&record, has_trouble),
         "quota" => quota::run(&record, has_trouble),
+        "waves" => waves::run(&record, has_trouble),
         "memory" => memory::run(&record, has_trouble),
         _ => 2,
     };
--- a/review/kit-3/quota.rs
+++ b/review/kit-3/quota.rs
@@ -16,9 +16,9 @@
 const KILLED: usize = 3;
 const RATE_PER_S: f64 = 20.0;
 const BURST: f64 = 20.0;
-const WINDOW: Duration = Duration::from_secs(5);
-const EXCESS: f64 = 0.1;
-const SLACK: f64 = 20.0;
+pub const WINDOW: Duration = Duration::from_secs(5);
+pub const EXCESS: f64 = 0.1;
+pub const SLACK: f64 = 20.0;
 /// Requests that the tenant sends to each gateway in a second: 7.5 times its limit through all of them.
 const SENT_PER_S: u64 = 30;
 /// How long the partition of the store with the list of gateways is down.
@@ -98,7 +98,8 @@
         return 2;
     }
     let (runs, sent, answers) = (runs.lock().unwrap(), sent.lock().unwrap(), answers.lock().unwrap());
-    judge(record, &runs, &sent, &answers)
+    let limit = (RATE_PER_S * WINDOW.as_secs_f64() + BURST) * (1.0 + EXCESS) + SLACK;
+    judge(record, limit, GATEWAYS, &runs, &sent, &answers)
 }
 
 /// Sends requests to one gateway at a steady pace, each on one of a few channels that are kept open.
@@ -147,8 +148,11 @@
     });
 }
 
-fn judge(
+/// Counts the requests in each window, and records them by second and gateway.
+pub fn judge(
     record: &Record,
+    limit: f64,
+    gateways: usize,
     runs: &[Run],
     sent: &HashMap<String, (Instant, usize)>,
     answers: &[(Instant, usize, u16)],
@@ -160,7 +164,6 @@
         .filter_map(|run| sent.get(&run.id).map(|(sent_at, index)| (*sent_at, run.at, *index)))
         .collect();
     counted.sort();
-    let limit = (RATE_PER_S * WINDOW.as_secs_f64() + BURST) * (1.0 + EXCESS) + SLACK;
     let Some(first) = counted.first().map(|(sent_at, ..)| *sent_at) else {
         record.say("nothing ran");
         return 2;
@@ -183,7 +186,7 @@
             });
             format!("{}/{}", run.count(), refused.count())
         };
-        let each: Vec<String> = (0..GATEWAYS).map(of).collect();
+        let each: Vec<String> = (0..gateways).map(of).collect();
         record.say(&format!("second {second}: run/refused(429) by gateway: {}", each.join(" ")));
     }
     record.say(&format!(
