gateway: move the list of gateways into a module of its own

Cause: peers.rs holds both the list of gateways with its order and the calls to them. Change: Peer and Roster move to roster.rs unchanged.

--- a/crates/gateway/src/caps.rs
+++ b/crates/gateway/src/caps.rs
@@ -22,9 +22,10 @@
 use wire::{Relay, Relayed};
 
 use crate::accept::wait_until;
-use crate::peers::{Peer, Peers};
+use crate::peers::Peers;
 use crate::prompt::stable_hash;
 use crate::reply::Refusal;
+use crate::roster::Peer;
 
 /// Most hosts for each group of accounts.
 const HOSTS_PER_GROUP: usize = 64;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,35 +4,29 @@
 //! it cannot; it never forwards the call to another peer. Connections are opened when they are needed
 //! and closed soon after, so that there are none while the store is available.
 
-use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use compact_str::CompactString;
 use intake::Listener;
-use serde::Serialize;
 use slog::{Logger, info, warn};
 use smol::LocalExecutor;
 use smol::future::FutureExt;
 use store::api::{Row, Transaction, Value};
 use store::{Error, Partition, Progress, Result};
-use units::{Clock, Host, Incarnation, Span, Time, Zone};
+use units::{Clock, Host, Incarnation, Span, Time};
 use wire::{Frame, Identity, Key, Link, PackedRow, Relay, Relayed, Stream};
 
 use crate::caps::Caps;
 use crate::programs::Programs;
-use crate::prompt::stable_hash;
 use crate::replica::{self, REPORT_INTERVAL, Replica};
+use crate::roster::{Peer, Roster};
 use crate::rows::Rows;
 
 /// Name of the table with a row for each gateway.
 pub(crate) const TABLE: &str = "gateways";
-/// Time after the last failure of any peer until failed peers are called like the others again.
-const FAILED_PEER_BACKOFF: Span = Span::from_ms(3_000);
 /// Most peers that are called for one request.
 const PEERS_PER_REQUEST_MAX: usize = 2;
 /// Time for a peer's response beyond the wait that is part of the call. The peer's own timeout for
@@ -54,133 +48,6 @@
 /// How long connections stay open after the last request.
 const LINK_IDLE_TIMEOUT: Span = Span::from_ms(4_000);
 
-/// A gateway, as its row describes it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct Peer {
-    /// Host that the gateway runs on; the key of its row.
-    pub host: Host,
-    /// Identifies the start of the process.
-    pub incarnation: Incarnation,
-    /// Address at which the gateway accepts peers.
-    pub address: SocketAddr,
-    /// Availability zone of the host.
-    pub zone: Zone,
-    /// Processor time of the host in thousandths of a core; 0 if unknown. Rows of earlier releases end
-    /// before it, and these ignore it.
-    pub processor: u32,
-}
-
-impl Peer {
-    /// Decodes the value of a row.
-    fn decode(bytes: &[u8]) -> Option<Self> {
-        let config = bincode::config::standard().with_limit::<4_096>();
-        let ((host, incarnation, address, zone), length) =
-            bincode::serde::decode_from_slice(bytes, config).ok()?;
-        let processor = bincode::serde::decode_from_slice(&bytes[length..], config);
-        Some(Peer {
-            host,
-            incarnation,
-            address,
-            zone,
-            processor: processor.map_or(0, |(processor, _)| processor),
-        })
-    }
-
-    fn encode(&self) -> Vec<u8> {
-        // Plain data of bounded size always encodes; an empty row is skipped by readers.
-        bincode::serde::encode_to_vec(self, bincode::config::standard()).unwrap_or_default()
-    }
-}
-
-/// The known gateways and their recent failures.
-#[derive(Debug, Default)]
-pub struct Roster {
-    peers: HashMap<CompactString, Peer>,
-    /// When each peer failed last, unless a call through it has succeeded since.
-    failures: HashMap<Host, Time>,
-    last_failure: Time,
-}
-
-impl Roster {
-    /// Inserts or replaces the gateway of a row, and clears the failures of its host.
-    pub fn insert(&mut self, key: &CompactString, peer: Peer) {
-        self.failures.remove(&peer.host);
-        self.peers.insert(key.clone(), peer);
-    }
-
-    /// Removes the gateway whose row was deleted.
-    pub fn remove(&mut self, key: &str) {
-        self.peers.remove(key);
-    }
-
-    /// Removes the gateways whose rows are not among `listed`, the keys of all rows.
-    pub fn reconcile(&mut self, listed: &[CompactString]) {
-        self.peers.retain(|key, _| listed.contains(key));
-    }
-
-    /// Records that a call through a peer failed.
-    pub fn record_failure(&mut self, host: &Host, now: Time) {
-        self.failures.insert(host.clone(), now);
-        self.last_failure = now;
-    }
-
-    /// Records that a call through a peer succeeded.
-    pub fn record_success(&mut self, host: &Host) {
-        self.failures.remove(host);
-    }
-
-    /// Returns the peers of `own` in the order in which they are to be called: first those without a
-    /// failure, among these first those of the same availability zone, then the failed ones, the
-    /// latest failure last. Each peer thus has its turn while calls keep failing. Failures are
-    /// forgotten some time after the last one. `spread` orders equal peers differently on each host.
-    pub fn call_order(&self, own: &Peer, spread: u64, now: Time) -> Vec<Peer> {
-        let is_backing_off = now.since(self.last_failure) < FAILED_PEER_BACKOFF;
-        let failed_at = |peer: &Peer| {
-            let failure = self.failures.get(&peer.host).copied();
-            failure.filter(|_| is_backing_off)
-        };
-        let mut peers: Vec<&Peer> = self.peers.values().collect();
-        peers.retain(|peer| peer.host != own.host);
-        peers.sort_by_key(|peer| {
-            let tie_break = spread.wrapping_mul(peer.incarnation.0 | 1);
-            (failed_at(peer), peer.zone != own.zone, tie_break)
-        });
-        peers.into_iter().cloned().collect()
-    }
-
-    /// Returns the gateways in the order in which they meter a group of client accounts: first those
-    /// without a recent failure, the ones with the most processor time, in an order that differs
-    /// between groups.
-    pub fn meter_order(&self, group: u64, now: Time) -> Vec<Peer> {
-        let is_failed = |peer: &Peer| {
-            let failure = self.failures.get(&peer.host);
-            failure.is_some_and(|failed_at| now.since(*failed_at) < FAILED_PEER_BACKOFF)
-        };
-        let mut peers: Vec<&Peer> = self.peers.values().collect();
-        peers.sort_by_cached_key(|peer| {
-            let tie_break = stable_hash(&format!("{group}/{}", peer.host));
-            (is_failed(peer), Reverse(peer.processor), tie_break)
-        });
-        peers.into_iter().cloned().collect()
-    }
-
-    /// Whether a listed gateway has this incarnation.
-    pub fn contains(&self, incarnation: Incarnation) -> bool {
-        let mut peers = self.peers.values();
-        peers.any(|peer| peer.incarnation == incarnation)
-    }
-
-    /// Returns the listed gateways, including this one.
-    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.values()
-    }
-
-    /// Returns the number of listed gateways, including this one.
-    pub fn count(&self) -> usize {
-        self.peers.len()
-    }
-}
-
 /// A request to the thread for peers.
 enum Request {
     /// Has a peer make a call.
--- a/crates/gateway/src/propagation.rs
+++ b/crates/gateway/src/propagation.rs
@@ -12,8 +12,9 @@
 use units::Span;
 
 use crate::control::{FEED_PAUSE, retry_pause};
-use crate::peers::{Peer, Update};
+use crate::peers::Update;
 use crate::replica::REPORT_INTERVAL;
+use crate::roster::Peer;
 use crate::sources::{Source, Sources};
 use crate::state::Shared;
 
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -10,8 +10,8 @@
 
 use units::{Host, Incarnation, Region, Span, Time, Zone};
 
-use crate::peers::Peer;
 use crate::prompt::stable_hash;
+use crate::roster::Peer;
 
 /// Age of a copy at which another source is looked for, for the hosts ranked first. A copy in use is
 /// younger: the intervals of three hosts that follow each other, and their round trips.
--- a/crates/gateway/src/sweep.rs
+++ b/crates/gateway/src/sweep.rs
@@ -20,7 +20,8 @@
 use units::{Incarnation, Span, Time};
 
 use crate::losses;
-use crate::peers::{self, Peer};
+use crate::peers;
+use crate::roster::Peer;
 use crate::rows::PAGE_ROWS_MAX;
 use crate::state::Shared;
 
