gateway: log for how many of the listed hosts a host meters

Cause: a host that takes itself for the whole fleet and one that meters for all others leave the same lines. Change: a meter logs its attached and the listed hosts when they change, at most once a second.

--- a/crates/clients/src/meter.rs
+++ b/crates/clients/src/meter.rs
@@ -100,6 +100,11 @@
         part
     }
 
+    /// Returns the number of attached hosts, as of the latest [`Meter::part`].
+    pub fn attached_count(&self) -> usize {
+        self.attached.len()
+    }
+
     /// Grants credit, as far as the part `part` of the account's limit allows. The limit of the newest
     /// environment that any host named holds.
     pub fn grant(&mut self, want: &Want, part: f64, now: Time) -> Granted {
--- a/crates/gateway/src/caps.rs
+++ b/crates/gateway/src/caps.rs
@@ -36,6 +36,8 @@
 const ANSWER_TIMEOUT: Span = Span::from_ms(300);
 /// Most meters that are asked for one request.
 const METERS_PER_REQUEST_MAX: usize = 3;
+/// Shortest time between two log lines about the hosts that are attached.
+const ATTACHMENT_LOG_INTERVAL: Span = Span::from_ms(1_000);
 
 /// The accounts with a limit that this host serves.
 pub(crate) struct Caps {
@@ -44,6 +46,7 @@
     clock: Clock,
     log: Logger,
     meter: Mutex<Meter>,
+    attachment: Mutex<Attachment>,
     accounts: Mutex<HashMap<CompactString, Demand>>,
     /// Whether any account of the environment has a limit.
     has_limits: AtomicBool,
@@ -51,6 +54,14 @@
     wanted: Event,
 }
 
+/// What was logged last about the hosts that obtain credit here.
+#[derive(Default)]
+struct Attachment {
+    /// Number of attached hosts and of all listed ones.
+    counts: (usize, usize),
+    logged_at: Time,
+}
+
 /// One account's credit, and its requests that wait for some.
 struct Demand {
     account: Account,
@@ -87,6 +98,7 @@
             clock,
             log,
             meter: Mutex::default(),
+            attachment: Mutex::default(),
             accounts: Mutex::default(),
             has_limits: AtomicBool::new(false),
             wanted: Event::new(),
@@ -234,12 +246,27 @@
         let mut meter = self.meter.lock().unwrap_or_else(PoisonError::into_inner);
         meter.attach(host, now);
         let part = meter.part(listed, now);
+        self.log_attachment(meter.attached_count(), listed, now);
         wants
             .iter()
             .map(|want| meter.grant(want, part, now))
             .collect()
     }
 
+    /// Logs how many of the listed hosts this host meters for, when that has changed.
+    fn log_attachment(&self, attached: usize, listed: usize, now: Time) {
+        let mut attachment = self
+            .attachment
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let is_due = now.since(attachment.logged_at) >= ATTACHMENT_LOG_INTERVAL;
+        if is_due && attachment.counts != (attached, listed) {
+            attachment.counts = (attached, listed);
+            attachment.logged_at = now;
+            info!(self.log, "metering accounts"; "attached" => attached, "listed" => listed);
+        }
+    }
+
     fn take_wants(&self, is_in_group: impl Fn(&str) -> bool) -> (Vec<Want>, Vec<Vec<Waiting>>) {
         let mut accounts = self.accounts();
         let demands = accounts.values_mut();
