gateway: a host that does not know the list of gateways does not meter

Cause: an empty roster stood for both 'not read yet' and 'no other host'. Caps::meter_order then returned this host alone and Meter::part was attached / max(listed, 1) = 1. follow_peers read the list only after the host's own row was written, so a write that fails also kept the list from being read.

Evidence: 'metering accounts' with attached 1 and listed 0 on each restarted gateway, within 20 ms of its first request. Ruled out: a meter that does not answer (no such line on these hosts), a meter that restarts and grants a burst anew (a new meter starts at 0), credit spent twice (the restarted hosts ran 20/s each for 8 s).

Change: Roster records whether the list was ever read. A host meters only if it knows the list and is on it; others count its part from the list. Requests of accounts with a limit wait at most 300 ms, within the first second of the process, for the list; then, and when no listed meter answers a host that may not meter, they are refused with 503 limit-unknown and Retry-After. Requests of accounts without a limit do not need the list. The own row is written once before the list is read, and repeated beside that.

Why it works: parts of a limit are granted only by hosts that are counted in the number the others divide by.

--- a/crates/gateway/src/caps.rs
+++ b/crates/gateway/src/caps.rs
@@ -36,6 +36,11 @@
 const ANSWER_TIMEOUT: Span = Span::from_ms(300);
 /// Most meters that are asked for one request.
 const METERS_PER_REQUEST_MAX: usize = 3;
+/// Time after the start of the process in which requests wait for the list of hosts: reading it takes
+/// some round trips.
+const LIST_READ_TIME: Span = Span::from_ms(1_000);
+/// Longest time that a request waits for the list of hosts; then its caller may ask another host.
+const LIST_WAIT_MAX: Span = Span::from_ms(300);
 /// Shortest time between two log lines about the hosts that are attached.
 const ATTACHMENT_LOG_INTERVAL: Span = Span::from_ms(1_000);
 
@@ -44,6 +49,7 @@
     peers: Peers,
     own: Host,
     clock: Clock,
+    started_at: Time,
     log: Logger,
     meter: Mutex<Meter>,
     attachment: Mutex<Attachment>,
@@ -75,7 +81,7 @@
 
 struct Waiting {
     standing: Standing,
-    reply: Sender<Result<Span, Span>>,
+    reply: Sender<Result<Span, Refusal>>,
 }
 
 /// An account on the status page.
@@ -96,6 +102,7 @@
             peers,
             own,
             clock,
+            started_at: clock.now(),
             log,
             meter: Mutex::default(),
             attachment: Mutex::default(),
@@ -117,7 +124,7 @@
     /// Admits a request of an account; waits until a meter has answered if there is no credit.
     ///
     /// # Errors
-    /// If the limit is used up.
+    /// If the limit is used up, or if this host does not know the other hosts that keep it.
     pub(crate) async fn admit(
         &self,
         account: &Account,
@@ -128,6 +135,9 @@
         if account.limit.is_none() {
             return Ok(());
         }
+        if !self.wait_for_list(deadline).await {
+            return Err(Refusal::LimitUnknown);
+        }
         let reply = {
             let mut accounts = self.accounts();
             let demand = accounts
@@ -148,19 +158,37 @@
         self.wanted.notify(usize::MAX);
         let expire = async {
             wait_until(self.clock, deadline).await;
-            Ok(Err(Span(0)))
+            Ok(Err(Refusal::OverLimit(Span(0))))
         };
         match reply.recv().or(expire).await {
             Ok(Ok(wait)) => {
                 smol::Timer::after(wait.into()).await;
                 Ok(())
             }
-            Ok(Err(wait)) => Err(Refusal::OverLimit(wait)),
+            Ok(Err(refusal)) => Err(refusal),
             // The task that answers ends only with the process.
             Err(_) => Err(Refusal::Stopping),
         }
     }
 
+    /// Waits for the list of hosts while this host may be about to read it; returns whether it is known.
+    async fn wait_for_list(&self, deadline: Time) -> bool {
+        if self.peers.roster().is_known() {
+            return true;
+        }
+        let wait_end = self.clock.now().after(LIST_WAIT_MAX);
+        let read_end = self.started_at.after(LIST_READ_TIME);
+        let known = async {
+            self.peers.wait_known().await;
+            true
+        };
+        let expire = async {
+            wait_until(self.clock, deadline.min(wait_end).min(read_end)).await;
+            false
+        };
+        known.or(expire).await
+    }
+
     /// Obtains credit for as long as the process runs; does nothing while no account has a limit and no
     /// request waits from the time when one had.
     pub(crate) async fn run(self: Arc<Self>) {
@@ -172,7 +200,8 @@
                 };
                 wanted.or(interval).await;
             }
-            if self.has_limits.load(Ordering::Acquire) || self.has_waiting() {
+            let is_needed = self.has_limits.load(Ordering::Acquire) || self.has_waiting();
+            if is_needed && self.peers.roster().is_known() {
                 self.exchange_all().await;
             }
         }
@@ -195,24 +224,23 @@
         let (wants, waiting) = self.take_wants(|account| stable_hash(account) % groups == group);
         let order = self.meter_order(group);
         let mut granted = None;
-        for meter in order.into_iter().take(METERS_PER_REQUEST_MAX) {
+        for meter in order {
             granted = self.ask(meter.as_ref(), &wants).await;
             if granted.is_some() {
                 break;
             }
         }
         // No meter answers: this host grants its own part of the limits.
-        let granted = granted.unwrap_or_else(|| self.serve(&self.own, &wants));
-        self.apply(wants, waiting, &granted);
+        match granted.or_else(|| self.serve(&self.own, &wants)) {
+            Some(granted) => self.apply(wants, waiting, &granted),
+            None => self.refuse(waiting),
+        }
     }
 
     /// Returns the hosts that may meter a group, in the order in which they are asked; `None` is this
     /// host.
     fn meter_order(&self, group: u64) -> Vec<Option<Peer>> {
         let mut order = self.peers.roster().meter_order(group, self.clock.now());
-        if order.is_empty() {
-            return vec![None];
-        }
         order.truncate(METERS_PER_REQUEST_MAX);
         let own = |peer: Peer| (peer.host != self.own).then_some(peer);
         order.into_iter().map(own).collect()
@@ -220,7 +248,7 @@
 
     async fn ask(&self, meter: Option<&Peer>, wants: &[Want]) -> Option<Vec<Granted>> {
         let Some(peer) = meter else {
-            return Some(self.serve(&self.own, wants));
+            return self.serve(&self.own, wants);
         };
         let relay = Relay::Acquire {
             host: self.own.clone(),
@@ -239,18 +267,19 @@
         }
     }
 
-    /// Grants credit as a meter.
-    pub(crate) fn serve(&self, host: &Host, wants: &[Want]) -> Vec<Granted> {
-        let listed = self.peers.roster().count();
+    /// Grants credit as a meter; `None` if this host does not know its part of the limits.
+    pub(crate) fn serve(&self, host: &Host, wants: &[Want]) -> Option<Vec<Granted>> {
+        let listed = {
+            let roster = self.peers.roster();
+            roster.may_meter(&self.own).then(|| roster.count())?
+        };
         let now = self.clock.now();
         let mut meter = self.meter.lock().unwrap_or_else(PoisonError::into_inner);
         meter.attach(host, now);
         let part = meter.part(listed, now);
         self.log_attachment(meter.attached_count(), listed, now);
-        wants
-            .iter()
-            .map(|want| meter.grant(want, part, now))
-            .collect()
+        let granted = wants.iter().map(|want| meter.grant(want, part, now));
+        Some(granted.collect())
     }
 
     /// Logs how many of the listed hosts this host meters for, when that has changed.
@@ -287,6 +316,14 @@
         }
     }
 
+    /// Refuses the requests that waited, as no host could tell what the limits allow.
+    fn refuse(&self, waiting: Vec<Vec<Waiting>>) {
+        for waiting in waiting.into_iter().flatten() {
+            // The request may have been cancelled.
+            let _ = waiting.reply.try_send(Err(Refusal::LimitUnknown));
+        }
+    }
+
     /// Forgets the accounts without requests.
     pub(crate) fn expire(&self) {
         let now = self.clock.now();
@@ -370,7 +407,7 @@
                 })
             } else {
                 self.refused += 1;
-                Err(granted.wait)
+                Err(Refusal::OverLimit(granted.wait))
             };
             // The request may have been cancelled; its credit is then lost.
             let _ = waiting.reply.try_send(result);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -206,13 +206,7 @@
 pub(crate) fn apply_peer_event(shared: &Shared, event: TableEvent<'_>) {
     match event {
         TableEvent::Gap => return,
-        TableEvent::Snapshot(rows, _) => {
-            let listed: Vec<CompactString> = rows.iter().map(|row| row.key.clone()).collect();
-            shared.peers.roster().reconcile(&listed);
-            for row in rows {
-                peers::apply_row(&shared.peers, row, &shared.log);
-            }
-        }
+        TableEvent::Snapshot(rows, _) => shared.peers.list(rows, &shared.log),
         TableEvent::Changes(changes, _) => {
             for change in changes {
                 if change.is_deleted {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use compact_str::CompactString;
+use event_listener::Event;
 use intake::Listener;
 use slog::{Logger, info, warn};
 use smol::LocalExecutor;
@@ -97,6 +99,8 @@
     requests_tx: Sender<Request>,
     requests_rx: Receiver<Request>,
     roster: Arc<Mutex<Roster>>,
+    /// Notified when the list of gateways becomes known.
+    known: Arc<Event>,
 }
 
 impl Peers {
@@ -106,6 +110,7 @@
             requests_tx,
             requests_rx,
             roster: Arc::default(),
+            known: Arc::default(),
         }
     }
 
@@ -113,6 +118,27 @@
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Replaces the list by the gateways of these rows, all that there are.
+    pub(crate) fn list(&self, rows: &[Row], log: &Logger) {
+        let keys: Vec<CompactString> = rows.iter().map(|row| row.key.clone()).collect();
+        self.roster().reconcile(&keys);
+        for row in rows {
+            apply_row(self, row, log);
+        }
+        self.known.notify(usize::MAX);
+    }
+
+    /// Returns when the list of gateways is known.
+    pub(crate) async fn wait_known(&self) {
+        loop {
+            let known = self.known.listen();
+            if self.roster().is_known() {
+                return;
+            }
+            known.await;
+        }
+    }
+
     /// Has a peer make a call; `wait` is the time for which the call itself waits for changes.
     pub(crate) async fn relay(&self, relay: Relay, wait: Span) -> Result<Relayed> {
         let (reply, reply_rx) = async_channel::bounded(1);
@@ -255,7 +281,10 @@
             ctx.programs.settle(&program).await;
             Relayed::Settled
         }
-        Relay::Acquire { host, wants } => Relayed::Acquired(ctx.caps.serve(&host, &wants)),
+        Relay::Acquire { host, wants } => {
+            let granted = ctx.caps.serve(&host, &wants);
+            granted.map_or(Relayed::Unavailable, Relayed::Acquired)
+        }
         relay => ctx.rows.serve_peer(relay).await,
     };
     // A peer that has disconnected repeats its request.
@@ -485,12 +514,20 @@
 
 /// Writes this gateway's row; repeats the write until it succeeds.
 pub(crate) async fn register(rows: &Rows, own: &Peer, log: &Logger) {
+    while !try_register(rows, own, log).await {
+        crate::control::retry_pause().await;
+    }
+}
+
+/// Writes this gateway's row once; returns whether it was written.
+pub(crate) async fn try_register(rows: &Rows, own: &Peer, log: &Logger) -> bool {
     let partition = Partition::new(TABLE, "");
     let transaction = Transaction::default().with_write(own.host.as_str(), own.encode());
-    while let Err(error) = rows.write(&partition, &transaction).await {
+    let result = rows.write(&partition, &transaction).await;
+    if let Err(error) = &result {
         info!(log, "gateway row not written yet"; "error" => %error);
-        crate::control::retry_pause().await;
     }
+    result.is_ok()
 }
 
 /// Deletes this gateway's row, unless a later start on the host has written another one.
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -31,6 +31,8 @@
 const STORE_UNAVAILABLE_DELAY: Span = Span::from_ms(4_000);
 /// Retry delay if a route may be missing only on this host: callers retry at another one.
 const STALE_ENVIRONMENT_DELAY: Span = Span::from_ms(250);
+/// Retry delay if only this host may be unable to keep a limit: callers retry at another one.
+const LIMIT_UNKNOWN_DELAY: Span = Span::from_ms(250);
 /// Retry delay while a gateway starts: reading the tables takes some tens of milliseconds.
 const STARTING_DELAY: Span = Span::from_ms(150);
 /// Retry delay while a gateway stops: callers retry at another one.
@@ -70,6 +72,8 @@
     /// Did not run: the client account has used up its limit. Holds the time after which a request may
     /// be admitted.
     OverLimit(Span),
+    /// Did not run: the client account has a limit, and this host cannot tell its part of it.
+    LimitUnknown,
     /// The budget of the program is spent.
     BudgetSpent,
     /// Did not run: the gateway stops before the request is certain to have an answer.
@@ -123,6 +127,7 @@
             Refusal::Starting
             | Refusal::Stopping
             | Refusal::StaleEnvironment
+            | Refusal::LimitUnknown
             | Refusal::StoreUnavailable
             | Refusal::BudgetHeld
             | Refusal::StreamNotKept
@@ -150,6 +155,7 @@
             Refusal::TurnExists => "turn-exists",
             Refusal::UnknownKey => "unknown-key",
             Refusal::OverLimit(_) => "over-limit",
+            Refusal::LimitUnknown => "limit-unknown",
             Refusal::BudgetSpent => "budget-spent",
             Refusal::Starting => "starting",
             Refusal::Stopping => "stopping",
@@ -175,6 +181,7 @@
         let base = match self {
             Refusal::NoEndpoint => NO_ENDPOINT_DELAY,
             Refusal::StaleEnvironment => STALE_ENVIRONMENT_DELAY,
+            Refusal::LimitUnknown => LIMIT_UNKNOWN_DELAY,
             Refusal::StoreUnavailable => STORE_UNAVAILABLE_DELAY,
             Refusal::Starting => STARTING_DELAY,
             Refusal::Stopping => STOPPING_DELAY,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -58,6 +58,8 @@
     /// When each peer failed last, unless a call through it has succeeded since.
     failures: HashMap<Host, Time>,
     last_failure: Time,
+    /// Whether all gateways have been listed at some time. An empty list says nothing before that.
+    is_known: bool,
 }
 
 impl Roster {
@@ -72,8 +74,10 @@
         self.peers.remove(key);
     }
 
-    /// Removes the gateways whose rows are not among `listed`, the keys of all rows.
+    /// Removes the gateways whose rows are not among `listed`, the keys of all rows. The list is known
+    /// from then on.
     pub fn reconcile(&mut self, listed: &[CompactString]) {
+        self.is_known = true;
         self.peers.retain(|key, _| listed.contains(key));
     }
 
@@ -123,6 +127,17 @@
         peers.into_iter().cloned().collect()
     }
 
+    /// Whether all gateways have been listed at some time.
+    pub fn is_known(&self) -> bool {
+        self.is_known
+    }
+
+    /// Whether the gateway on `own` may meter client accounts. The others take their parts of a limit
+    /// from the number of listed hosts, so one that does not know the list or is not on it has none.
+    pub fn may_meter(&self, own: &Host) -> bool {
+        self.is_known && self.peers.values().any(|peer| peer.host == *own)
+    }
+
     /// Whether a listed gateway has this incarnation.
     pub fn contains(&self, incarnation: Incarnation) -> bool {
         let mut peers = self.peers.values();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -258,14 +258,17 @@
 }
 
 async fn follow_peers(shared: Arc<Shared>, own: Peer) {
-    peers::register(&shared.rows, &own, &shared.log).await;
-    follow_table(
-        shared,
-        peers::TABLE.into(),
-        PEER_FEED_WAIT,
-        apply_peer_event,
-    )
-    .await;
+    // The first list should have this gateway, but one that cannot write its row needs the list too.
+    let is_registered = peers::try_register(&shared.rows, &own, &shared.log).await;
+    let register = async {
+        if !is_registered {
+            crate::control::retry_pause().await;
+            peers::register(&shared.rows, &own, &shared.log).await;
+        }
+    };
+    let table = peers::TABLE.into();
+    let follow = follow_table(shared.clone(), table, PEER_FEED_WAIT, apply_peer_event);
+    futures_util::future::join(register, follow).await;
 }
 
 async fn follow_losses(shared: Arc<Shared>) {
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -96,3 +96,20 @@
     assert_eq!(call_order(&roster, Time(0)).len(), 2);
     assert!(!roster.contains(Incarnation(2)));
 }
+
+// A host that could not read the list granted the limits of client accounts as if it were alone.
+#[test]
+fn only_a_listed_host_that_knows_the_list_may_meter() {
+    let own = peer(1, "a").host;
+    assert!(!Roster::default().may_meter(&own));
+    // Rows may be inserted before all of them are known.
+    assert!(!roster().may_meter(&own));
+    let mut roster = roster();
+    let others: Vec<_> = [2, 3, 4]
+        .map(|number| peer(number, "a").host.to_string().into())
+        .into();
+    roster.reconcile(&others);
+    assert!(roster.is_known() && !roster.may_meter(&own));
+    roster.insert(&own.to_string().into(), peer(1, "a"));
+    assert!(roster.may_meter(&own));
+}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's store, with its published protocol: rows in tables and partitions,
 //! transactions, change feeds and objects. The list of hosts is read as the table `hosts`.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -69,6 +69,8 @@
     pub rows: BTreeMap<RowKey, (u64, Vec<u8>)>,
     /// Objects by key.
     pub objects: HashMap<String, Vec<u8>>,
+    /// Partitions that are unavailable while the others serve: calls of them are refused with 503.
+    pub unavailable: HashSet<store::Partition>,
     /// List of hosts.
     pub hosts: Vec<HostInfo>,
     /// Number of transactions committed.
@@ -125,6 +127,11 @@
         self.truncated_at = self.version;
     }
 
+    fn is_unavailable(&self, table: &str, partition: &str) -> bool {
+        self.unavailable
+            .contains(&store::Partition::new(table, partition))
+    }
+
     fn set(&mut self, row_key: RowKey, value: Option<Vec<u8>>) {
         match &value {
             Some(value) => {
@@ -223,6 +230,7 @@
         knobs: Knobs::default(),
         rows: BTreeMap::new(),
         objects: HashMap::new(),
+        unavailable: HashSet::new(),
         hosts,
         commits: 0,
         reads: 0,
@@ -325,6 +333,11 @@
         return Response::new(StatusCode::BadRequest);
     }
     let mut state = lock(state);
+    let entries = [&transaction.checks, &transaction.writes, &transaction.drops];
+    let mut entries = entries.into_iter().flatten();
+    if entries.any(|entry| state.is_unavailable(&entry.table, &entry.part)) {
+        return Response::new(StatusCode::ServiceUnavailable);
+    }
     let has_conflict = transaction.checks.iter().any(|check| {
         let found = state.rows.get(&check.row_key());
         found.map_or(0, |(version, _)| *version) != check.version
@@ -402,6 +415,9 @@
         return Response::new(StatusCode::BadRequest);
     };
     let mut state = lock(state);
+    if state.is_unavailable(&query.table, &query.part) {
+        return Response::new(StatusCode::ServiceUnavailable);
+    }
     state.reads += 1;
     if query.table == "hosts" {
         return json_response(&state.response_body(Some(host_rows(&state.hosts))));
@@ -456,6 +472,9 @@
     loop {
         {
             let mut state = lock(state);
+            if state.is_unavailable(&query.table, "") {
+                return Response::new(StatusCode::ServiceUnavailable);
+            }
             if query.after < state.truncated_at {
                 return Response::new(StatusCode::Gone);
             }
--- a/tests/all/gateway/accounts.rs
+++ b/tests/all/gateway/accounts.rs
@@ -16,7 +16,8 @@
     document.to_string()
 }
 
-fn apply(cluster: &Cluster, gateways: u16, version: u64, accounts: Value) {
+/// Puts an environment with these accounts in force at all gateways.
+pub fn apply(cluster: &Cluster, gateways: u16, version: u64, accounts: Value) {
     let document = document_with_accounts(version, accounts);
     cluster
         .store
@@ -34,7 +35,8 @@
         {"Name": "bob", "ApiKeys": ["key-b"], "Priority": 2}])
 }
 
-fn order(cluster: &Cluster, host: u16, id: &str, key: &str) -> Answer {
+/// Sends an order with a key.
+pub fn order(cluster: &Cluster, host: u16, id: &str, key: &str) -> Answer {
     Request::new("POST", ORDER, id)
         .with_header("Credential", key)
         .with_header("Tenant", "root")
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -22,3 +22,4 @@
 mod soak_streams;
 mod sweep;
 mod turns;
+mod unlisted;
--- /dev/null
+++ b/tests/all/gateway/unlisted.rs
@@ -0,0 +1,119 @@
+//! Gateways start, or join, while the list of gateways is unavailable and the rest of the store serves.
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use store::Partition;
+
+use crate::cluster::{START_TIMEOUT, eventually};
+use crate::gateway::accounts::{apply, order};
+use crate::gateway::cluster::Cluster;
+
+const RATE: u32 = 20;
+/// Time for which the account exceeds its limit.
+const LOAD_TIME: Duration = Duration::from_secs(4);
+
+/// Makes the list of gateways unavailable, or available again.
+fn set_list_unavailable(cluster: &Cluster, is_unavailable: bool) {
+    let list = Partition::new("gateways", "");
+    let mut store = cluster.store.state();
+    if is_unavailable {
+        store.unavailable.insert(list);
+    } else {
+        store.unavailable.remove(&list);
+    }
+}
+
+fn restart(cluster: &mut Cluster, hosts: std::ops::Range<u16>) {
+    for host in hosts.clone() {
+        cluster.kill(host);
+    }
+    for host in hosts.clone() {
+        cluster.spawn(host);
+    }
+    for host in hosts {
+        cluster.eventually_ready(host);
+    }
+}
+
+/// Starts hosts with an account that has a limit and one that has none.
+fn start(hosts: u16) -> Cluster {
+    let cluster = Cluster::start(hosts, 2);
+    let accounts = json!([{"Name": "ada", "ApiKeys": ["key-a1"], "RatePerS": RATE, "Burst": RATE},
+        {"Name": "bob", "ApiKeys": ["key-b"]}]);
+    apply(&cluster, hosts, 2, accounts);
+    for host in 0..hosts {
+        eventually(START_TIMEOUT, "the host obtains credit", || {
+            status(&cluster, host, "key-a1") == 200
+        });
+    }
+    cluster
+}
+
+fn status(cluster: &Cluster, host: u16, key: &str) -> u16 {
+    order(cluster, host, &format!("o{}", rand::random::<u64>()), key).status
+}
+
+/// Sends requests of the account with a limit through one host; returns how many were served. Each
+/// refusal must name a time to return.
+fn send_orders(cluster: &Cluster, host: u16, until: Instant) -> u32 {
+    let mut served = 0;
+    while Instant::now() < until {
+        let id = format!("l{}", rand::random::<u64>());
+        let answer = order(cluster, host, &id, "key-a1");
+        assert!(matches!(answer.status, 200 | 429 | 503), "{answer:?}");
+        if answer.status == 200 {
+            served += 1;
+        } else {
+            assert!(answer.header("retry-after").is_some(), "{answer:?}");
+        }
+    }
+    served
+}
+
+/// Sends more requests than the account's limit allows through each host, and checks that all hosts
+/// together keep it.
+fn check_limit(cluster: &Cluster, hosts: u16) {
+    let began = Instant::now();
+    let until = began + LOAD_TIME;
+    let served: u32 = std::thread::scope(|scope| {
+        let send = |host| scope.spawn(move || send_orders(cluster, host, until));
+        let senders: Vec<_> = (0..hosts).map(send).collect();
+        let served = senders.into_iter().map(|sender| sender.join().unwrap());
+        served.sum()
+    });
+    // The tolerance of the platform: a tenth of the limit and 20 requests.
+    let (rate, seconds) = (f64::from(RATE), began.elapsed().as_secs_f64());
+    let bound = (rate * seconds + rate) * 1.1 + 20.0;
+    assert!(f64::from(served) <= bound, "{served} of {bound}");
+}
+
+/// Cases in which `restarted` of four hosts start while the list is unavailable.
+macro_rules! restarts {
+    ($($name:ident: $restarted:expr;)*) => {
+        $(
+            // A host without the list took itself for the whole fleet and granted each limit alone.
+            #[test]
+            fn $name() {
+                let mut cluster = start(4);
+                set_list_unavailable(&cluster, true);
+                restart(&mut cluster, $restarted);
+                check_limit(&cluster, 4);
+                for host in 0..4 {
+                    assert_eq!(status(&cluster, host, "key-b"), 200);
+                }
+                set_list_unavailable(&cluster, false);
+                for host in 0..4 {
+                    eventually(START_TIMEOUT, "the host obtains credit", || {
+                        status(&cluster, host, "key-a1") == 200
+                    });
+                }
+            }
+        )*
+    };
+}
+
+restarts! {
+    hosts_that_start_without_their_list_keep_a_limit: 0..3;
+    all_hosts_that_start_without_their_list_keep_a_limit: 0..4;
+}
