gateway: a meter sends the list of gateways to listed hosts that are silent

Cause: a restarted host knows no other one, while all others have its name and address from its earlier start.

Peers of earlier releases close the stream. Nothing is sent while no account has a limit or all listed hosts send messages. 'list of gateways received from a peer' is logged, and the shares of endpoint limits are computed with the list.

Ruled out: all hosts send the list to all (300 hosts: 90,000 messages a round); the store is not asked, as the list is what it cannot return.

--- a/crates/clients/src/meter.rs
+++ b/crates/clients/src/meter.rs
@@ -100,9 +100,11 @@
         part
     }
 
-    /// Returns the number of attached hosts, as of the latest [`Meter::part`].
-    pub fn attached_count(&self) -> usize {
-        self.attached.len()
+    /// Returns the hosts that are attached.
+    pub fn attached(&self, now: Time) -> impl Iterator<Item = &Host> {
+        let attached = self.attached.iter();
+        let attached = attached.filter(move |(_, seen_at)| now.since(**seen_at) < ATTACHMENT_TIME);
+        attached.map(|(host, _)| host)
     }
 
     /// Grants credit, as far as the part `part` of the account's limit allows. The limit of the newest
--- a/crates/gateway/src/caps.rs
+++ b/crates/gateway/src/caps.rs
@@ -6,7 +6,7 @@
 //! time; requests that arrive meanwhile are part of the next one. Messages are also sent without a
 //! request, so that the meter counts this host as attached to it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -22,6 +22,7 @@
 use wire::{Relay, Relayed};
 
 use crate::accept::wait_until;
+use crate::introductions::Introductions;
 use crate::peers::Peers;
 use crate::prompt::stable_hash;
 use crate::reply::Refusal;
@@ -52,6 +53,7 @@
     started_at: Time,
     log: Logger,
     meter: Mutex<Meter>,
+    introductions: Mutex<Introductions>,
     attachment: Mutex<Attachment>,
     accounts: Mutex<HashMap<CompactString, Demand>>,
     /// Whether any account of the environment has a limit.
@@ -105,6 +107,7 @@
             started_at: clock.now(),
             log,
             meter: Mutex::default(),
+            introductions: Mutex::default(),
             attachment: Mutex::default(),
             accounts: Mutex::default(),
             has_limits: AtomicBool::new(false),
@@ -207,6 +210,46 @@
         }
     }
 
+    /// Sends the list of hosts to those that send no messages to this meter, for as long as the process
+    /// runs and any account has a limit.
+    pub(crate) async fn introduce_all(self: Arc<Self>) {
+        loop {
+            smol::Timer::after(MESSAGE_INTERVAL).await;
+            if !self.has_limits.load(Ordering::Acquire) {
+                continue;
+            }
+            let due = self.due_introductions();
+            if due.is_empty() {
+                continue;
+            }
+            let rows = self.peers.roster().rows();
+            let calls = due.into_iter().map(|peer| {
+                let relay = Relay::Introduce { rows: rows.clone() };
+                self.peers.call(peer, relay, ANSWER_TIMEOUT)
+            });
+            // A host that has not started yet does not answer.
+            drop(futures_util::future::join_all(calls).await);
+        }
+    }
+
+    fn due_introductions(&self) -> Vec<Peer> {
+        let now = self.clock.now();
+        let silent = {
+            let roster = self.peers.roster();
+            let meter = self.meter.lock().unwrap_or_else(PoisonError::into_inner);
+            let attached: HashSet<&Host> = meter.attached(now).collect();
+            let silent = roster.peers().filter(|peer| {
+                !attached.is_empty() && !attached.contains(&peer.host) && peer.host != self.own
+            });
+            silent.cloned().collect()
+        };
+        let mut introductions = self
+            .introductions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        introductions.due(silent, now)
+    }
+
     fn has_waiting(&self) -> bool {
         let accounts = self.accounts();
         accounts.values().any(|demand| !demand.waiting.is_empty())
@@ -277,7 +320,7 @@
         let mut meter = self.meter.lock().unwrap_or_else(PoisonError::into_inner);
         meter.attach(host, now);
         let part = meter.part(listed, now);
-        self.log_attachment(meter.attached_count(), listed, now);
+        self.log_attachment(meter.attached(now).count(), listed, now);
         let granted = wants.iter().map(|want| meter.grant(want, part, now));
         Some(granted.collect())
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -128,6 +128,14 @@
         self.known.notify(usize::MAX);
     }
 
+    /// Takes over the list of another gateway, unless this one has read the list itself.
+    fn introduce(&self, rows: &[Row], log: &Logger) {
+        if !self.roster().is_known() {
+            info!(log, "list of gateways received from a peer"; "gateways" => rows.len());
+            self.list(rows, log);
+        }
+    }
+
     /// Returns when the list of gateways is known.
     pub(crate) async fn wait_known(&self) {
         loop {
@@ -228,6 +236,7 @@
     pub(crate) identity: Identity,
     pub(crate) key: Key,
     pub(crate) rows: Arc<Rows>,
+    pub(crate) peers: Peers,
     pub(crate) replica: Arc<Replica>,
     pub(crate) programs: Arc<Programs>,
     pub(crate) caps: Arc<Caps>,
@@ -236,7 +245,7 @@
 }
 
 /// Runs the server for peers and the client to them until the process ends.
-pub(crate) fn run(ctx: Context, peers: Peers, listener: Listener) {
+pub(crate) fn run(ctx: Context, listener: Listener) {
     let executor = Rc::new(LocalExecutor::new());
     let ctx = Rc::new(ctx);
     let handler = {
@@ -258,8 +267,8 @@
     );
     executor.spawn(server).detach();
     let client = Client {
+        peers: ctx.peers.clone(),
         ctx,
-        peers,
         executor: executor.clone(),
         links: Rc::default(),
     };
@@ -285,6 +294,10 @@
             let granted = ctx.caps.serve(&host, &wants);
             granted.map_or(Relayed::Unavailable, Relayed::Acquired)
         }
+        Relay::Introduce { rows } => {
+            ctx.peers.introduce(&rows, &ctx.log);
+            Relayed::Introduced
+        }
         relay => ctx.rows.serve_peer(relay).await,
     };
     // A peer that has disconnected repeats its request.
@@ -553,7 +566,7 @@
         Some(peer) => {
             info!(log, "peer listed"; "peer" => %peer.host, "address" => %peer.address,
                 "row_version" => row.version);
-            peers.roster().insert(&row.key, peer);
+            peers.roster().insert(&row.key, peer, row.version);
         }
         None => warn!(log, "gateway row cannot be decoded"; "row" => %row.key,
             "row_version" => row.version),
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -6,6 +6,7 @@
 
 use compact_str::CompactString;
 use serde::Serialize;
+use store::api::{Row, Value};
 use units::{Host, Incarnation, Span, Time, Zone};
 
 use crate::prompt::stable_hash;
@@ -51,10 +52,17 @@
     }
 }
 
+/// A gateway, with the version of its row.
+#[derive(Debug)]
+struct Listed {
+    peer: Peer,
+    row_version: u64,
+}
+
 /// The known gateways and their recent failures.
 #[derive(Debug, Default)]
 pub struct Roster {
-    peers: HashMap<CompactString, Peer>,
+    listed: HashMap<CompactString, Listed>,
     /// When each peer failed last, unless a call through it has succeeded since.
     failures: HashMap<Host, Time>,
     last_failure: Time,
@@ -64,21 +72,22 @@
 
 impl Roster {
     /// Inserts or replaces the gateway of a row, and clears the failures of its host.
-    pub fn insert(&mut self, key: &CompactString, peer: Peer) {
+    pub fn insert(&mut self, key: &CompactString, peer: Peer, row_version: u64) {
         self.failures.remove(&peer.host);
-        self.peers.insert(key.clone(), peer);
+        let listed = Listed { peer, row_version };
+        self.listed.insert(key.clone(), listed);
     }
 
     /// Removes the gateway whose row was deleted.
     pub fn remove(&mut self, key: &str) {
-        self.peers.remove(key);
+        self.listed.remove(key);
     }
 
     /// Removes the gateways whose rows are not among `listed`, the keys of all rows. The list is known
     /// from then on.
     pub fn reconcile(&mut self, listed: &[CompactString]) {
         self.is_known = true;
-        self.peers.retain(|key, _| listed.contains(key));
+        self.listed.retain(|key, _| listed.contains(key));
     }
 
     /// Records that a call through a peer failed.
@@ -102,7 +111,7 @@
             let failure = self.failures.get(&peer.host).copied();
             failure.filter(|_| is_backing_off)
         };
-        let mut peers: Vec<&Peer> = self.peers.values().collect();
+        let mut peers: Vec<&Peer> = self.peers().collect();
         peers.retain(|peer| peer.host != own.host);
         peers.sort_by_key(|peer| {
             let tie_break = spread.wrapping_mul(peer.incarnation.0 | 1);
@@ -119,7 +128,7 @@
             let failure = self.failures.get(&peer.host);
             failure.is_some_and(|failed_at| now.since(*failed_at) < FAILED_PEER_BACKOFF)
         };
-        let mut peers: Vec<&Peer> = self.peers.values().collect();
+        let mut peers: Vec<&Peer> = self.peers().collect();
         peers.sort_by_cached_key(|peer| {
             let tie_break = stable_hash(&format!("{group}/{}", peer.host));
             (is_failed(peer), Reverse(peer.processor), tie_break)
@@ -135,22 +144,32 @@
     /// Whether the gateway on `own` may meter client accounts. The others take their parts of a limit
     /// from the number of listed hosts, so one that does not know the list or is not on it has none.
     pub fn may_meter(&self, own: &Host) -> bool {
-        self.is_known && self.peers.values().any(|peer| peer.host == *own)
+        self.is_known && self.peers().any(|peer| peer.host == *own)
     }
 
     /// Whether a listed gateway has this incarnation.
     pub fn contains(&self, incarnation: Incarnation) -> bool {
-        let mut peers = self.peers.values();
+        let mut peers = self.peers();
         peers.any(|peer| peer.incarnation == incarnation)
     }
 
     /// Returns the listed gateways, including this one.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.values()
+        self.listed.values().map(|listed| &listed.peer)
+    }
+
+    /// Returns the rows of the list.
+    pub(crate) fn rows(&self) -> Vec<Row> {
+        let rows = self.listed.iter().map(|(key, listed)| Row {
+            key: key.clone(),
+            version: listed.row_version,
+            value: Value(listed.peer.encode()),
+        });
+        rows.collect()
     }
 
     /// Returns the number of listed gateways, including this one.
     pub fn count(&self) -> usize {
-        self.peers.len()
+        self.listed.len()
     }
 }
--- a/crates/gateway/src/rows.rs
+++ b/crates/gateway/src/rows.rs
@@ -453,9 +453,10 @@
                 wait,
             } => self.serve_feed(&table, version, wait.min(FEED_WAIT)).await,
             // Served by other parts of the gateway.
-            Relay::Environment { .. } | Relay::Settle { .. } | Relay::Acquire { .. } => {
-                Err(unavailable())
-            }
+            Relay::Environment { .. }
+            | Relay::Settle { .. }
+            | Relay::Acquire { .. }
+            | Relay::Introduce { .. } => Err(unavailable()),
         }
     }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -116,6 +116,7 @@
         smol::spawn(follow_losses(shared.clone())),
         smol::spawn(maintain(shared.clone())),
         smol::spawn(shared.caps.clone().run()),
+        smol::spawn(shared.caps.clone().introduce_all()),
         smol::spawn(sweep::run(shared.clone(), own.clone())),
         smol::spawn(follow_settings(
             shared.clone(),
@@ -232,16 +233,16 @@
         },
         key: Key::new(*settings.key.bytes()),
         rows: shared.rows.clone(),
+        peers: shared.peers.clone(),
         replica: shared.replica.clone(),
         programs: shared.programs.clone(),
         caps: shared.caps.clone(),
         clock: shared.clock,
         log: shared.log.clone(),
     };
-    let peers = shared.peers.clone();
     std::thread::Builder::new()
         .name("peers".into())
-        .spawn(move || peers::run(ctx, peers, listener))
+        .spawn(move || peers::run(ctx, listener))
         .map_err(Error::Thread)?;
     Ok(own)
 }
@@ -266,9 +267,14 @@
             peers::register(&shared.rows, &own, &shared.log).await;
         }
     };
+    // A peer may have sent the list.
+    let sync = async {
+        shared.peers.wait_known().await;
+        shared.sync_senders();
+    };
     let table = peers::TABLE.into();
     let follow = follow_table(shared.clone(), table, PEER_FEED_WAIT, apply_peer_event);
-    futures_util::future::join(register, follow).await;
+    futures_util::future::join3(register, sync, follow).await;
 }
 
 async fn follow_losses(shared: Arc<Shared>) {
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -17,7 +17,7 @@
     let mut roster = Roster::default();
     for (number, zone) in [(1, "a"), (2, "a"), (3, "b"), (4, "b")] {
         let peer = peer(number, zone);
-        roster.insert(&peer.host.to_string().into(), peer);
+        roster.insert(&peer.host.to_string().into(), peer, 1);
     }
     roster
 }
@@ -50,7 +50,7 @@
     let now = Time(0).after(Span::from_ms(10_000));
     roster.record_failure(&peer(2, "a").host, now);
     let key = peer(2, "a").host.to_string().into();
-    roster.insert(&key, peer(2, "a"));
+    roster.insert(&key, peer(2, "a"), 2);
     assert_eq!(call_order(&roster, now)[0], 2);
     roster.remove(&key);
     assert_eq!(call_order(&roster, now).len(), 2);
@@ -62,7 +62,7 @@
     let zones = ["a", "a", "a", "a", "b", "b", "b", "b"];
     for (number, zone) in (1..).zip(zones) {
         let peer = peer(number, zone);
-        roster.insert(&peer.host.to_string().into(), peer);
+        roster.insert(&peer.host.to_string().into(), peer, 1);
     }
     // Two peers at a time are called, each for a time that is close to the first backoff.
     let mut now = Time(0).after(Span::from_ms(10_000));
@@ -110,6 +110,6 @@
         .into();
     roster.reconcile(&others);
     assert!(roster.is_known() && !roster.may_meter(&own));
-    roster.insert(&own.to_string().into(), peer(1, "a"));
+    roster.insert(&own.to_string().into(), peer(1, "a"), 2);
     assert!(roster.may_meter(&own));
 }
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -4,7 +4,7 @@
 use clients::{Granted, Want};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
-use store::api::Transaction;
+use store::api::{Row, Transaction};
 use store::{Feed, Outcome, Page, Partition};
 use units::{Host, Span};
 
@@ -59,6 +59,12 @@
         /// What it wants; may be empty.
         wants: Vec<Want>,
     },
+    /// Gives the peer the list of processes of its kind, in case it could not read it. Peers of earlier
+    /// releases cannot decode this call and close the stream.
+    Introduce {
+        /// The rows of the list, as the sender has them.
+        rows: Vec<Row>,
+    },
 }
 
 /// A peer's copy of the row with the environment.
@@ -105,4 +111,6 @@
     Settled,
     /// The credit granted for each of the wants, in their order.
     Acquired(Vec<Granted>),
+    /// The peer has the list that it was given, or one that it has read.
+    Introduced,
 }
--- a/tests/all/gateway/unlisted.rs
+++ b/tests/all/gateway/unlisted.rs
@@ -117,3 +117,18 @@
     hosts_that_start_without_their_list_keep_a_limit: 0..3;
     all_hosts_that_start_without_their_list_keep_a_limit: 0..4;
 }
+
+// Hosts that started without the list refused what the limit holds for as long as it was unavailable.
+#[test]
+fn a_host_that_starts_without_its_list_gets_it_from_a_running_one() {
+    let mut cluster = start(4);
+    set_list_unavailable(&cluster, true);
+    restart(&mut cluster, 0..3);
+    for host in 0..3 {
+        eventually(START_TIMEOUT, "the host obtains credit", || {
+            status(&cluster, host, "key-a1") == 200
+        });
+        assert!(cluster.log(host).contains("received from a peer"));
+    }
+    check_limit(&cluster, 4);
+}
