gateway: a peer that does not reach the store still meters accounts

What callers saw: while a part of the store was unavailable to all hosts, each host granted its own part of each limit, 1/37 with 37 hosts, and refused the rest with 429, also what other hosts did not use. An account's capacity of 8 requests is then less than one at each host.

Cause: Roster held one record of failures. A peer that answered a relayed call of the store with 'unavailable' was recorded as failed, and meter_order put all such peers after this host.

Change: failures to answer as a meter are recorded apart from failures to make a call of the store.

--- a/crates/gateway/src/caps.rs
+++ b/crates/gateway/src/caps.rs
@@ -304,7 +304,7 @@
                 info!(self.log, "meter does not answer"; "peer" => %peer.host,
                     "accounts" => wants.len());
                 let now = self.clock.now();
-                self.peers.roster().record_failure(&peer.host, now);
+                self.peers.roster().record_meter_failure(&peer.host, now);
                 None
             }
         }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -63,8 +63,10 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     listed: HashMap<CompactString, Listed>,
-    /// When each peer failed last, unless a call through it has succeeded since.
+    /// When each peer failed last to make a call of the store, unless one has succeeded since.
     failures: HashMap<Host, Time>,
+    /// When each peer failed last to answer as a meter: one that does not reach the store answers.
+    meter_failures: HashMap<Host, Time>,
     last_failure: Time,
     /// Whether all gateways have been listed at some time. An empty list says nothing before that.
     is_known: bool,
@@ -74,6 +76,7 @@
     /// Inserts or replaces the gateway of a row, and clears the failures of its host.
     pub fn insert(&mut self, key: &CompactString, peer: Peer, row_version: u64) {
         self.failures.remove(&peer.host);
+        self.meter_failures.remove(&peer.host);
         let listed = Listed { peer, row_version };
         self.listed.insert(key.clone(), listed);
     }
@@ -96,6 +99,11 @@
         self.last_failure = now;
     }
 
+    /// Records that a peer did not answer as a meter.
+    pub fn record_meter_failure(&mut self, host: &Host, now: Time) {
+        self.meter_failures.insert(host.clone(), now);
+    }
+
     /// Records that a call through a peer succeeded.
     pub fn record_success(&mut self, host: &Host) {
         self.failures.remove(host);
@@ -121,11 +129,11 @@
     }
 
     /// Returns the gateways in the order in which they meter a group of client accounts: first those
-    /// without a recent failure, the ones with the most processor time, in an order that differs
-    /// between groups.
+    /// that did not fail as meters recently, the ones with the most processor time, in an order that
+    /// differs between groups.
     pub fn meter_order(&self, group: u64, now: Time) -> Vec<Peer> {
         let is_failed = |peer: &Peer| {
-            let failure = self.failures.get(&peer.host);
+            let failure = self.meter_failures.get(&peer.host);
             failure.is_some_and(|failed_at| now.since(*failed_at) < FAILED_PEER_BACKOFF)
         };
         let mut peers: Vec<&Peer> = self.peers().collect();
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -113,3 +113,20 @@
     roster.insert(&own.to_string().into(), peer(1, "a"), 2);
     assert!(roster.may_meter(&own));
 }
+
+// While a part of the store was unavailable to all hosts, each took the others for failed meters and
+// granted its own part of the limits, which is less than one request of most accounts.
+#[test]
+fn a_peer_that_does_not_reach_the_store_still_meters() {
+    let mut roster = roster();
+    let now = Time(0).after(Span::from_ms(10_000));
+    let before = roster.meter_order(0, now);
+    for peer in &before[..3] {
+        roster.record_failure(&peer.host, now);
+    }
+    assert_eq!(roster.meter_order(0, now), before);
+    roster.record_meter_failure(&before[0].host, now);
+    assert_eq!(roster.meter_order(0, now)[3], before[0]);
+    let later = now.after(Span::from_ms(3_000));
+    assert_eq!(roster.meter_order(0, later), before);
+}
