gateway: a host that is missing from the list may hold tokens while the list cannot be read

What callers saw: 402 budget-spent, which ends a program, with 48 of 240 tokens unused, from a host that had started while the list of gateways was unavailable; and from a host with the list, if the holders had started meanwhile.

Cause: a turn that needs tokens of other hosts has the listed ones settle their grants; a grant that stays for 1.5 s counts as that of a failed host. A holder that is not listed was not asked. It is missing if this host has no list, or if it started after the list was read.

Evidence: the log line 'grants of other hosts requested' with hosts 1, took_ms 0, then 'turn exceeds the budget' with code budget-spent; the holders ran and were never asked.

Change: if a holder is not listed, the list is read again while the others settle. If it cannot be read, or lists a holder that was not asked, the turn is refused with 503 budget-held and the time for which the grant has stayed begins anew.

Why it works: 402 is given only if each holder was asked, or is missing from a list that was just read.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -543,6 +543,19 @@
     result.is_ok()
 }
 
+/// Reads the list of gateways anew; returns their incarnations.
+///
+/// # Errors
+/// If it cannot be read. A gateway that is missing from an earlier list may run nevertheless.
+pub(crate) async fn read_list(rows: &Rows) -> Result<Vec<Incarnation>> {
+    let page = rows.read(&Partition::new(TABLE, ""), "", "").await?;
+    let peers = page
+        .rows
+        .iter()
+        .filter_map(|row| Peer::decode(&row.value.0));
+    Ok(peers.map(|peer| peer.incarnation).collect())
+}
+
 /// Deletes this gateway's row, unless a later start on the host has written another one.
 pub(crate) async fn unregister(rows: &Rows, own: &Peer, log: &Logger) {
     let partition = Partition::new(TABLE, "");
--- a/crates/gateway/src/programs.rs
+++ b/crates/gateway/src/programs.rs
@@ -27,7 +27,7 @@
 use wire::Relay;
 
 use crate::control::retry_pause;
-use crate::peers::Peers;
+use crate::peers::{self, Peers};
 use crate::reply::Refusal;
 use crate::rows::Rows;
 
@@ -79,6 +79,9 @@
     /// Whether the spare tokens are to be released.
     release_spare: bool,
     held: Option<HeldGrants>,
+    /// Whether the hosts that were asked last may include running ones that were not reached, as they
+    /// are missing from the list of gateways and it could not be read again.
+    may_miss_holders: bool,
     drop_account: bool,
     is_task_running: bool,
     pending: Option<PendingWrite>,
@@ -433,12 +436,30 @@
             program: self.name.clone(),
         };
         let request = self.peers.request_return(&relay, holders, SETTLE_WAIT_MAX);
-        request.await;
+        let (_, may_miss) =
+            futures_util::future::join(request, self.may_miss_holders(holders)).await;
+        self.lock().may_miss_holders = may_miss;
         info!(self.log, "grants of other hosts requested"; "program" => %self.name,
-            "hosts" => holders.len(),
+            "hosts" => holders.len(), "may_miss" => may_miss,
             "took_ms" => self.clock.now().since(started).as_ms());
     }
 
+    /// Whether any of these hosts may run although this host does not list it: the list is read again,
+    /// as a host that has started since is missing from an earlier one.
+    async fn may_miss_holders(&self, holders: &[Incarnation]) -> bool {
+        let is_listed = |holder: &Incarnation| self.rows.is_listed(*holder);
+        if holders.iter().all(is_listed) {
+            return false;
+        }
+        match peers::read_list(&self.rows).await {
+            // The hosts on the new list that are missing from the old one were not asked.
+            Ok(listed) => holders
+                .iter()
+                .any(|holder| listed.contains(holder) && !is_listed(holder)),
+            Err(_) => true,
+        }
+    }
+
     async fn write(&self, pending: PendingWrite) {
         let result = self
             .rows
@@ -525,6 +546,7 @@
             top_up: false,
             release_spare: false,
             held: None,
+            may_miss_holders: false,
             drop_account: false,
             is_task_running: false,
             pending: None,
@@ -534,8 +556,13 @@
     }
 
     /// Returns the refusal of a turn that does not fit until other hosts settle their grants. A grant
-    /// that stays unsettled is the one of a host that failed, and its rest is lost.
+    /// that stays unsettled is the one of a host that failed, and its rest is lost, unless a running
+    /// host may not have been asked.
     fn refuse_held(&mut self, now: Time) -> Refusal {
+        if self.may_miss_holders {
+            self.held = None;
+            return Refusal::BudgetHeld;
+        }
         let (granted, used) = self.ledger.grants_of_others();
         let known = self
             .held
--- a/tests/all/gateway/budgets.rs
+++ b/tests/all/gateway/budgets.rs
@@ -7,7 +7,8 @@
 use crate::gateway::cluster::{Cluster, PLAIN_TURN, document, turn};
 use crate::gateway::http::Answer;
 
-const USED_TOKENS_PER_TURN: u64 = 12;
+/// Tokens that each turn here uses.
+pub const USED_TOKENS_PER_TURN: u64 = 12;
 const TOKENS_PER_TURN_MAX: u64 = 30;
 /// Turn that reaches no worker in this many tries breaks the rules.
 const TRIES_MAX: usize = 5;
@@ -56,7 +57,7 @@
 }
 
 /// Sends a turn, again after the time that each 503 names.
-fn send_until_final(cluster: &Cluster, host: u16, name: &str, budget: u64) -> Answer {
+pub fn send_until_final(cluster: &Cluster, host: u16, name: &str, budget: u64) -> Answer {
     let mut tries = 0;
     loop {
         let id = format!("{name}-{tries}");
@@ -72,7 +73,7 @@
 
 /// Sends turns through `host` until one is refused, and checks that the budget does not hold it.
 /// `used` tokens were handed out before.
-fn check_whole_budget_is_usable(cluster: &Cluster, host: u16, mut used: u64, budget: u64) {
+pub fn check_whole_budget_is_usable(cluster: &Cluster, host: u16, mut used: u64, budget: u64) {
     let answer = loop {
         let name = format!("late-{used}");
         let answer = send_until_final(cluster, host, &name, budget);
--- a/tests/all/gateway/unlisted.rs
+++ b/tests/all/gateway/unlisted.rs
@@ -7,6 +7,9 @@
 
 use crate::cluster::{START_TIMEOUT, eventually};
 use crate::gateway::accounts::{apply, order};
+use crate::gateway::budgets::{
+    USED_TOKENS_PER_TURN, check_whole_budget_is_usable, send_until_final,
+};
 use crate::gateway::cluster::Cluster;
 
 const RATE: u32 = 20;
@@ -132,3 +135,45 @@
     }
     check_limit(&cluster, 4);
 }
+
+/// Cases in which `restarted` of three hosts start while the list is unavailable. Two hosts hold tokens
+/// of a program, and the third one needs them.
+macro_rules! held_tokens {
+    ($($name:ident: $restarted:expr;)*) => {
+        $(
+            // The hosts that held the tokens were taken for failed ones, and the turn was answered 402
+            // although the budget was not spent.
+            #[test]
+            fn $name() {
+                const BUDGET: u64 = 240;
+                let mut cluster = Cluster::start(3, 1);
+                set_list_unavailable(&cluster, true);
+                restart(&mut cluster, $restarted);
+                let mut used = 0;
+                for host in 0..2 {
+                    let answer = send_until_final(&cluster, host, &format!("early-{host}"), BUDGET);
+                    assert_eq!(answer.status, 200, "{answer:?}");
+                    used += USED_TOKENS_PER_TURN;
+                }
+                let refused = loop {
+                    let answer = send_until_final(&cluster, 2, &format!("away-{used}"), BUDGET);
+                    if answer.status != 200 {
+                        break answer;
+                    }
+                    used += USED_TOKENS_PER_TURN;
+                };
+                assert_eq!(refused.status, 503, "{used} of {BUDGET}: {refused:?}");
+                set_list_unavailable(&cluster, false);
+                eventually(START_TIMEOUT, "all hosts are listed", || {
+                    cluster.log(2).matches("peer listed").count() >= 3
+                });
+                check_whole_budget_is_usable(&cluster, 2, used, BUDGET);
+            }
+        )*
+    };
+}
+
+held_tokens! {
+    tokens_are_not_spent_at_a_host_that_starts_without_its_list: 2..3;
+    tokens_are_not_spent_if_their_holders_start_without_a_list: 0..2;
+}
