gateway: keep a copy of the list of gateways in a table of its own

What callers saw: hosts that joined while the list was unavailable, and all hosts if all of them were killed meanwhile, refused every request of an account with a limit (503 limit-unknown) until the list was back, as no running host could send it to them.

Cause: the list stood in one partition of the store, and parts of the store are unavailable apart.

Change: each gateway also writes its row to gateways-copy, and reads the copy each second while the list is unavailable. A row states how many gateways its writer had on the list: a copy with fewer rows, as gateways of an earlier release write none, is not used, and a host that does not know the list does not write. Rows that are older than the known ones are ignored, so that the list does not bring back an earlier start of a host. The holders of tokens are looked for in the copy too.

Result: unlisted::hosts_that_all_start_without_their_list_read_its_copy and a_host_that_joins_without_the_list_reads_its_copy pass; without the copy (Away::ListAndCopy) the hosts answer 503 until the list is back, and the limit holds.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,7 @@
 use wire::{Frame, Identity, Key, Link, PackedRow, Relay, Relayed, Stream};
 
 use crate::caps::Caps;
+use crate::list_copy;
 use crate::programs::Programs;
 use crate::replica::{self, REPORT_INTERVAL, Replica};
 use crate::roster::{Peer, Roster};
@@ -122,9 +123,15 @@
     pub(crate) fn list(&self, rows: &[Row], log: &Logger) {
         let keys: Vec<CompactString> = rows.iter().map(|row| row.key.clone()).collect();
         self.roster().reconcile(&keys);
+        self.add(rows, log);
+    }
+
+    /// Adds the gateways of these rows to the list, which has all that there are then.
+    pub(crate) fn add(&self, rows: &[Row], log: &Logger) {
         for row in rows {
             apply_row(self, row, log);
         }
+        self.roster().set_known();
         self.known.notify(usize::MAX);
     }
 
@@ -132,7 +139,7 @@
     fn introduce(&self, rows: &[Row], log: &Logger) {
         if !self.roster().is_known() {
             info!(log, "list of gateways received from a peer"; "gateways" => rows.len());
-            self.list(rows, log);
+            self.add(rows, log);
         }
     }
 
@@ -556,20 +563,42 @@
     Ok(peers.map(|peer| peer.incarnation).collect())
 }
 
-/// Deletes this gateway's row, unless a later start on the host has written another one.
+/// Deletes this gateway's rows, unless a later start on the host has written others.
 pub(crate) async fn unregister(rows: &Rows, own: &Peer, log: &Logger) {
-    let partition = Partition::new(TABLE, "");
+    let list = delete_row(rows, Partition::new(TABLE, ""), own, 0, log);
+    let copy = delete_row(
+        rows,
+        list_copy::partition(),
+        own,
+        list_copy::PREFIX_BYTES,
+        log,
+    );
+    futures_util::future::join(list, copy).await;
+}
+
+/// Deletes this gateway's row of a partition, in which `prefix_bytes` stand before the gateway.
+async fn delete_row(
+    rows: &Rows,
+    partition: Partition,
+    own: &Peer,
+    prefix_bytes: usize,
+    log: &Logger,
+) {
     let key = own.host.as_str();
     let result = rows.read(&partition, key, &store::key_after(key)).await;
     let row = result.ok().and_then(|page| page.rows.into_iter().next());
-    let Some(row) = row.filter(|row| Peer::decode(&row.value.0).as_ref() == Some(own)) else {
+    let is_own = |row: &Row| {
+        let peer = row.value.0.get(prefix_bytes..).and_then(Peer::decode);
+        peer.as_ref() == Some(own)
+    };
+    let Some(row) = row.filter(is_own) else {
         return;
     };
     let transaction = Transaction::default()
         .with_check(key, row.version)
         .with_delete(key);
     if let Err(error) = rows.write(&partition, &transaction).await {
-        info!(log, "gateway row not deleted"; "error" => %error);
+        info!(log, "gateway row not deleted"; "table" => %partition.table, "error" => %error);
     }
 }
 
@@ -577,9 +606,11 @@
 pub(crate) fn apply_row(peers: &Peers, row: &Row, log: &Logger) {
     match Peer::decode(&row.value.0) {
         Some(peer) => {
-            info!(log, "peer listed"; "peer" => %peer.host, "address" => %peer.address,
-                "row_version" => row.version);
-            peers.roster().insert(&row.key, peer, row.version);
+            let (host, address) = (peer.host.clone(), peer.address);
+            if peers.roster().insert(&row.key, peer, row.version) {
+                info!(log, "peer listed"; "peer" => %host, "address" => %address,
+                    "row_version" => row.version);
+            }
         }
         None => warn!(log, "gateway row cannot be decoded"; "row" => %row.key,
             "row_version" => row.version),
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -73,12 +73,18 @@
 }
 
 impl Roster {
-    /// Inserts or replaces the gateway of a row, and clears the failures of its host.
-    pub fn insert(&mut self, key: &CompactString, peer: Peer, row_version: u64) {
+    /// Inserts or replaces the gateway of a row, and clears the failures of its host. Returns whether
+    /// the row is newer than the one that is known; another one is ignored.
+    pub fn insert(&mut self, key: &CompactString, peer: Peer, row_version: u64) -> bool {
+        let known = self.listed.get(key);
+        if known.is_some_and(|known| known.row_version >= row_version) {
+            return false;
+        }
         self.failures.remove(&peer.host);
         self.meter_failures.remove(&peer.host);
         let listed = Listed { peer, row_version };
         self.listed.insert(key.clone(), listed);
+        true
     }
 
     /// Removes the gateway whose row was deleted.
@@ -89,7 +95,7 @@
     /// Removes the gateways whose rows are not among `listed`, the keys of all rows. The list is known
     /// from then on.
     pub fn reconcile(&mut self, listed: &[CompactString]) {
-        self.is_known = true;
+        self.set_known();
         self.listed.retain(|key, _| listed.contains(key));
     }
 
@@ -144,6 +150,11 @@
         peers.into_iter().cloned().collect()
     }
 
+    /// Records that all gateways have been listed.
+    pub fn set_known(&mut self) {
+        self.is_known = true;
+    }
+
     /// Whether all gateways have been listed at some time.
     pub fn is_known(&self) -> bool {
         self.is_known
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,6 +27,7 @@
 use crate::dialect::Adapter;
 use crate::endpoints::EndpointChange;
 use crate::error::{Error, Result};
+use crate::list_copy;
 use crate::losses;
 use crate::peers::{self, Context};
 use crate::propagation;
@@ -113,6 +114,7 @@
         smol::spawn(propagation::run(shared.clone(), own.clone())),
         smol::spawn(follow_endpoints(shared.clone())),
         smol::spawn(follow_peers(shared.clone(), own.clone())),
+        smol::spawn(list_copy::follow(shared.clone(), own.clone())),
         smol::spawn(follow_losses(shared.clone())),
         smol::spawn(maintain(shared.clone())),
         smol::spawn(shared.caps.clone().run()),
--- a/crates/gateway/src/sweep.rs
+++ b/crates/gateway/src/sweep.rs
@@ -19,6 +19,7 @@
 use turns::{ACCOUNTS, Account, CHAIN_SLACK, TURNS};
 use units::{Incarnation, Span, Time};
 
+use crate::list_copy;
 use crate::losses;
 use crate::peers;
 use crate::roster::Peer;
@@ -47,6 +48,7 @@
 pub(crate) async fn run(shared: Arc<Shared>, own: Peer) {
     let mut partitions = turns::partitions();
     partitions.push(Partition::new(peers::TABLE, ""));
+    partitions.push(list_copy::partition());
     partitions.push(Partition::new(losses::TABLE, ""));
     // Each host begins at another partition, so that hosts do not read the same one together.
     let mut next = own.incarnation.0 as usize % partitions.len();
@@ -62,6 +64,9 @@
         let now = shared.clock.now();
         if now.since(row_written_at) >= GATEWAY_ROW_INTERVAL {
             peers::register(&shared.rows, &own, &shared.log).await;
+            let listed = shared.peers.roster().count();
+            // The row of the copy stays; the next write follows well before it counts as orphaned.
+            drop(list_copy::write(&shared.rows, &own, listed).await);
             row_written_at = now;
         }
         retention = retention.max(longest_retention(&shared));
@@ -91,7 +96,7 @@
     now: Time,
 ) -> Option<u64> {
     let age = match partition.table.as_str() {
-        peers::TABLE => GATEWAY_ROW_AGE_MAX,
+        peers::TABLE | list_copy::TABLE => GATEWAY_ROW_AGE_MAX,
         losses::TABLE => LOSS_AGE_MAX,
         TURNS => Span(retention.0 + CHAIN_SLACK.0 + RETENTION_SLACK.0),
         _ => Span(retention.0 + RETENTION_SLACK.0),
--- /dev/null
+++ b/crates/gateway/tests/list_copy.rs
@@ -0,0 +1,46 @@
+//! When the copy of the list of gateways stands for the list.
+
+use gateway::ListCopy;
+use store::api::{Row, Value};
+
+/// Returns rows whose writers had these numbers of gateways on the list.
+fn rows(listed: &[usize]) -> Vec<Row> {
+    let row = |(number, listed): (usize, &usize)| Row {
+        key: format!("gateway-{number}").into(),
+        version: number as u64 + 1,
+        value: Value(ListCopy::encode(*listed, b"gateway")),
+    };
+    listed.iter().enumerate().map(row).collect()
+}
+
+/// Cases of rows, by the gateways that their writers had on the list.
+macro_rules! completeness {
+    ($($name:ident: $listed:expr, $is_complete:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let copy = ListCopy::decode(&rows(&$listed));
+                assert_eq!(copy.is_complete(), $is_complete);
+                assert!(copy.rows.iter().all(|row| row.value.0 == b"gateway"));
+            }
+        )*
+    };
+}
+
+completeness! {
+    // A gateway must not take itself for the whole fleet as the others have written no copy yet.
+    empty_copy_is_not_complete: [], false;
+    copy_without_gateways_of_an_earlier_release_is_not_complete: [5], false;
+    copy_without_some_gateways_is_not_complete: [3, 4], false;
+    copy_of_all_gateways_is_complete: [1, 2, 3], true;
+    copy_with_a_gateway_that_joined_later_is_complete: [2, 2, 2], true;
+}
+
+#[test]
+fn row_that_is_too_short_is_left_out() {
+    let mut rows = rows(&[2, 2]);
+    rows[0].value.0.truncate(3);
+    let copy = ListCopy::decode(&rows);
+    assert_eq!(copy.rows.len(), 1);
+    assert!(!copy.is_complete());
+}
--- a/tests/all/gateway/unlisted.rs
+++ b/tests/all/gateway/unlisted.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::Signal;
 use serde_json::json;
 use store::Partition;
 
@@ -16,14 +17,30 @@
 /// Time for which the account exceeds its limit.
 const LOAD_TIME: Duration = Duration::from_secs(4);
 
-/// Makes the list of gateways unavailable, or available again.
-fn set_list_unavailable(cluster: &Cluster, is_unavailable: bool) {
+/// A partition of the store that is unavailable.
+#[derive(Clone, Copy)]
+enum Away {
+    /// The list of gateways.
+    List,
+    /// The list and its copy.
+    ListAndCopy,
+}
+
+/// Makes partitions unavailable, or available again.
+fn set_away(cluster: &Cluster, away: Away, is_away: bool) {
     let list = Partition::new("gateways", "");
+    let copy = Partition::new("gateways-copy", "copy");
+    let partitions = match away {
+        Away::List => vec![list],
+        Away::ListAndCopy => vec![list, copy],
+    };
     let mut store = cluster.store.state();
-    if is_unavailable {
-        store.unavailable.insert(list);
-    } else {
-        store.unavailable.remove(&list);
+    for partition in partitions {
+        if is_away {
+            store.unavailable.insert(partition);
+        } else {
+            store.unavailable.remove(&partition);
+        }
     }
 }
 
@@ -91,25 +108,38 @@
     assert!(f64::from(served) <= bound, "{served} of {bound}");
 }
 
-/// Cases in which `restarted` of four hosts start while the list is unavailable.
+fn eventually_admitted(cluster: &Cluster, host: u16) {
+    eventually(START_TIMEOUT, "the host obtains credit", || {
+        status(cluster, host, "key-a1") == 200
+    });
+}
+
+/// Waits until the copy has all hosts with the number of those on the list.
+fn eventually_copied(cluster: &Cluster, hosts: usize) {
+    eventually(START_TIMEOUT, "the list is copied", || {
+        let store = cluster.store.state();
+        let rows = store.rows.keys();
+        rows.filter(|row| row.table == "gateways-copy").count() == hosts
+    });
+}
+
+/// Cases in which `restarted` of four hosts start while a part of the store is away.
 macro_rules! restarts {
-    ($($name:ident: $restarted:expr;)*) => {
+    ($($name:ident: $restarted:expr, $away:expr;)*) => {
         $(
             // A host without the list took itself for the whole fleet and granted each limit alone.
             #[test]
             fn $name() {
                 let mut cluster = start(4);
-                set_list_unavailable(&cluster, true);
+                set_away(&cluster, $away, true);
                 restart(&mut cluster, $restarted);
                 check_limit(&cluster, 4);
                 for host in 0..4 {
                     assert_eq!(status(&cluster, host, "key-b"), 200);
                 }
-                set_list_unavailable(&cluster, false);
+                set_away(&cluster, $away, false);
                 for host in 0..4 {
-                    eventually(START_TIMEOUT, "the host obtains credit", || {
-                        status(&cluster, host, "key-a1") == 200
-                    });
+                    eventually_admitted(&cluster, host);
                 }
             }
         )*
@@ -117,25 +147,69 @@
 }
 
 restarts! {
-    hosts_that_start_without_their_list_keep_a_limit: 0..3;
-    all_hosts_that_start_without_their_list_keep_a_limit: 0..4;
+    hosts_that_start_without_their_list_keep_a_limit: 0..3, Away::List;
+    hosts_that_start_without_their_list_and_its_copy_keep_a_limit: 0..3, Away::ListAndCopy;
+    all_hosts_that_start_without_their_list_keep_a_limit: 0..4, Away::List;
+    all_hosts_that_start_without_their_list_and_its_copy_keep_a_limit: 0..4, Away::ListAndCopy;
 }
 
 // Hosts that started without the list refused what the limit holds for as long as it was unavailable.
 #[test]
 fn a_host_that_starts_without_its_list_gets_it_from_a_running_one() {
     let mut cluster = start(4);
-    set_list_unavailable(&cluster, true);
+    set_away(&cluster, Away::ListAndCopy, true);
     restart(&mut cluster, 0..3);
     for host in 0..3 {
-        eventually(START_TIMEOUT, "the host obtains credit", || {
-            status(&cluster, host, "key-a1") == 200
-        });
+        eventually_admitted(&cluster, host);
         assert!(cluster.log(host).contains("received from a peer"));
     }
     check_limit(&cluster, 4);
 }
 
+// Without a running host to get the list from, all of them refused what the limit holds.
+#[test]
+fn hosts_that_all_start_without_their_list_read_its_copy() {
+    let mut cluster = start(4);
+    eventually_copied(&cluster, 4);
+    set_away(&cluster, Away::List, true);
+    restart(&mut cluster, 0..4);
+    for host in 0..4 {
+        eventually_admitted(&cluster, host);
+    }
+    check_limit(&cluster, 4);
+}
+
+/// Stops a host, which leaves the list, and starts it while a part of the store is away.
+fn join(cluster: &mut Cluster, host: u16, away: Away) {
+    cluster.signal(host, Signal::SIGTERM);
+    cluster.wait_for_exit(host);
+    eventually_copied(cluster, usize::from(host));
+    set_away(cluster, away, true);
+    cluster.spawn(host);
+    cluster.eventually_ready(host);
+}
+
+// No running host has the address of one that joins.
+#[test]
+fn a_host_that_joins_without_the_list_reads_its_copy() {
+    let mut cluster = start(4);
+    eventually_copied(&cluster, 4);
+    join(&mut cluster, 3, Away::List);
+    eventually_admitted(&cluster, 3);
+    check_limit(&cluster, 4);
+}
+
+#[test]
+fn a_host_that_joins_without_the_list_and_its_copy_keeps_a_limit() {
+    let mut cluster = start(4);
+    eventually_copied(&cluster, 4);
+    join(&mut cluster, 3, Away::ListAndCopy);
+    check_limit(&cluster, 4);
+    assert_eq!(status(&cluster, 3, "key-b"), 200);
+    set_away(&cluster, Away::ListAndCopy, false);
+    eventually_admitted(&cluster, 3);
+}
+
 /// Cases in which `restarted` of three hosts start while the list is unavailable. Two hosts hold tokens
 /// of a program, and the third one needs them.
 macro_rules! held_tokens {
@@ -147,7 +221,7 @@
             fn $name() {
                 const BUDGET: u64 = 240;
                 let mut cluster = Cluster::start(3, 1);
-                set_list_unavailable(&cluster, true);
+                set_away(&cluster, Away::ListAndCopy, true);
                 restart(&mut cluster, $restarted);
                 let mut used = 0;
                 for host in 0..2 {
@@ -163,7 +237,7 @@
                     used += USED_TOKENS_PER_TURN;
                 };
                 assert_eq!(refused.status, 503, "{used} of {BUDGET}: {refused:?}");
-                set_list_unavailable(&cluster, false);
+                set_away(&cluster, Away::ListAndCopy, false);
                 eventually(START_TIMEOUT, "all hosts are listed", || {
                     cluster.log(2).matches("peer listed").count() >= 3
                 });
