gateway: an attempt counts as a crash only if its host is missing from a list just read

What callers saw: a request with losses could be one loss nearer to its quarantine although no endpoint had crashed: the reservation of a running host that was missing from the list of gateways was replaced as that of a failed one, which counts as a crash.

Cause: is_holder_listed took a host that is missing from the known list for a failed one. A host that started while the list was unavailable is missing from it, and on a host that has no list all are.

Evidence: gateway::crash::attempt_of_a_host_that_may_run_does_not_count_as_a_crash: on the code before, the replaced reservation is followed by an answer of 200 and a loss row while the holder is stopped and not listed.

Change: the list or its copy is read again for a holder that is not listed. If neither can be read, the attempt is refused with 503 suspect-reserved.

--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -17,6 +17,7 @@
 
 use crate::crashes;
 use crate::losses;
+use crate::peers;
 use crate::reply::Refusal;
 use crate::state::Shared;
 
@@ -65,7 +66,8 @@
     Own(u64),
     /// Another attempt holds this row.
     Other(Row),
-    /// There is no row, and an uncertain write may still take effect.
+    /// There is no row, and an uncertain write may still take effect; or the process that holds the row
+    /// may run or have failed.
     Unclear,
 }
 
@@ -159,8 +161,15 @@
     let mut transaction = Transaction::default()
         .with_check(key, version)
         .with_write(key, own.as_bytes().to_vec());
+    let holder = match replaced {
+        Some(row) => find_holder(shared, row).await,
+        None => HolderState::Running,
+    };
+    if holder == HolderState::Unknown {
+        return Ok(Reserved::Unclear);
+    }
     if let Some(row) = replaced
-        && !is_holder_listed(shared, row)
+        && holder == HolderState::Gone
     {
         // Its host may have failed before it recorded a crash.
         let endpoint = Fingerprint::new(&[b"reserved", &row.value.0]);
@@ -186,10 +195,28 @@
     })
 }
 
-/// Whether the process that holds a reservation is listed: it then records a crash itself.
-fn is_holder_listed(shared: &Shared, row: &Row) -> bool {
-    let incarnation = Holder::parse(&row.value.0).incarnation;
-    incarnation.is_some_and(|incarnation| shared.peers.roster().contains(incarnation))
+/// Whether the process that holds a reservation runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HolderState {
+    /// It runs, and records a crash itself.
+    Running,
+    Gone,
+    /// It is not on a list that cannot be read again, and may have started since.
+    Unknown,
+}
+
+async fn find_holder(shared: &Shared, row: &Row) -> HolderState {
+    let Some(holder) = Holder::parse(&row.value.0).incarnation else {
+        return HolderState::Gone;
+    };
+    if shared.rows.is_listed(holder) {
+        return HolderState::Running;
+    }
+    match peers::read_list(&shared.rows).await {
+        Ok(listed) if listed.contains(&holder) => HolderState::Running,
+        Ok(_) => HolderState::Gone,
+        Err(_) => HolderState::Unknown,
+    }
 }
 
 impl Drop for Reservation {
--- a/tests/all/gateway/crash.rs
+++ b/tests/all/gateway/crash.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
+
 use crate::cluster::{START_TIMEOUT, eventually};
 use crate::gateway::cluster::{Cluster, KEPT_TURN, ORDER, PLAIN_TURN, SAFE, turn};
 use crate::gateway::http::{Answer, Request};
+use crate::gateway::unlisted::{Away, restart, set_away};
 
 /// Beginning of the bodies that crash their worker.
 const CRASH_PREFIX: &str = "crash";
@@ -219,6 +222,53 @@
     eventually_served(&cluster, 1, &body);
 }
 
+/// Returns the number of losses and reservations in the store.
+fn loss_count(cluster: &Cluster) -> usize {
+    let store = cluster.store.state();
+    let rows = store.rows.keys();
+    rows.filter(|row| row.table == "losses").count()
+}
+
+// A running host that was missing from the list of gateways was taken for a failed one, and its attempt
+// counted as a crash.
+#[test]
+fn attempt_of_a_host_that_may_run_does_not_count_as_a_crash() {
+    let mut cluster = start(2, 4);
+    let body = format!("{CRASH_PREFIX} this endpoint");
+    leave_harmless_suspect(&cluster, &body);
+    set_away(&cluster, Away::ListAndCopy, true);
+    restart(&mut cluster, 0..1);
+    for worker in &cluster.desks {
+        worker.state().pause_ms = 10_000;
+    }
+    let address = cluster.caller_address(0);
+    let held = body.clone();
+    let attempt = std::thread::spawn(move || brief_order("held", &held).send(address));
+    eventually(START_TIMEOUT, "the attempt is reserved", || {
+        cluster.log(0).contains("attempt reserved") && !cluster.runs("held").is_empty()
+    });
+    // The host does not release the reservation.
+    cluster.signal(0, Signal::SIGSTOP);
+    for worker in &cluster.desks {
+        worker.state().pause_ms = 0;
+    }
+    let before = loss_count(&cluster);
+    let mut number = 0;
+    eventually(RESERVATION_MAX, "the reservation is over", || {
+        number += 1;
+        let order = brief_order(&format!("away-{number}"), &body);
+        let answer = order.send(cluster.caller_address(1));
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(answer.text().contains("\"ran\":\"no\""), "{answer:?}");
+        cluster.log(1).contains("replaces one that is over")
+    });
+    assert_eq!(loss_count(&cluster), before);
+    cluster.signal(0, Signal::SIGCONT);
+    drop(attempt.join().unwrap());
+    set_away(&cluster, Away::ListAndCopy, false);
+    eventually_served(&cluster, 1, &body);
+}
+
 /// A turn that crashes its endpoints continues a chain: each of them receives the chain as it ran, and
 /// the body as the caller sent it.
 #[test]
--- a/tests/all/gateway/unlisted.rs
+++ b/tests/all/gateway/unlisted.rs
@@ -19,7 +19,7 @@
 
 /// A partition of the store that is unavailable.
 #[derive(Clone, Copy)]
-enum Away {
+pub enum Away {
     /// The list of gateways.
     List,
     /// The list and its copy.
@@ -27,7 +27,7 @@
 }
 
 /// Makes partitions unavailable, or available again.
-fn set_away(cluster: &Cluster, away: Away, is_away: bool) {
+pub fn set_away(cluster: &Cluster, away: Away, is_away: bool) {
     let list = Partition::new("gateways", "");
     let copy = Partition::new("gateways-copy", "copy");
     let partitions = match away {
@@ -44,7 +44,8 @@
     }
 }
 
-fn restart(cluster: &mut Cluster, hosts: std::ops::Range<u16>) {
+/// Kills hosts and starts them again.
+pub fn restart(cluster: &mut Cluster, hosts: std::ops::Range<u16>) {
     for host in hosts.clone() {
         cluster.kill(host);
     }
