--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -302,6 +302,11 @@
         shared
             .metrics
             .set_gauge("programs", shared.programs.count() as i64);
+        let listed = {
+            let roster = shared.peers.roster();
+            if roster.is_known() { roster.count() } else { 0 }
+        };
+        shared.metrics.set_gauge("listed-gateways", listed as i64);
         let connections = shared.connections.load(Ordering::Acquire);
         shared.metrics.set_gauge("connections", connections as i64);
         shared
