--- a/tests/all/gateway/accounts.rs
+++ b/tests/all/gateway/accounts.rs
@@ -35,13 +35,17 @@
         {"Name": "bob", "ApiKeys": ["key-b"], "Priority": 2}])
 }
 
-/// Sends an order with a key.
-pub fn order(cluster: &Cluster, host: u16, id: &str, key: &str) -> Answer {
+/// Returns an order with a key.
+pub fn order_request(id: &str, key: &str) -> Request {
     Request::new("POST", ORDER, id)
         .with_header("Credential", key)
         .with_header("Tenant", "root")
         .with_body("x")
-        .send(cluster.caller_address(host))
+}
+
+/// Sends an order with a key.
+pub fn order(cluster: &Cluster, host: u16, id: &str, key: &str) -> Answer {
+    order_request(id, key).send(cluster.caller_address(host))
 }
 
 #[test]
--- a/tests/all/gateway/mod.rs
+++ b/tests/all/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod resume;
 mod routes;
 mod soak;
+mod soak_accounts;
 mod soak_budgets;
 mod soak_documents;
 mod soak_streams;
--- a/tests/all/gateway/unlisted.rs
+++ b/tests/all/gateway/unlisted.rs
@@ -13,12 +13,13 @@
 };
 use crate::gateway::cluster::Cluster;
 
-const RATE: u32 = 20;
+/// Requests per second, and at once, of the account with a limit.
+pub const RATE: u32 = 20;
 /// Time for which the account exceeds its limit.
 const LOAD_TIME: Duration = Duration::from_secs(4);
 
 /// A partition of the store that is unavailable.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub enum Away {
     /// The list of gateways.
     List,
@@ -58,7 +59,7 @@
 }
 
 /// Starts hosts with an account that has a limit and one that has none.
-fn start(hosts: u16) -> Cluster {
+pub fn start(hosts: u16) -> Cluster {
     let cluster = Cluster::start(hosts, 2);
     let accounts = json!([{"Name": "ada", "ApiKeys": ["key-a1"], "RatePerS": RATE, "Burst": RATE},
         {"Name": "bob", "ApiKeys": ["key-b"]}]);
@@ -71,7 +72,8 @@
     cluster
 }
 
-fn status(cluster: &Cluster, host: u16, key: &str) -> u16 {
+/// Sends an order with a key; returns the status of its answer.
+pub fn status(cluster: &Cluster, host: u16, key: &str) -> u16 {
     order(cluster, host, &format!("o{}", rand::random::<u64>()), key).status
 }
 
