gateway: introductions need no task of their own

Cause: the task of introductions woke four times a second on each host, also without limits, and a wake-up is billed. Change: the loop that obtains credit, which runs anyway while an account has a limit, looks for silent hosts; the calls are detached.

--- a/crates/gateway/src/caps.rs
+++ b/crates/gateway/src/caps.rs
@@ -32,6 +32,8 @@
 const HOSTS_PER_GROUP: usize = 64;
 /// Longest time between two messages to a meter: it counts this host as attached for twice as long.
 const MESSAGE_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest time between two looks at the hosts that send no messages.
+const INTRODUCTION_INTERVAL: Span = Span::from_ms(250);
 /// Longest time for a meter to answer: some round trips between regions at a busy host. Then the next
 /// host is asked.
 const ANSWER_TIMEOUT: Span = Span::from_ms(300);
@@ -195,6 +197,7 @@
     /// Obtains credit for as long as the process runs; does nothing while no account has a limit and no
     /// request waits from the time when one had.
     pub(crate) async fn run(self: Arc<Self>) {
+        let mut introduced_at = self.clock.now();
         loop {
             let wanted = self.wanted.listen();
             if !self.has_waiting() {
@@ -206,29 +209,28 @@
             let is_needed = self.has_limits.load(Ordering::Acquire) || self.has_waiting();
             if is_needed && self.peers.roster().is_known() {
                 self.exchange_all().await;
+                let now = self.clock.now();
+                if now.since(introduced_at) >= INTRODUCTION_INTERVAL {
+                    introduced_at = now;
+                    self.introduce();
+                }
             }
         }
     }
 
-    /// Sends the list of hosts to those that send no messages to this meter, for as long as the process
-    /// runs and any account has a limit.
-    pub(crate) async fn introduce_all(self: Arc<Self>) {
-        loop {
-            smol::Timer::after(MESSAGE_INTERVAL).await;
-            if !self.has_limits.load(Ordering::Acquire) {
-                continue;
-            }
-            let due = self.due_introductions();
-            if due.is_empty() {
-                continue;
-            }
-            let rows = self.peers.roster().rows();
-            let calls = due.into_iter().map(|peer| {
-                let relay = Relay::Introduce { rows: rows.clone() };
-                self.peers.call(peer, relay, ANSWER_TIMEOUT)
-            });
-            // A host that has not started yet does not answer.
-            drop(futures_util::future::join_all(calls).await);
+    /// Sends the list of hosts to those that send no messages to this meter, without waiting for their
+    /// answers: a host that has not started yet gives none.
+    fn introduce(self: &Arc<Self>) {
+        let due = self.due_introductions();
+        if due.is_empty() {
+            return;
+        }
+        let rows = self.peers.roster().rows();
+        for peer in due {
+            let relay = Relay::Introduce { rows: rows.clone() };
+            let caps = self.clone();
+            let call = async move { drop(caps.peers.call(peer, relay, ANSWER_TIMEOUT).await) };
+            smol::spawn(call).detach();
         }
     }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -118,7 +118,6 @@
         smol::spawn(follow_losses(shared.clone())),
         smol::spawn(maintain(shared.clone())),
         smol::spawn(shared.caps.clone().run()),
-        smol::spawn(shared.caps.clone().introduce_all()),
         smol::spawn(sweep::run(shared.clone(), own.clone())),
         smol::spawn(follow_settings(
             shared.clone(),
