gateway: a gateway that leaves stays counted in the copy of the list

What callers saw: after a gateway had stopped, the copy had fewer rows than the others had counted, and was not used until they wrote their rows again, two minutes at most: a host that joined while the list was unavailable refused requests of accounts with a limit.

Cause: the rows stated how many gateways their writers had on the list, and the row of one that left was deleted.

Change: a gateway that leaves replaces its row by one without content, and counts for rows written before. Besides, the list is replaced under one lock, as a part of the list stands for a smaller fleet.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -212,7 +212,7 @@
                 if change.is_deleted {
                     shared.peers.roster().remove(&change.row.key);
                 } else {
-                    peers::apply_row(&shared.peers, &change.row, &shared.log);
+                    peers::apply_row(&mut shared.peers.roster(), &change.row, &shared.log);
                 }
             }
         }
--- a/crates/gateway/src/list_copy.rs
+++ b/crates/gateway/src/list_copy.rs
@@ -5,7 +5,8 @@
 //!
 //! Gateways of earlier releases write no copy. A copy without their rows would make the others take
 //! themselves for the whole fleet, so each row states how many gateways its writer had on the list, and
-//! a gateway that does not know the list adds itself to a complete copy only.
+//! a gateway that does not know the list adds itself to a complete copy only. A gateway that leaves
+//! replaces its row by one without content, so that the others still count it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,10 +40,12 @@
 /// The rows of the copy, as rows of the list.
 #[derive(Clone, Debug, Default)]
 pub struct ListCopy {
-    /// The rows that can be decoded.
+    /// The rows of gateways that have not left.
     pub rows: Vec<Row>,
-    /// Most gateways that a writer of a row had on the list.
-    listed_max: u32,
+    /// Versions of the rows of gateways that have left.
+    left: Vec<u64>,
+    /// Version of each row, and how many gateways its writer had on the list.
+    listed: Vec<(u64, u32)>,
 }
 
 impl ListCopy {
@@ -52,6 +55,11 @@
         [listed.to_be_bytes().as_slice(), list_row].concat()
     }
 
+    /// Returns the value of the row of a gateway that leaves.
+    pub fn encode_left() -> Vec<u8> {
+        Self::encode(0, &[])
+    }
+
     /// Decodes the rows of the table.
     pub fn decode(rows: &[Row]) -> Self {
         let mut copy = ListCopy::default();
@@ -59,7 +67,11 @@
             let Some((listed, list_row)) = row.value.0.split_first_chunk::<PREFIX_BYTES>() else {
                 continue;
             };
-            copy.listed_max = copy.listed_max.max(u32::from_be_bytes(*listed));
+            if list_row.is_empty() {
+                copy.left.push(row.version);
+                continue;
+            }
+            copy.listed.push((row.version, u32::from_be_bytes(*listed)));
             copy.rows.push(Row {
                 value: Value(list_row.to_vec()),
                 ..row.clone()
@@ -68,9 +80,14 @@
         copy
     }
 
-    /// Whether all gateways are in the copy: at least as many as any writer had on the list.
+    /// Whether all gateways are in the copy: at least as many as each writer had on the list, but for
+    /// those that have left since.
     pub fn is_complete(&self) -> bool {
-        !self.rows.is_empty() && self.rows.len() >= self.listed_max as usize
+        let is_covered = |(version, listed): &(u64, u32)| {
+            let left_since = self.left.iter().filter(|left| *left > version);
+            self.rows.len() + left_since.count() >= *listed as usize
+        };
+        !self.rows.is_empty() && self.listed.iter().all(is_covered)
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,7 +22,7 @@
 use wire::{Frame, Identity, Key, Link, PackedRow, Relay, Relayed, Stream};
 
 use crate::caps::Caps;
-use crate::list_copy;
+use crate::list_copy::{self, ListCopy};
 use crate::programs::Programs;
 use crate::replica::{self, REPORT_INTERVAL, Replica};
 use crate::roster::{Peer, Roster};
@@ -122,16 +122,24 @@
     /// Replaces the list by the gateways of these rows, all that there are.
     pub(crate) fn list(&self, rows: &[Row], log: &Logger) {
         let keys: Vec<CompactString> = rows.iter().map(|row| row.key.clone()).collect();
-        self.roster().reconcile(&keys);
-        self.add(rows, log);
+        let mut roster = self.roster();
+        roster.reconcile(&keys);
+        self.complete(roster, rows, log);
     }
 
     /// Adds the gateways of these rows to the list, which has all that there are then.
     pub(crate) fn add(&self, rows: &[Row], log: &Logger) {
+        self.complete(self.roster(), rows, log);
+    }
+
+    /// Adds the last gateways that a list lacks. The lock is held throughout, as a part of the list
+    /// stands for a smaller fleet.
+    fn complete(&self, mut roster: MutexGuard<'_, Roster>, rows: &[Row], log: &Logger) {
         for row in rows {
-            apply_row(self, row, log);
+            apply_row(&mut roster, row, log);
         }
-        self.roster().set_known();
+        roster.set_known();
+        drop(roster);
         self.known.notify(usize::MAX);
     }
 
@@ -563,29 +571,28 @@
     Ok(peers.map(|peer| peer.incarnation).collect())
 }
 
-/// Deletes this gateway's rows, unless a later start on the host has written others.
+/// Removes this gateway from the list and its copy, unless a later start on the host has written other
+/// rows.
 pub(crate) async fn unregister(rows: &Rows, own: &Peer, log: &Logger) {
-    let list = delete_row(rows, Partition::new(TABLE, ""), own, 0, log);
-    let copy = delete_row(
-        rows,
-        list_copy::partition(),
-        own,
-        list_copy::PREFIX_BYTES,
-        log,
-    );
-    futures_util::future::join(list, copy).await;
+    let key = own.host.as_str();
+    let (list, copy) = (Partition::new(TABLE, ""), list_copy::partition());
+    let delete = Transaction::default().with_delete(key);
+    let leave = Transaction::default().with_write(key, ListCopy::encode_left());
+    let from_list = replace_row(rows, &list, own, (0, delete), log);
+    let from_copy = replace_row(rows, &copy, own, (list_copy::PREFIX_BYTES, leave), log);
+    futures_util::future::join(from_list, from_copy).await;
 }
 
-/// Deletes this gateway's row of a partition, in which `prefix_bytes` stand before the gateway.
-async fn delete_row(
+/// Runs a transaction under the condition that the row of a partition is this gateway's.
+async fn replace_row(
     rows: &Rows,
-    partition: Partition,
+    partition: &Partition,
     own: &Peer,
-    prefix_bytes: usize,
+    (prefix_bytes, transaction): (usize, Transaction),
     log: &Logger,
 ) {
     let key = own.host.as_str();
-    let result = rows.read(&partition, key, &store::key_after(key)).await;
+    let result = rows.read(partition, key, &store::key_after(key)).await;
     let row = result.ok().and_then(|page| page.rows.into_iter().next());
     let is_own = |row: &Row| {
         let peer = row.value.0.get(prefix_bytes..).and_then(Peer::decode);
@@ -594,20 +601,18 @@
     let Some(row) = row.filter(is_own) else {
         return;
     };
-    let transaction = Transaction::default()
-        .with_check(key, row.version)
-        .with_delete(key);
-    if let Err(error) = rows.write(&partition, &transaction).await {
+    let transaction = transaction.with_check(key, row.version);
+    if let Err(error) = rows.write(partition, &transaction).await {
         info!(log, "gateway row not deleted"; "table" => %partition.table, "error" => %error);
     }
 }
 
 /// Inserts the gateway of a row into the roster.
-pub(crate) fn apply_row(peers: &Peers, row: &Row, log: &Logger) {
+pub(crate) fn apply_row(roster: &mut Roster, row: &Row, log: &Logger) {
     match Peer::decode(&row.value.0) {
         Some(peer) => {
             let (host, address) = (peer.host.clone(), peer.address);
-            if peers.roster().insert(&row.key, peer, row.version) {
+            if roster.insert(&row.key, peer, row.version) {
                 info!(log, "peer listed"; "peer" => %host, "address" => %address,
                     "row_version" => row.version);
             }
--- a/tests/all/gateway/soak_accounts.rs
+++ b/tests/all/gateway/soak_accounts.rs
@@ -22,8 +22,8 @@
 use crate::scenarios::seeds;
 
 const GATEWAYS: u16 = 5;
-/// Callers of each account at each gateway.
-const CALLERS_PER_GATEWAY: u64 = 2;
+/// Callers at each gateway: all but the last one are of the account with a limit.
+const CALLERS_PER_GATEWAY: u64 = 6;
 const STEPS: u64 = 14;
 /// Pause of a caller between two requests: together they send several times the limit.
 const PAUSE: Duration = Duration::from_millis(30);
@@ -56,6 +56,7 @@
         Step::Away(Away::List, true),
         Step::Away(Away::ListAndCopy, true),
         Step::Away(Away::ListAndCopy, true),
+        Step::Away(Away::ListAndCopy, true),
         Step::Away(Away::ListAndCopy, false),
         Step::Kill(1),
         Step::Kill(3),
@@ -147,10 +148,10 @@
     let mut steps = Vec::new();
     let calls: Vec<Call> = std::thread::scope(|scope| {
         let is_over = &is_over;
-        let callers: Vec<_> = (0..2 * u64::from(GATEWAYS) * CALLERS_PER_GATEWAY)
+        let callers: Vec<_> = (0..u64::from(GATEWAYS) * CALLERS_PER_GATEWAY)
             .map(|caller| {
-                let address = addresses[(caller / 2 % u64::from(GATEWAYS)) as usize];
-                let has_limit = caller % 2 == 0;
+                let address = addresses[(caller % u64::from(GATEWAYS)) as usize];
+                let has_limit = caller < u64::from(GATEWAYS) * (CALLERS_PER_GATEWAY - 1);
                 scope.spawn(move || call(address, &format!("c{caller}"), has_limit, is_over))
             })
             .collect();
@@ -158,7 +159,7 @@
             let step = random_step(&mut rng);
             steps.push(step);
             apply(&mut cluster, step, &mut rng);
-            std::thread::sleep(Duration::from_millis(rng.random_range(0..1_500)));
+            std::thread::sleep(Duration::from_millis(rng.random_range(0..2_000)));
         }
         for step in [
             Step::StoreKnobs(Knobs::default()),
--- a/tests/all/gateway/unlisted.rs
+++ b/tests/all/gateway/unlisted.rs
@@ -117,7 +117,7 @@
     });
 }
 
-/// Waits until the copy has all hosts with the number of those on the list.
+/// Waits until the copy has a row of each host.
 fn eventually_copied(cluster: &Cluster, hosts: usize) {
     eventually(START_TIMEOUT, "the list is copied", || {
         let store = cluster.store.state();
@@ -126,6 +126,18 @@
     });
 }
 
+/// Writes the rows of the copy again, while all hosts are on the list.
+fn rewrite_copy(cluster: &mut Cluster, hosts: u16) {
+    restart(cluster, 0..hosts);
+    eventually(START_TIMEOUT, "the copy has the number of hosts", || {
+        let store = cluster.store.state();
+        let mut rows = store.rows.iter();
+        rows.all(|(row, (_, value))| {
+            row.table != "gateways-copy" || value.starts_with(&u32::from(hosts).to_be_bytes())
+        })
+    });
+}
+
 /// Cases in which `restarted` of four hosts start while a part of the store is away.
 macro_rules! restarts {
     ($($name:ident: $restarted:expr, $away:expr;)*) => {
@@ -186,7 +198,10 @@
 fn join(cluster: &mut Cluster, host: u16, away: Away) {
     cluster.signal(host, Signal::SIGTERM);
     cluster.wait_for_exit(host);
-    eventually_copied(cluster, usize::from(host));
+    eventually(START_TIMEOUT, "the host is not listed", || {
+        let listed = |other| cluster.metric(other, "listed_gateways");
+        (0..host).all(|other| listed(other) == Some(u64::from(host)))
+    });
     set_away(cluster, away, true);
     cluster.spawn(host);
     cluster.eventually_ready(host);
@@ -196,7 +211,7 @@
 #[test]
 fn a_host_that_joins_without_the_list_reads_its_copy() {
     let mut cluster = start(4);
-    eventually_copied(&cluster, 4);
+    rewrite_copy(&mut cluster, 4);
     join(&mut cluster, 3, Away::List);
     eventually_admitted(&cluster, 3);
     check_limit(&cluster, 4);
@@ -205,7 +220,7 @@
 #[test]
 fn a_host_that_joins_without_the_list_and_its_copy_keeps_a_limit() {
     let mut cluster = start(4);
-    eventually_copied(&cluster, 4);
+    rewrite_copy(&mut cluster, 4);
     join(&mut cluster, 3, Away::ListAndCopy);
     check_limit(&cluster, 4);
     assert_eq!(status(&cluster, 3, "key-b"), 200);
