gateway: holders that are not listed are looked for in the copy of the list too

What callers saw: while the list of gateways was unavailable and its copy was not, a turn that needed what a failed host held was answered 503 budget-held until the list was back, 108 of 240 tokens into its budget, rather than 402.

Change: read_list reads the copy if the list cannot be read.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -558,16 +558,19 @@
     result.is_ok()
 }
 
-/// Reads the list of gateways anew; returns their incarnations.
+/// Reads the list of gateways anew, or its copy; returns their incarnations.
 ///
 /// # Errors
-/// If it cannot be read. A gateway that is missing from an earlier list may run nevertheless.
+/// If neither can be read. A gateway that is missing from an earlier list may run nevertheless.
 pub(crate) async fn read_list(rows: &Rows) -> Result<Vec<Incarnation>> {
-    let page = rows.read(&Partition::new(TABLE, ""), "", "").await?;
-    let peers = page
-        .rows
-        .iter()
-        .filter_map(|row| Peer::decode(&row.value.0));
+    let list = match rows.read(&Partition::new(TABLE, ""), "", "").await {
+        Ok(page) => page.rows,
+        Err(error) => {
+            let copy = list_copy::read(rows).await?;
+            copy.is_complete().then_some(copy.rows).ok_or(error)?
+        }
+    };
+    let peers = list.iter().filter_map(|row| Peer::decode(&row.value.0));
     Ok(peers.map(|peer| peer.incarnation).collect())
 }
 
--- a/tests/all/gateway/unlisted.rs
+++ b/tests/all/gateway/unlisted.rs
@@ -228,6 +228,31 @@
     eventually_admitted(&cluster, 3);
 }
 
+// A failed host is missing from the copy too, so that a turn that needs what it held is refused for good.
+#[test]
+fn tokens_of_a_failed_host_are_spent_while_the_copy_can_be_read() {
+    const BUDGET: u64 = 240;
+    let mut cluster = Cluster::start(3, 1);
+    rewrite_copy(&mut cluster, 3);
+    set_away(&cluster, Away::List, true);
+    restart(&mut cluster, 0..2);
+    for host in 0..2 {
+        let answer = send_until_final(&cluster, host, &format!("early-{host}"), BUDGET);
+        assert_eq!(answer.status, 200, "{answer:?}");
+        cluster.kill(host);
+        cluster.spawn(host);
+    }
+    let mut used = 0;
+    let refused = loop {
+        let answer = send_until_final(&cluster, 2, &format!("late-{used}"), BUDGET);
+        if answer.status != 200 {
+            break answer;
+        }
+        used += USED_TOKENS_PER_TURN;
+    };
+    assert_eq!(refused.status, 402, "{used} of {BUDGET}: {refused:?}");
+}
+
 /// Cases in which `restarted` of three hosts start while the list is unavailable. Two hosts hold tokens
 /// of a program, and the third one needs them.
 macro_rules! held_tokens {
