tests: the restarted host of a crash test has read the losses first

Cause: attempt_of_a_host_that_may_run_does_not_count_as_a_crash failed in 1 of 8 runs of its suite, and in 5 of 32 plays, 16 at a time: the order was sent before the restarted host had read the table of losses, so that it needed no reservation. The log of a failed play has 'losses read' after the order. Change: the test waits for that line of the restarted host.

--- a/tests/all/gateway/crash.rs
+++ b/tests/all/gateway/crash.rs
@@ -238,6 +238,9 @@
     leave_harmless_suspect(&cluster, &body);
     set_away(&cluster, Away::ListAndCopy, true);
     restart(&mut cluster, 0..1);
+    eventually(START_TIMEOUT, "the restarted host has the loss", || {
+        cluster.log(0).matches("losses read").count() >= 2
+    });
     for worker in &cluster.desks {
         worker.state().pause_ms = 10_000;
     }
