gateway: a stopping host writes no copy; senders are computed only for new rows

Cause: found on reading the diff. A host that stops could write its row of the copy after it had left; each read of the copy computed the shares of endpoint limits anew; a request that waits 300 ms for the list gave up as the copy was read. Change: the copy is followed until the stop; a read without newer rows changes nothing; the copy is read 200 ms after the start if the list is not there. HolderState is Presence.

--- a/crates/gateway/src/list_copy.rs
+++ b/crates/gateway/src/list_copy.rs
@@ -27,7 +27,7 @@
 /// Bytes of a row's value before the row of the list.
 pub(crate) const PREFIX_BYTES: usize = size_of::<u32>();
 /// Time after the start in which the list itself is usually read.
-const LIST_READ_TIME: Duration = Duration::from_millis(300);
+const LIST_READ_TIME: Duration = Duration::from_millis(200);
 /// Time between two reads of the copy while the list is unavailable.
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -104,8 +104,8 @@
     rows.write(&partition(), &transaction).await
 }
 
-/// Writes this gateway's row of the copy, and reads the copy whenever the list is unavailable, for as
-/// long as the process runs.
+/// Writes this gateway's row of the copy, and reads the copy whenever the list is unavailable, until
+/// the gateway stops and leaves the list.
 pub(crate) async fn follow(shared: Arc<Shared>, own: Peer) {
     let expire = async {
         smol::Timer::after(LIST_READ_TIME).await;
@@ -113,7 +113,7 @@
     shared.peers.wait_known().or(expire).await;
     let list = Partition::new(peers::TABLE, "");
     let mut is_written = false;
-    loop {
+    while !shared.is_draining() {
         if !shared.peers.roster().is_known() || shared.rows.is_unavailable(&list) {
             apply(&shared).await;
         }
@@ -141,6 +141,7 @@
     if !shared.peers.roster().is_known() {
         info!(shared.log, "list of gateways read from its copy"; "gateways" => copy.rows.len());
     }
-    shared.peers.add(&copy.rows, &shared.log);
-    shared.sync_senders();
+    if shared.peers.add(&copy.rows, &shared.log) {
+        shared.sync_senders();
+    }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -127,20 +127,23 @@
         self.complete(roster, rows, log);
     }
 
-    /// Adds the gateways of these rows to the list, which has all that there are then.
-    pub(crate) fn add(&self, rows: &[Row], log: &Logger) {
-        self.complete(self.roster(), rows, log);
+    /// Adds the gateways of these rows to the list, which has all that there are then. Returns whether
+    /// any of the rows is newer than the known ones.
+    pub(crate) fn add(&self, rows: &[Row], log: &Logger) -> bool {
+        self.complete(self.roster(), rows, log)
     }
 
     /// Adds the last gateways that a list lacks. The lock is held throughout, as a part of the list
     /// stands for a smaller fleet.
-    fn complete(&self, mut roster: MutexGuard<'_, Roster>, rows: &[Row], log: &Logger) {
+    fn complete(&self, mut roster: MutexGuard<'_, Roster>, rows: &[Row], log: &Logger) -> bool {
+        let mut is_changed = false;
         for row in rows {
-            apply_row(&mut roster, row, log);
+            is_changed |= apply_row(&mut roster, row, log);
         }
         roster.set_known();
         drop(roster);
         self.known.notify(usize::MAX);
+        is_changed
     }
 
     /// Takes over the list of another gateway, unless this one has read the list itself.
@@ -610,17 +613,18 @@
     }
 }
 
-/// Inserts the gateway of a row into the roster.
-pub(crate) fn apply_row(roster: &mut Roster, row: &Row, log: &Logger) {
-    match Peer::decode(&row.value.0) {
-        Some(peer) => {
-            let (host, address) = (peer.host.clone(), peer.address);
-            if roster.insert(&row.key, peer, row.version) {
-                info!(log, "peer listed"; "peer" => %host, "address" => %address,
-                    "row_version" => row.version);
-            }
-        }
-        None => warn!(log, "gateway row cannot be decoded"; "row" => %row.key,
-            "row_version" => row.version),
+/// Inserts the gateway of a row into the roster; returns whether the row is newer than the known one.
+pub(crate) fn apply_row(roster: &mut Roster, row: &Row, log: &Logger) -> bool {
+    let Some(peer) = Peer::decode(&row.value.0) else {
+        warn!(log, "gateway row cannot be decoded"; "row" => %row.key,
+            "row_version" => row.version);
+        return false;
+    };
+    let (host, address) = (peer.host.clone(), peer.address);
+    let is_newer = roster.insert(&row.key, peer, row.version);
+    if is_newer {
+        info!(log, "peer listed"; "peer" => %host, "address" => %address,
+            "row_version" => row.version);
     }
+    is_newer
 }
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -163,13 +163,13 @@
         .with_write(key, own.as_bytes().to_vec());
     let holder = match replaced {
         Some(row) => find_holder(shared, row).await,
-        None => HolderState::Running,
+        None => Presence::Running,
     };
-    if holder == HolderState::Unknown {
+    if holder == Presence::Unknown {
         return Ok(Reserved::Unclear);
     }
     if let Some(row) = replaced
-        && holder == HolderState::Gone
+        && holder == Presence::Gone
     {
         // Its host may have failed before it recorded a crash.
         let endpoint = Fingerprint::new(&[b"reserved", &row.value.0]);
@@ -197,25 +197,26 @@
 
 /// Whether the process that holds a reservation runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum HolderState {
+enum Presence {
     /// It runs, and records a crash itself.
     Running,
+    /// It has ended.
     Gone,
     /// It is not on a list that cannot be read again, and may have started since.
     Unknown,
 }
 
-async fn find_holder(shared: &Shared, row: &Row) -> HolderState {
+async fn find_holder(shared: &Shared, row: &Row) -> Presence {
     let Some(holder) = Holder::parse(&row.value.0).incarnation else {
-        return HolderState::Gone;
+        return Presence::Gone;
     };
     if shared.rows.is_listed(holder) {
-        return HolderState::Running;
+        return Presence::Running;
     }
     match peers::read_list(&shared.rows).await {
-        Ok(listed) if listed.contains(&holder) => HolderState::Running,
-        Ok(_) => HolderState::Gone,
-        Err(_) => HolderState::Unknown,
+        Ok(listed) if listed.contains(&holder) => Presence::Running,
+        Ok(_) => Presence::Gone,
+        Err(_) => Presence::Unknown,
     }
 }
 
--- a/crates/gateway/src/sweep.rs
+++ b/crates/gateway/src/sweep.rs
@@ -65,7 +65,7 @@
         if now.since(row_written_at) >= GATEWAY_ROW_INTERVAL {
             peers::register(&shared.rows, &own, &shared.log).await;
             let listed = shared.peers.roster().count();
-            // The row of the copy stays; the next write follows well before it counts as orphaned.
+            // If it fails, the next write follows well before the row counts as orphaned.
             drop(list_copy::write(&shared.rows, &own, listed).await);
             row_written_at = now;
         }
